--- /dev/null
+++ b/.prettierrc.js
@@ -0,0 +1,1 @@
+module.exports = {...require('gts/.prettierrc.json')};
--- /dev/null
+++ b/features/support/fleet.ts
@@ -0,0 +1,403 @@
+/**
+ * A small fleet of real processes on loopback: platform, engine group,
+ * ledger, sidecars and entries, with relays where a test cuts.
+ */
+import * as net from 'node:net';
+import type {Document, Service} from '../../src/configuration/types';
+import * as edit from '../../src/configuration/edit';
+import {HttpObjectApi} from '../../src/platform/client';
+import type {Instance} from '../../src/platform/types';
+import * as testHttp from './http';
+import {TestProcess} from './process';
+import {Relay} from './relay';
+import * as site from './site';
+
+const HOST = '127.0.0.1';
+const HALLS = ['hall-a', 'hall-b', 'hall-c'] as const;
+const READY_PATIENCE_MS = 15_000;
+const POLL_MS = 25;
+
+/** What a fleet consists of. */
+export interface FleetOptions {
+  readonly entries?: number;
+  readonly ledgers?: number;
+  readonly ranks?: number;
+  readonly service?: Partial<Service>;
+  /** Steps of the engine, in ms. */
+  readonly stepMs?: number;
+  readonly checksFences?: boolean;
+  /** Relays between sidecars and their targets. */
+  readonly relayTargets?: boolean;
+  /** Relays between the ranks' sidecars. */
+  readonly relayRanks?: boolean;
+  readonly sidecarArgs?: readonly string[];
+}
+
+interface Placed {
+  readonly instance: Instance;
+  readonly process: TestProcess;
+}
+
+/** Ports that were free a moment ago. */
+export async function freePorts(count: number): Promise<number[]> {
+  const servers = await Promise.all(
+    Array.from(
+      {length: count},
+      () =>
+        new Promise<net.Server>(resolve => {
+          const server = net.createServer();
+          server.listen(0, HOST, () => resolve(server));
+        }),
+    ),
+  );
+  const ports = servers.map(
+    server => (server.address() as net.AddressInfo).port,
+  );
+  await Promise.all(
+    servers.map(server => new Promise(done => server.close(done))),
+  );
+  return ports;
+}
+
+/** Polls until true; throws the message otherwise. */
+export async function eventually(
+  what: string,
+  check: () => Promise<boolean> | boolean,
+  patienceMs = READY_PATIENCE_MS,
+): Promise<void> {
+  const giveUpAt = Date.now() + patienceMs;
+  while (!(await check())) {
+    if (Date.now() > giveUpAt) {
+      throw new Error(`not within ${patienceMs} ms: ${what}`);
+    }
+    await pause(POLL_MS);
+  }
+}
+
+export function pause(milliseconds: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, milliseconds));
+}
+
+export class Fleet {
+  readonly processes = new Map<string, TestProcess>();
+  readonly relays = new Map<string, Relay>();
+  private readonly placed = new Map<string, Placed>();
+  platform = '';
+  engine: string[] = [];
+  ledger = '';
+
+  private constructor(private readonly options: FleetOptions) {}
+
+  /** Starts a fleet; resolves once it serves. */
+  static async start(options: FleetOptions = {}): Promise<Fleet> {
+    const fleet = new Fleet(options);
+    try {
+      await fleet.open();
+    } catch (err) {
+      await fleet.close();
+      throw err;
+    }
+    return fleet;
+  }
+
+  async close(): Promise<void> {
+    await Promise.all([...this.processes.values()].map(p => p.destroy()));
+    await Promise.all([...this.relays.values()].map(relay => relay.close()));
+  }
+
+  /** Address of a placed process. */
+  address(id: string): string {
+    return this.placed.get(id)!.instance.address;
+  }
+
+  process(id: string): TestProcess {
+    return this.processes.get(id)!;
+  }
+
+  /** Ids of placed processes whose names start so. */
+  idsOf(prefix: string): string[] {
+    return [...this.placed.keys()].filter(id => id.startsWith(prefix));
+  }
+
+  /** Sets faults on a stand-in. */
+  async setFaults(address: string, faults: unknown): Promise<void> {
+    await testHttp.callJson(address, 'POST', '/standin/faults', faults);
+  }
+
+  /** Applies a configuration document over the version in force. */
+  async apply(document: Document, author = 'test') {
+    const store = new HttpObjectApi(this.platform);
+    const key =
+      document.kind === 'template'
+        ? `config/templates/${document.name}`
+        : `config/accounts/${document.id}`;
+    const held = await store.get(key);
+    const base = held.ok ? (held.value?.version ?? 0) : 0;
+    const applied = await edit.applyDocument(store, document, base, author);
+    store.close();
+    return applied;
+  }
+
+  /** Tells the platform's list of an instance. */
+  async list(id: string, state: 'live' | 'leaving'): Promise<void> {
+    const {instance} = this.placed.get(id)!;
+    const listed = {...instance, state};
+    await testHttp.callJson(
+      this.platform,
+      'POST',
+      '/standin/instances',
+      listed,
+    );
+  }
+
+  /** Starts a process again, on the same address. */
+  async restart(id: string): Promise<void> {
+    this.process(id).start();
+    await this.whenReady(id);
+  }
+
+  async whenReady(id: string): Promise<void> {
+    await eventually(`${id} is ready`, async () => {
+      const answer = await testHttp.call(
+        this.address(id),
+        'GET',
+        '/readyz',
+        {},
+        undefined,
+        500,
+      );
+      return answer.status === 200;
+    });
+  }
+
+  /** Runs of the ledger by key. */
+  runs(): Promise<Record<string, number>> {
+    return testHttp.callJson(this.ledger, 'GET', '/runs');
+  }
+
+  /** Sends a chat completion as a stream. */
+  chat(
+    entry: string,
+    account: site.AccountName,
+    content: string,
+    tokens: number,
+    extra: Record<string, string> = {},
+  ): testHttp.EventStream {
+    const body = JSON.stringify({
+      model: 'assistant',
+      stream: true,
+      max_tokens: tokens,
+      messages: [{role: 'user', content}],
+    });
+    const headers = {...site.auth(account), ...extra};
+    return new testHttp.EventStream(this.address(entry), headers, body);
+  }
+
+  /** Goes on with a stream through any entry. */
+  reconnect(
+    entry: string,
+    account: site.AccountName,
+    lastEventId: string,
+  ): testHttp.EventStream {
+    const headers = {...site.auth(account), 'last-event-id': lastEventId};
+    return new testHttp.EventStream(this.address(entry), headers, undefined);
+  }
+
+  /** A key for the ledger, minted by the system. */
+  async mintKey(entry: string, account: site.AccountName): Promise<string> {
+    let key: string | undefined;
+    await eventually('a key is minted', async () => {
+      const answer = await testHttp.call(
+        this.address(entry),
+        'POST',
+        '/v1/request-keys',
+        site.auth(account),
+        JSON.stringify({service: 'ledger'}),
+      );
+      const document = JSON.parse(answer.text || '{}') as {keys?: string[]};
+      key = document.keys?.[0];
+      return key !== undefined;
+    });
+    return key!;
+  }
+
+  /** A top-up with a key. */
+  topUp(
+    entry: string,
+    account: site.AccountName,
+    key: string,
+    amount = 10,
+    extra: Record<string, string> = {},
+  ): Promise<testHttp.Answer> {
+    return testHttp.call(
+      this.address(entry),
+      'POST',
+      '/ledger/top-ups',
+      {...site.auth(account), 'idempotency-key': key, ...extra},
+      JSON.stringify({phone: '5125550101', amount}),
+    );
+  }
+
+  private async open(): Promise<void> {
+    await this.openStandins();
+    await this.apply(site.makeTemplate(this.options.service));
+    await this.apply(site.makeAccount('alpha'));
+    await this.apply(site.makeAccount('beta'));
+    await this.placeSidecars();
+    await this.placeEntries();
+    const ids = [...this.placed.keys()];
+    await Promise.all(ids.map(id => this.whenReady(id)));
+    await Promise.all(this.idsOf('entry').map(id => this.whenServing(id)));
+  }
+
+  private async openStandins(): Promise<void> {
+    const {ranks = 2, stepMs = 5, checksFences = true} = this.options;
+    const [platform, ledger] = await freePorts(2);
+    const first = await this.freeRange(ranks);
+    this.platform = `${HOST}:${platform}`;
+    this.ledger = `${HOST}:${ledger}`;
+    this.engine = Array.from(
+      {length: ranks},
+      (_, rank) => `${HOST}:${first + rank}`,
+    );
+    this.run('platform', ['standin', 'platform', '--listen', this.platform]);
+    this.run('ledger', ['standin', 'service', '--listen', this.ledger]);
+    this.run('engine', [
+      ...['standin', 'engine', '--listen', `${HOST}:${first}`],
+      ...['--ranks', String(ranks), '--step-ms', String(stepMs)],
+      ...['--checks-fences', String(checksFences)],
+    ]);
+    for (const name of ['platform', 'ledger', 'engine']) {
+      await eventually(
+        `${name} is up`,
+        () => this.process(name).count('FC1001') > 0,
+      );
+    }
+  }
+
+  /** Neighbouring ports for the ranks of one engine process. */
+  private async freeRange(count: number): Promise<number> {
+    for (;;) {
+      const [first] = await freePorts(1);
+      const taken = await Promise.all(
+        Array.from({length: count}, (_, at) => isTaken(first! + at)),
+      );
+      if (!taken.includes(true)) {
+        return first!;
+      }
+    }
+  }
+
+  private async placeSidecars(): Promise<void> {
+    const {ledgers = 3, ranks = 2} = this.options;
+    for (let index = 0; index < ledgers; index += 1) {
+      const hall = HALLS[index % HALLS.length]!;
+      const id = `ledger-${index}`;
+      const target = await this.relayed(id, this.ledger);
+      await this.place(id, hall, 'service/ledger', [
+        ...['--target', target, '--serves', 'service/ledger'],
+      ]);
+    }
+    const ports = await freePorts(ranks);
+    const own = ports.map(port => `${HOST}:${port}`);
+    const seen = await this.relayPeers(own);
+    for (const [rank, address] of own.entries()) {
+      const id = `rank-${rank}`;
+      const target = await this.relayed(id, this.engine[rank]!);
+      const args = [
+        ...['--target', target, '--serves', 'model/assistant'],
+        ...['--group', 'group-0', '--rank', String(rank)],
+        ...['--group-peers', seen.join(',')],
+      ];
+      await this.place(id, HALLS[0], 'model/assistant', args, address);
+    }
+  }
+
+  private async relayPeers(own: readonly string[]): Promise<string[]> {
+    if (!this.options.relayRanks) {
+      return [...own];
+    }
+    const seen: string[] = [];
+    for (const [rank, address] of own.entries()) {
+      seen.push(await this.openRelay(`peer-${rank}`, address));
+    }
+    return seen;
+  }
+
+  private async relayed(id: string, target: string): Promise<string> {
+    return this.options.relayTargets ? this.openRelay(id, target) : target;
+  }
+
+  private async openRelay(name: string, target: string): Promise<string> {
+    const [port] = await freePorts(1);
+    const relay = new Relay(target);
+    await relay.open(port!);
+    this.relays.set(name, relay);
+    return `${HOST}:${port}`;
+  }
+
+  private async placeEntries(): Promise<void> {
+    const {entries = 2} = this.options;
+    for (let index = 0; index < entries; index += 1) {
+      const hall = HALLS[index % HALLS.length]!;
+      await this.place(`entry-${index}`, hall, '', []);
+    }
+  }
+
+  private async place(
+    id: string,
+    hall: string,
+    serves: string,
+    args: readonly string[],
+    at?: string,
+  ): Promise<void> {
+    const address = at ?? `${HOST}:${(await freePorts(1))[0]}`;
+    const role = serves === '' ? 'entry' : 'sidecar';
+    const process = this.run(id, [
+      ...[role, '--id', id, '--hall', hall, '--platform', this.platform],
+      ...['--listen', address],
+      ...args,
+      ...(role === 'sidecar' ? (this.options.sidecarArgs ?? []) : []),
+    ]);
+    const instance: Instance = {
+      id,
+      hall,
+      role,
+      address,
+      serves,
+      state: 'live',
+    };
+    this.placed.set(id, {instance, process});
+    await this.list(id, 'live');
+  }
+
+  private run(name: string, args: readonly string[]): TestProcess {
+    const process = new TestProcess(name, args);
+    this.processes.set(name, process);
+    process.start();
+    return process;
+  }
+
+  /** An entry serves once it knows a rank and a key's owner. */
+  private async whenServing(id: string): Promise<void> {
+    const {ranks = 2, ledgers = 3} = this.options;
+    if (ranks > 0) {
+      await eventually(`${id} streams`, async () => {
+        const stream = this.chat(id, 'alpha', 'warm up', 1);
+        await stream.whenEnded();
+        return stream.isWhole;
+      });
+    }
+    if (ledgers > 0) {
+      await this.mintKey(id, 'alpha');
+    }
+  }
+}
+
+function isTaken(port: number): Promise<boolean> {
+  return new Promise(resolve => {
+    const server = net.createServer();
+    server.once('error', () => resolve(true));
+    server.listen(port, HOST, () => server.close(() => resolve(false)));
+  });
+}
--- /dev/null
+++ b/features/support/process.ts
@@ -0,0 +1,102 @@
+/** One real process of the system, started and ended by a test. */
+import * as childProcess from 'node:child_process';
+import * as path from 'node:path';
+
+const BUNDLE = path.join(__dirname, '..', '..', 'dist', 'ferrycleat.js');
+const BINARY = path.join(__dirname, '..', '..', 'dist', 'ferrycleat');
+const KILL_PATIENCE_MS = 5_000;
+
+/** A logged event. */
+export interface LoggedEvent {
+  readonly event: string;
+  readonly [field: string]: unknown;
+}
+
+export class TestProcess {
+  readonly events: LoggedEvent[] = [];
+  private child: childProcess.ChildProcess | undefined;
+  private ended: Promise<number | null> | undefined;
+
+  constructor(
+    readonly name: string,
+    private readonly args: readonly string[],
+  ) {}
+
+  start(): void {
+    const useBinary = process.env['FERRYCLEAT_TEST_BINARY'] === '1';
+    const command = useBinary ? BINARY : process.execPath;
+    const args = useBinary ? this.args : [BUNDLE, ...this.args];
+    const child = childProcess.spawn(command, args, {
+      stdio: ['ignore', 'ignore', 'pipe'],
+    });
+    this.child = child;
+    this.ended = new Promise(resolve => child.once('close', resolve));
+    let rest = '';
+    child.stderr?.setEncoding('utf8');
+    child.stderr?.on('data', (text: string) => {
+      const lines = (rest + text).split('\n');
+      rest = lines.pop() ?? '';
+      lines.forEach(line => this.note(line));
+    });
+  }
+
+  get isRunning(): boolean {
+    return this.child !== undefined && this.child.exitCode === null;
+  }
+
+  /** Ends it without warning, as a crash would. */
+  async kill(): Promise<void> {
+    this.child?.kill('SIGKILL');
+    await this.ended;
+  }
+
+  freeze(): void {
+    this.child?.kill('SIGSTOP');
+  }
+
+  thaw(): void {
+    this.child?.kill('SIGCONT');
+  }
+
+  /** Asks for a planned stop; resolves with the exit code. */
+  async stop(): Promise<number | null> {
+    this.child?.kill('SIGTERM');
+    return (await this.ended) ?? null;
+  }
+
+  /** Sends a signal and does not wait. */
+  signal(signal: NodeJS.Signals): void {
+    this.child?.kill(signal);
+  }
+
+  whenEnded(): Promise<number | null> {
+    return this.ended ?? Promise.resolve(null);
+  }
+
+  /** Ends it in any state, for the end of a test. */
+  async destroy(): Promise<void> {
+    if (!this.isRunning) {
+      return;
+    }
+    this.thaw();
+    const timer = setTimeout(
+      () => this.child?.kill('SIGKILL'),
+      KILL_PATIENCE_MS,
+    );
+    this.child?.kill('SIGKILL');
+    await this.ended;
+    clearTimeout(timer);
+  }
+
+  count(event: string): number {
+    return this.events.filter(entry => entry.event === event).length;
+  }
+
+  private note(line: string): void {
+    try {
+      this.events.push(JSON.parse(line) as LoggedEvent);
+    } catch {
+      this.events.push({event: 'unreadable', line});
+    }
+  }
+}
--- /dev/null
+++ b/features/support/relay.ts
@@ -0,0 +1,82 @@
+/** A TCP relay between two processes, which a test can cut or stall. */
+import * as net from 'node:net';
+import {splitAddress} from '../../src/http/address';
+
+export class Relay {
+  private readonly sockets = new Set<net.Socket>();
+  private readonly server: net.Server;
+  private isCut = false;
+  private isStalled = false;
+  /** Bytes carried, by direction. */
+  bytes = {up: 0, down: 0};
+
+  constructor(private readonly target: string) {
+    this.server = net.createServer(socket => this.accept(socket));
+  }
+
+  async open(port: number): Promise<void> {
+    await new Promise<void>(resolve =>
+      this.server.listen(port, '127.0.0.1', () => resolve()),
+    );
+  }
+
+  /** Breaks all connections and refuses new ones. */
+  cut(): void {
+    this.isCut = true;
+    this.breakAll();
+  }
+
+  /** Breaks all connections once. */
+  breakAll(): void {
+    this.sockets.forEach(socket => socket.destroy());
+  }
+
+  /** Swallows what is sent, as a network that loses packets would. */
+  stall(): void {
+    this.isStalled = true;
+    this.sockets.forEach(socket => socket.pause());
+  }
+
+  mend(): void {
+    this.isCut = false;
+    this.isStalled = false;
+    this.sockets.forEach(socket => socket.resume());
+  }
+
+  async close(): Promise<void> {
+    this.breakAll();
+    await new Promise<void>(resolve => this.server.close(() => resolve()));
+  }
+
+  private accept(socket: net.Socket): void {
+    if (this.isCut) {
+      socket.destroy();
+      return;
+    }
+    const {host, port} = splitAddress(this.target);
+    const peer = net.connect(port, host);
+    this.pipe(socket, peer, 'up');
+    this.pipe(peer, socket, 'down');
+    if (this.isStalled) {
+      socket.pause();
+      peer.pause();
+    }
+  }
+
+  private pipe(
+    from: net.Socket,
+    to: net.Socket,
+    direction: 'up' | 'down',
+  ): void {
+    this.sockets.add(from);
+    from.on('data', chunk => {
+      this.bytes[direction] += chunk.length;
+      to.write(chunk);
+    });
+    from.on('error', () => undefined);
+    from.on('close', () => {
+      this.sockets.delete(from);
+      to.destroy();
+    });
+  }
+}
--- /dev/null
+++ b/jest.config.js
@@ -0,0 +1,17 @@
+/** Tests lie beside the files; scenarios lie in features/. */
+module.exports = {
+  testMatch: ['**/*.test.ts', '**/*.steps.ts'],
+  testPathIgnorePatterns: ['/node_modules/', '/dist/'],
+  modulePathIgnorePatterns: ['<rootDir>/dist/'],
+  transform: {
+    '^.+\\.ts$': [
+      '@swc/jest',
+      {
+        jsc: {parser: {syntax: 'typescript'}, target: 'es2022'},
+        module: {type: 'commonjs'},
+      },
+    ],
+  },
+  testTimeout: 60000,
+  maxWorkers: 4,
+};
--- /dev/null
+++ b/scripts/bench.js
@@ -0,0 +1,18 @@
+#!/usr/bin/env node
+'use strict';
+// Bundles the bench named on the command line and runs it.
+const path = require('node:path');
+const esbuild = require('esbuild');
+
+const ROOT = path.join(__dirname, '..');
+const outfile = path.join(ROOT, 'dist', 'bench.js');
+esbuild.buildSync({
+  entryPoints: [path.join(ROOT, 'bench', 'main.ts')],
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'cjs',
+  outfile,
+  logLevel: 'warning',
+});
+require(outfile);
--- /dev/null
+++ b/src/claims/runs.ts
@@ -0,0 +1,232 @@
+/**
+ * The decision for each call with a key, and what becomes of it: run it, wait
+ * for the run under way, replay its answer, or refuse it.
+ */
+import type {SteadyClock} from '../clock';
+import type {Keeper} from './keeper';
+import * as keys from './keys';
+import * as records from './records';
+import type {Owner} from './types';
+
+/** How a run under way ended. */
+export type RunEnd =
+  | {readonly kind: 'ran'; readonly answer: records.KeptAnswer | null}
+  | {readonly kind: 'not-run'}
+  | {readonly kind: 'unknown'};
+
+/** Why a key does not run here. */
+export type KeyRefusal =
+  /** The key is burnt: it has not run and never will. */
+  | {readonly kind: 'key-burnt'}
+  /** The key may have run and will not run again. */
+  | {readonly kind: 'outcome-unknown'}
+  | {readonly kind: 'key-reused'; readonly ran: boolean}
+  | {readonly kind: 'key-ahead'; readonly leadMs: number}
+  | {readonly kind: 'key-too-old'}
+  | {readonly kind: 'not-owner'; readonly owner: Owner | null};
+
+/** What to do with a call. */
+export type Admission =
+  | {readonly kind: 'run'; readonly finish: (end: RunEnd) => void}
+  | {readonly kind: 'wait'; readonly end: Promise<RunEnd>}
+  | {readonly kind: 'replay'; readonly answer: records.KeptAnswer | null}
+  | {readonly kind: 'refuse'; readonly refusal: KeyRefusal};
+
+/** What became of a key, as the owner knows it. */
+export type KeyState = 'not-run' | 'running' | 'ran' | 'unknown' | 'not-owner';
+
+/** A call with a key. */
+export interface KeyedCall {
+  readonly account: string;
+  readonly key: keys.RequestKey;
+  readonly fingerprint: string;
+}
+
+interface Running {
+  readonly slot: number;
+  readonly end: Promise<RunEnd>;
+}
+
+export class Runs {
+  readonly records: records.Records;
+  private readonly running = new Map<string, Running>();
+  /**
+   * Keys minted before this are refused for good: their records may be gone,
+   * even if the retention is later set longer.
+   */
+  private oldestAccepted = 0;
+
+  constructor(
+    private readonly keeper: Keeper,
+    private readonly clock: SteadyClock,
+    private readonly slots: () => number,
+    private readonly retentionMs: () => number,
+    maxAnswerBytes: number,
+  ) {
+    this.records = new records.Records(maxAnswerBytes);
+  }
+
+  /** Decides on a call; `run` has marked the key as running already. */
+  admit(call: KeyedCall): Admission {
+    const refusal = this.refusalOf(call);
+    if (refusal !== undefined) {
+      return {kind: 'refuse', refusal};
+    }
+    const record = this.records.find(call.account, call.key.text);
+    return record === undefined
+      ? this.begin(call)
+      : this.answerAgain(call, record);
+  }
+
+  /**
+   * Makes sure that a key never runs, unless it has been let run already.
+   * Only an owner can say `not-run`.
+   */
+  burn(account: string, key: keys.RequestKey): KeyState {
+    const state = this.stateOf(account, key);
+    if (state !== undefined) {
+      return state;
+    }
+    this.records.set({
+      state: 'burnt',
+      account,
+      key: key.text,
+      mintedAt: key.mintedAt,
+      fingerprint: '',
+    });
+    return 'not-run';
+  }
+
+  /** Waits until none of a slot's keys is running. */
+  async settle(slot: number): Promise<void> {
+    const ends = [...this.running.values()]
+      .filter(running => running.slot === slot)
+      .map(running => running.end);
+    await Promise.all(ends);
+  }
+
+  get runningCount(): number {
+    return this.running.size;
+  }
+
+  /** Drops what is too old to be asked for again. */
+  forgetOld(): void {
+    this.records.forgetBefore(this.advanceOldest());
+  }
+
+  /** Undefined: this owner has no record of the key and may burn it. */
+  private stateOf(account: string, key: keys.RequestKey): KeyState | undefined {
+    const slot = keys.slotOf(key, this.slots());
+    const ownership = this.keeper.ownership(slot, key.mintedAt);
+    if (this.isTooOld(key)) {
+      return 'unknown';
+    }
+    if (ownership.kind === 'never-owned') {
+      return 'not-run';
+    }
+    if (ownership.kind !== 'mine') {
+      return 'not-owner';
+    }
+    const record = this.records.find(account, key.text);
+    if (record === undefined) {
+      return this.isAhead(key) ? 'unknown' : undefined;
+    }
+    return record.state === 'burnt' ? 'not-run' : record.state;
+  }
+
+  private isTooOld(key: keys.RequestKey): boolean {
+    return key.mintedAt < this.advanceOldest();
+  }
+
+  private advanceOldest(): number {
+    const oldest = this.clock.now() - this.retentionMs();
+    this.oldestAccepted = Math.max(this.oldestAccepted, oldest);
+    return this.oldestAccepted;
+  }
+
+  private isAhead(key: keys.RequestKey): boolean {
+    return key.mintedAt > this.clock.now() + this.keeper.self.leadMs;
+  }
+
+  private refusalOf(call: KeyedCall): KeyRefusal | undefined {
+    if (this.isTooOld(call.key)) {
+      return {kind: 'key-too-old'};
+    }
+    if (this.isAhead(call.key)) {
+      const leadMs = call.key.mintedAt - this.clock.now();
+      return {kind: 'key-ahead', leadMs};
+    }
+    const slot = keys.slotOf(call.key, this.slots());
+    const ownership = this.keeper.ownership(slot, call.key.mintedAt);
+    switch (ownership.kind) {
+      case 'mine':
+        return undefined;
+      case 'never-owned':
+        return {kind: 'key-burnt'};
+      case 'other':
+        return {kind: 'not-owner', owner: ownership.owner};
+      case 'not-yet':
+      case 'surrendered':
+        return {kind: 'not-owner', owner: null};
+    }
+  }
+
+  private begin(call: KeyedCall): Admission {
+    const {account, key, fingerprint} = call;
+    const record = {
+      account,
+      key: key.text,
+      mintedAt: key.mintedAt,
+      fingerprint,
+    };
+    const name = `${account} ${key.text}`;
+    let settle!: (end: RunEnd) => void;
+    const end = new Promise<RunEnd>(resolve => {
+      settle = resolve;
+    });
+    const slot = keys.slotOf(key, this.slots());
+    this.running.set(name, {slot, end});
+    this.records.set({...record, state: 'running'});
+    const finish = (result: RunEnd) => {
+      if (!this.running.delete(name)) {
+        return;
+      }
+      this.records.set({...record, ...recordOf(result)});
+      settle(result);
+    };
+    return {kind: 'run', finish};
+  }
+
+  private answerAgain(call: KeyedCall, record: records.KeyRecord): Admission {
+    if (record.state === 'burnt') {
+      return {kind: 'refuse', refusal: {kind: 'key-burnt'}};
+    }
+    if (record.fingerprint !== call.fingerprint) {
+      const ran = record.state === 'ran';
+      return {kind: 'refuse', refusal: {kind: 'key-reused', ran}};
+    }
+    if (record.state === 'ran') {
+      return {kind: 'replay', answer: record.answer};
+    }
+    const running = this.running.get(`${call.account} ${call.key.text}`);
+    return running === undefined
+      ? {kind: 'refuse', refusal: {kind: 'outcome-unknown'}}
+      : {kind: 'wait', end: running.end};
+  }
+}
+
+function recordOf(
+  end: RunEnd,
+):
+  | {state: 'ran'; answer: records.KeptAnswer | null}
+  | {state: 'burnt'}
+  | {state: 'unknown'} {
+  switch (end.kind) {
+    case 'ran':
+      return {state: 'ran', answer: end.answer};
+    case 'not-run':
+      return {state: 'burnt'};
+    case 'unknown':
+      return {state: 'unknown'};
+  }
+}
--- /dev/null
+++ b/src/configuration/edit.ts
@@ -0,0 +1,219 @@
+/**
+ * Operators' edits: conditional updates that carry a change id. A writer
+ * that lost the answer reads back and knows; a conflict shows both sides.
+ */
+import {randomUUID} from 'node:crypto';
+import * as v from 'valibot';
+import type {ObjectApi} from '../platform/client';
+import type {PlatformError, StoredObject} from '../platform/types';
+import {Result, fail, ok} from '../result';
+import * as render from './render';
+import * as types from './types';
+
+/** Why an edit was not accepted. */
+export type EditError =
+  | PlatformError
+  /** Somebody else changed the document; nothing was overwritten. */
+  | {
+      readonly kind: 'edit-conflict';
+      readonly base: number;
+      readonly theirs: types.Change | null;
+      readonly theirVersion: number;
+      readonly ours: types.Document;
+    }
+  | {readonly kind: 'immutable'; readonly path: string}
+  | {readonly kind: 'unsound'; readonly error: render.RenderError}
+  /** The store stayed silent: the edit may or may not be accepted. */
+  | {readonly kind: 'outcome-unknown'; readonly changeId: string};
+
+/** An accepted edit. */
+export interface Accepted {
+  readonly changeId: string;
+  readonly object: StoredObject;
+}
+
+const READ_BACK_TRIES = 20;
+const READ_BACK_PAUSE_MS = 500;
+
+/** Reads a document with its version; null where there is none. */
+export async function readChange(
+  store: ObjectApi,
+  key: string,
+): Promise<Result<{version: number; change: types.Change} | null, EditError>> {
+  const read = await store.get(key);
+  if (!read.ok) {
+    return read;
+  }
+  if (read.value === null) {
+    return ok(null);
+  }
+  const parsed = v.safeParse(types.changeSchema, read.value.value);
+  return parsed.success
+    ? ok({version: read.value.version, change: parsed.output})
+    : fail({kind: 'bad-answer', detail: parsed.issues[0].message});
+}
+
+/** One line of a document's history. */
+export interface HistoryLine {
+  readonly changeId: string;
+  readonly author: string;
+  readonly at: string;
+}
+
+/** The latest changes of a document, newest first. */
+export async function readHistory(
+  store: ObjectApi,
+  key: string,
+): Promise<Result<HistoryLine[], EditError>> {
+  const read = await readChange(store, key);
+  if (!read.ok) {
+    return read;
+  }
+  if (read.value === null) {
+    return ok([]);
+  }
+  const {changeId, author, at, former} = read.value.change;
+  return ok([{changeId, author, at}, ...former]);
+}
+
+/**
+ * Writes a document over the version it was made from (0: a new one).
+ * Accepted means: the conditional update took effect.
+ */
+export async function applyDocument(
+  store: ObjectApi,
+  document: types.Document,
+  base: number,
+  author: string,
+): Promise<Result<Accepted, EditError>> {
+  const key = types.keyOf(document);
+  const sound = await checkAgainstStore(store, document, base);
+  if (!sound.ok) {
+    return sound;
+  }
+  const former = await readHistory(store, key);
+  if (!former.ok) {
+    return former;
+  }
+  const value: types.Change = {
+    changeId: randomUUID(),
+    author,
+    at: new Date().toISOString(),
+    document,
+    former: former.value.slice(0, types.MAX_HISTORY),
+  };
+  const {changeId} = value;
+  const written = await store.put(key, value, base);
+  if (written.ok) {
+    const object = {key, version: written.value, value};
+    return ok({changeId, object});
+  }
+  if (written.error.kind === 'conflict') {
+    return settleConflict(written.error.current, value, base);
+  }
+  if (written.error.kind === 'unavailable' && written.error.maybeApplied) {
+    return readBack(store, key, value, base);
+  }
+  return written;
+}
+
+/**
+ * A conflict with our own change id means that an earlier try of this very
+ * write took effect.
+ */
+function settleConflict(
+  current: StoredObject | null,
+  ours: types.Change,
+  base: number,
+): Result<Accepted, EditError> {
+  const parsed = v.safeParse(types.changeSchema, current?.value);
+  const theirs = parsed.success ? parsed.output : null;
+  if (current !== null && theirs?.changeId === ours.changeId) {
+    return ok({changeId: ours.changeId, object: current});
+  }
+  return fail({
+    kind: 'edit-conflict',
+    base,
+    theirs,
+    theirVersion: current?.version ?? 0,
+    ours: ours.document,
+  });
+}
+
+/**
+ * The answer was lost. A version other than the base settles it; while the
+ * base is still there, the write may be on its way, so writing it again
+ * under the same condition can't do harm.
+ */
+async function readBack(
+  store: ObjectApi,
+  key: string,
+  value: types.Change,
+  base: number,
+): Promise<Result<Accepted, EditError>> {
+  for (let tries = 0; tries < READ_BACK_TRIES; tries += 1) {
+    const written = await store.put(key, value, base);
+    if (written.ok) {
+      const object = {key, version: written.value, value};
+      return ok({changeId: value.changeId, object});
+    }
+    if (written.error.kind === 'conflict') {
+      return settleConflict(written.error.current, value, base);
+    }
+    await new Promise(resolve => setTimeout(resolve, READ_BACK_PAUSE_MS));
+  }
+  return fail({kind: 'outcome-unknown', changeId: value.changeId});
+}
+
+/** What the schema of one document alone can't see. */
+async function checkAgainstStore(
+  store: ObjectApi,
+  document: types.Document,
+  base: number,
+): Promise<Result<void, EditError>> {
+  if (document.kind === 'account') {
+    return checkAccount(store, document);
+  }
+  if (base === 0) {
+    return ok(undefined);
+  }
+  const before = await readChange(store, types.keyOf(document));
+  if (!before.ok) {
+    return before;
+  }
+  const old = before.value?.change.document;
+  return old?.kind === 'template' ? checkSlots(old, document) : ok(undefined);
+}
+
+/**
+ * A service's number of slots decides which sidecar owns a key. Another
+ * number would give keys that have run to owners that don't know it.
+ */
+function checkSlots(
+  old: types.Template,
+  next: types.Template,
+): Result<void, EditError> {
+  for (const [name, service] of Object.entries(old.services)) {
+    const after = next.services[name];
+    if (after === undefined || after.slots !== service.slots) {
+      return fail({kind: 'immutable', path: `services.${name}.slots`});
+    }
+  }
+  return ok(undefined);
+}
+
+async function checkAccount(
+  store: ObjectApi,
+  account: types.Account,
+): Promise<Result<void, EditError>> {
+  const read = await readChange(store, types.templateKey(account.template));
+  if (!read.ok) {
+    return read;
+  }
+  const document = read.value?.change.document;
+  const template = document?.kind === 'template' ? document : undefined;
+  const rendered = render.renderAccount(account, template);
+  return rendered.ok
+    ? ok(undefined)
+    : fail({kind: 'unsound', error: rendered.error});
+}
--- /dev/null
+++ b/src/configuration/follower.ts
@@ -0,0 +1,359 @@
+/**
+ * Keeps a process's copy of the configuration and of the list of instances.
+ *
+ * A few processes of each hall watch the store; the others wait at one of
+ * these, so the store's calls grow with the halls and not with the fleet.
+ * Besides, every call between processes carries a stamp, and whoever is
+ * behind fetches from whoever is ahead: changes spread also while the store
+ * is down.
+ */
+import {createHash} from 'node:crypto';
+import {
+  BehaviorSubject,
+  Subject,
+  firstValueFrom,
+  merge,
+  race,
+  timer,
+} from 'rxjs';
+import {filter, map, take} from 'rxjs/operators';
+import {Log} from '../observability/log';
+import {ObjectApi} from '../platform/client';
+import type {Instance} from '../platform/types';
+import * as random from '../random';
+import * as rendezvous from '../routing/rendezvous';
+import type {RpcClient} from '../rpc/client';
+import type {RpcServer} from '../rpc/server';
+import type {StampExchange} from '../rpc/types';
+import * as app from './app';
+import * as replica from './replica';
+import {CONFIGURATION_PREFIX} from './types';
+
+/** Processes of a hall that watch the store for the others. */
+export const WATCHERS_PER_HALL = 2;
+const WATCH_WAIT_MS = 20_000;
+const LIST_PERIOD_MS = 2_000;
+const RETRY_MIN_MS = 200;
+const RETRY_MAX_MS = 3_000;
+const FETCH_TIMEOUT_MS = 2_000;
+const WAIT_GRACE_MS = 3_000;
+
+/** Who this process is, towards the other followers. */
+export interface FollowerIdentity {
+  readonly id: string;
+  readonly hall: string;
+  /** Peers known from the settings, asked while the store is down. */
+  readonly peers: readonly string[];
+}
+
+interface InstanceList {
+  readonly instances: readonly Instance[];
+  readonly digest: string;
+}
+
+export class Follower {
+  readonly replica: replica.Replica;
+  private readonly list = new BehaviorSubject<InstanceList>({
+    instances: [],
+    digest: '',
+  });
+  private readonly closing = new AbortController();
+  private readonly closed = new Subject<void>();
+  private readonly fetching = new Map<string, Promise<void>>();
+  private listTimer: NodeJS.Timeout | undefined;
+  private storeDown = false;
+  private watching: string | undefined;
+
+  constructor(
+    private readonly identity: FollowerIdentity,
+    private readonly store: ObjectApi,
+    private readonly log: Log,
+    private readonly rpcClient: () => RpcClient,
+  ) {
+    this.replica = new replica.Replica((key, detail) =>
+      log.event('configurationRejected', {key, detail}),
+    );
+  }
+
+  /** The newest list of instances that this process knows. */
+  get instances(): readonly Instance[] {
+    return this.list.value.instances;
+  }
+
+  /** Emits each new list of instances. */
+  get instanceLists() {
+    return this.list.pipe(map(list => list.instances));
+  }
+
+  /** Starts following; resolves once the copy is filled. */
+  async start(): Promise<void> {
+    void this.followChanges();
+    await firstValueFrom(
+      merge(
+        this.replica.changes.pipe(filter(() => this.replica.ready)),
+        this.closed,
+      ).pipe(take(1)),
+    );
+    await this.askSomePeers();
+  }
+
+  /** Lets calls between processes carry and compare stamps. */
+  get stampExchange(): StampExchange {
+    return {
+      mine: () => replica.printStamp(this.replica.stamp),
+      seen: (stamp, address) => void this.catchUp(stamp, address),
+    };
+  }
+
+  /** Fetches from a peer where its stamp shows more than this copy has. */
+  async catchUp(stampText: string, address: string): Promise<void> {
+    const theirs = replica.readStamp(stampText);
+    if (
+      theirs === undefined ||
+      address === '' ||
+      !replica.isBehind(this.replica.stamp, theirs)
+    ) {
+      return;
+    }
+    const running = this.fetching.get(address) ?? this.fetchFrom(address);
+    this.fetching.set(address, running);
+    await running;
+    this.fetching.delete(address);
+  }
+
+  /** Binds the RPC face. */
+  serve(server: RpcServer): void {
+    server.handle(app.since, params => this.replica.since(params.version));
+    server.handle(app.push, params => {
+      this.replica.mergeExtra(params.item);
+      return {stamp: replica.printStamp(this.replica.stamp)};
+    });
+    server.handle(app.wait, params => this.answerWait(params));
+  }
+
+  close(): void {
+    this.closing.abort();
+    this.closed.next();
+    this.closed.complete();
+    clearTimeout(this.listTimer);
+    this.replica.close();
+    this.list.complete();
+  }
+
+  private async fetchFrom(address: string): Promise<void> {
+    const version = this.replica.stamp.complete;
+    const delta = await this.rpcClient().call(
+      address,
+      app.since,
+      {version},
+      FETCH_TIMEOUT_MS,
+    );
+    if (delta.ok) {
+      this.mergeDelta(delta.value, address);
+    }
+  }
+
+  private mergeDelta(delta: replica.Delta, source: string): void {
+    const before = replica.printStamp(this.replica.stamp);
+    this.replica.mergeDelta(delta);
+    this.reportChange(before, source);
+  }
+
+  private reportChange(before: string, source: string): void {
+    const stamp = replica.printStamp(this.replica.stamp);
+    if (stamp !== before) {
+      this.log.event('configurationApplied', {stamp, source});
+    }
+  }
+
+  private async answerWait(params: {
+    stamp: string;
+    instancesDigest: string;
+    waitMs: number;
+  }) {
+    const theirs = replica.readStamp(params.stamp);
+    const isNews = () =>
+      theirs === undefined ||
+      replica.isBehind(theirs, this.replica.stamp) ||
+      this.list.value.digest !== params.instancesDigest;
+    if (!isNews()) {
+      const news = merge(this.replica.changes, this.list).pipe(
+        filter(isNews),
+        take(1),
+      );
+      await firstValueFrom(race(news, timer(params.waitMs), this.closed), {
+        defaultValue: undefined,
+      });
+    }
+    const list = this.list.value;
+    const changed = list.digest !== params.instancesDigest;
+    return {
+      delta: this.replica.since(theirs?.complete ?? 0),
+      instances: changed ? [...list.instances] : null,
+      instancesDigest: list.digest,
+    };
+  }
+
+  private async followChanges(): Promise<void> {
+    let failures = 0;
+    while (!this.closing.signal.aborted) {
+      const source = this.chooseSource(failures);
+      const worked =
+        source === undefined
+          ? await this.watchStore()
+          : await this.waitAtWatcher(source);
+      failures = worked ? 0 : failures + 1;
+      if (!worked) {
+        await this.askPeers();
+        await this.pause(failures);
+      }
+    }
+  }
+
+  /** Undefined: this process watches the store itself. */
+  private chooseSource(failures: number): string | undefined {
+    const mates = this.instances.filter(
+      instance =>
+        instance.hall === this.identity.hall && instance.state === 'live',
+    );
+    const ranked = rendezvous.rankByKey(this.identity.hall, mates, m => m.id);
+    const watchers = ranked.slice(0, WATCHERS_PER_HALL);
+    const isWatcher = watchers.some(m => m.id === this.identity.id);
+    // A process that reaches no watcher goes to the store: a hall whose
+    // watchers died at once must not wait for the lagging list.
+    if (isWatcher || watchers.length === 0 || failures >= watchers.length) {
+      this.noteSource('store');
+      return undefined;
+    }
+    const mine = rendezvous.rankByKey(this.identity.id, watchers, m => m.id);
+    const address = mine[failures % mine.length]!.address;
+    this.noteSource(address);
+    return address;
+  }
+
+  private noteSource(source: string): void {
+    if (this.watching !== source) {
+      this.watching = source;
+      this.log.event('watcherChanged', {source});
+    }
+  }
+
+  private async waitAtWatcher(address: string): Promise<boolean> {
+    clearTimeout(this.listTimer);
+    this.listTimer = undefined;
+    const answer = await this.rpcClient().call(
+      address,
+      app.wait,
+      {
+        stamp: replica.printStamp(this.replica.stamp),
+        instancesDigest: this.list.value.digest,
+        waitMs: WATCH_WAIT_MS,
+      },
+      WATCH_WAIT_MS + WAIT_GRACE_MS,
+      this.closing.signal,
+    );
+    if (!answer.ok) {
+      return false;
+    }
+    this.mergeDelta(answer.value.delta, address);
+    if (answer.value.instances !== null) {
+      this.setInstances(answer.value.instances);
+    }
+    return true;
+  }
+
+  private watchRevision = 0;
+
+  private async watchStore(): Promise<boolean> {
+    this.listTimer ??= setTimeout(() => void this.pollInstances(), 0);
+    const before = replica.printStamp(this.replica.stamp);
+    const answer =
+      this.watchRevision === 0
+        ? await this.store.list(CONFIGURATION_PREFIX)
+        : await this.store.watch(
+            CONFIGURATION_PREFIX,
+            this.watchRevision,
+            WATCH_WAIT_MS,
+            this.closing.signal,
+          );
+    if (this.closing.signal.aborted) {
+      return true;
+    }
+    if (!answer.ok) {
+      return this.onStoreError(answer.error.kind);
+    }
+    this.noteStoreBack();
+    this.watchRevision = Math.max(this.watchRevision, answer.value.revision);
+    this.replica.mergeListing(answer.value);
+    this.reportChange(before, 'store');
+    return true;
+  }
+
+  private onStoreError(kind: string): boolean {
+    this.watchRevision = 0;
+    if (kind === 'watch-too-old') {
+      this.log.event('watchRelisted');
+      return true;
+    }
+    if (!this.storeDown) {
+      this.storeDown = true;
+      this.log.event('platformUnavailable', {error: kind});
+    }
+    return false;
+  }
+
+  private noteStoreBack(): void {
+    if (this.storeDown) {
+      this.storeDown = false;
+      this.log.event('platformBack');
+    }
+  }
+
+  private async pollInstances(): Promise<void> {
+    const answer = await this.store.instances();
+    if (this.closing.signal.aborted) {
+      return;
+    }
+    if (answer.ok) {
+      this.setInstances(answer.value);
+    }
+    const waitMs = random.jitter(LIST_PERIOD_MS);
+    this.listTimer = setTimeout(() => void this.pollInstances(), waitMs);
+  }
+
+  private setInstances(instances: readonly Instance[]): void {
+    const digest = createHash('sha256')
+      .update(JSON.stringify(instances))
+      .digest('base64url');
+    if (digest !== this.list.value.digest) {
+      this.list.next({instances, digest});
+    }
+  }
+
+  /** The store's answer may come from a replica that lags behind. */
+  private async askSomePeers(): Promise<void> {
+    const START_PEERS = 3;
+    for (let asked = 0; asked < START_PEERS; asked += 1) {
+      await this.askPeers();
+    }
+  }
+
+  /** While the store is down, peers are the only source of changes. */
+  private async askPeers(): Promise<void> {
+    const known = this.instances
+      .filter(i => i.state === 'live' && i.id !== this.identity.id)
+      .map(i => i.address);
+    const addresses = [...this.identity.peers, ...known];
+    if (addresses.length > 0) {
+      await this.fetchFrom(random.pick(addresses));
+    }
+  }
+
+  private async pause(failures: number): Promise<void> {
+    const limit = Math.min(RETRY_MIN_MS * 2 ** failures, RETRY_MAX_MS);
+    await firstValueFrom(
+      race(timer(random.jitter(limit)), this.closed).pipe(take(1)),
+      {defaultValue: undefined},
+    );
+  }
+}
--- /dev/null
+++ b/src/configuration/replica.ts
@@ -0,0 +1,214 @@
+/**
+ * A process's copy of the configuration.
+ *
+ * Every object carries the store's version, and only a greater version
+ * replaces it, so copies can be merged in any order and never revert.
+ * `complete` is the version up to which nothing is missing; a change that an
+ * operator pushed straight to this process may lie above it as an extra.
+ */
+import {BehaviorSubject, Observable} from 'rxjs';
+import * as v from 'valibot';
+import type {Listing, StoredObject} from '../platform/types';
+import * as render from './render';
+import * as types from './types';
+
+/** The three numbers by which two copies are compared. */
+export interface Stamp {
+  readonly complete: number;
+  readonly highest: number;
+  readonly extras: number;
+}
+
+/** What a copy gives to one that is behind it. */
+export interface Delta {
+  readonly complete: number;
+  readonly items: StoredObject[];
+}
+
+/** Reports an object that does not parse; the former one stays in force. */
+export type OnRejected = (key: string, detail: string) => void;
+
+export class Replica {
+  private readonly objects = new Map<string, StoredObject>();
+  private readonly templates = new Map<string, types.Template>();
+  private readonly accounts = new Map<string, types.Account>();
+  private readonly rendered = new Map<string, types.RenderedAccount>();
+  private readonly owners = new Map<string, string>();
+  private readonly stampSubject = new BehaviorSubject<Stamp>({
+    complete: 0,
+    highest: 0,
+    extras: 0,
+  });
+  private filled = false;
+
+  constructor(private readonly onRejected: OnRejected = () => undefined) {}
+
+  /** Emits whenever the copy has changed. */
+  get changes(): Observable<Stamp> {
+    return this.stampSubject.asObservable();
+  }
+
+  get stamp(): Stamp {
+    return this.stampSubject.value;
+  }
+
+  /** False until a listing or a peer's whole copy has been merged. */
+  get ready(): boolean {
+    return this.filled;
+  }
+
+  /** Merges all objects as of a store revision. */
+  mergeListing(listing: Listing): void {
+    const newest = Math.max(0, ...listing.items.map(item => item.version));
+    this.filled = true;
+    this.merge(listing.items, newest);
+  }
+
+  /** Merges what a peer holds beyond this copy's `complete`. */
+  mergeDelta(delta: Delta): void {
+    // A peer that holds nothing yet is no proof that there is nothing.
+    this.filled ||= delta.complete > 0;
+    this.merge(delta.items, delta.complete);
+  }
+
+  /** Merges one accepted change that may lie ahead of this copy. */
+  mergeExtra(item: StoredObject): void {
+    this.merge([item], this.stamp.complete);
+  }
+
+  /** Everything newer than a version. */
+  since(version: number): Delta {
+    const items = [...this.objects.values()].filter(
+      item => item.version > version,
+    );
+    return {complete: this.stamp.complete, items};
+  }
+
+  template(name: string): types.Template | undefined {
+    return this.templates.get(name);
+  }
+
+  /** All templates in force. */
+  allTemplates(): readonly types.Template[] {
+    return [...this.templates.values()];
+  }
+
+  account(id: string): types.RenderedAccount | undefined {
+    return this.rendered.get(id);
+  }
+
+  get accountCount(): number {
+    return this.rendered.size;
+  }
+
+  /** The account whose API key has this SHA-256 digest. */
+  accountOfDigest(digest: string): types.RenderedAccount | undefined {
+    const id = this.owners.get(digest);
+    return id === undefined ? undefined : this.rendered.get(id);
+  }
+
+  /** The plain service of any template, by name. */
+  service(name: string): types.Service | undefined {
+    for (const template of this.templates.values()) {
+      const service = template.services[name];
+      if (service !== undefined) {
+        return service;
+      }
+    }
+    return undefined;
+  }
+
+  close(): void {
+    this.stampSubject.complete();
+  }
+
+  private merge(items: readonly StoredObject[], complete: number): void {
+    let changed = complete > this.stamp.complete;
+    for (const item of items) {
+      changed = this.mergeObject(item) || changed;
+    }
+    if (changed || this.stamp.highest === 0) {
+      this.restamp(Math.max(complete, this.stamp.complete));
+    }
+  }
+
+  private mergeObject(item: StoredObject): boolean {
+    const held = this.objects.get(item.key);
+    if (held !== undefined && held.version >= item.version) {
+      return false;
+    }
+    this.objects.set(item.key, item);
+    const parsed = v.safeParse(types.changeSchema, item.value);
+    if (parsed.success) {
+      this.putInForce(parsed.output.document);
+    } else {
+      this.onRejected(item.key, parsed.issues[0]?.message ?? 'wrong shape');
+    }
+    return true;
+  }
+
+  private putInForce(document: types.Document): void {
+    if (document.kind === 'account') {
+      this.accounts.set(document.id, document);
+      this.renderOne(document);
+      return;
+    }
+    this.templates.set(document.name, document);
+    for (const account of this.accounts.values()) {
+      if (account.template === document.name) {
+        this.renderOne(account);
+      }
+    }
+  }
+
+  private renderOne(account: types.Account): void {
+    const template = this.templates.get(account.template);
+    const result = render.renderAccount(account, template);
+    if (!result.ok) {
+      if (result.error.kind !== 'unknown-template') {
+        this.onRejected(types.accountKey(account.id), result.error.kind);
+      }
+      return;
+    }
+    const former = this.rendered.get(account.id);
+    for (const digest of former?.keyDigests ?? []) {
+      this.owners.delete(digest);
+    }
+    for (const digest of account.keyDigests) {
+      this.owners.set(digest, account.id);
+    }
+    this.rendered.set(account.id, result.value);
+  }
+
+  private restamp(complete: number): void {
+    let highest = complete;
+    let extras = 0;
+    for (const item of this.objects.values()) {
+      highest = Math.max(highest, item.version);
+      extras += item.version > complete ? 1 : 0;
+    }
+    this.stampSubject.next({complete, highest, extras});
+  }
+}
+
+/** `complete.highest.extras`, as it travels in a header. */
+export function printStamp(stamp: Stamp): string {
+  return `${stamp.complete}.${stamp.highest}.${stamp.extras}`;
+}
+
+/** Undefined where the text is no stamp. */
+export function readStamp(text: string): Stamp | undefined {
+  if (!/^\d{1,15}\.\d{1,15}\.\d{1,15}$/.test(text)) {
+    return undefined;
+  }
+  const [complete, highest, extras] = text.split('.').map(Number);
+  return {complete: complete!, highest: highest!, extras: extras!};
+}
+
+/** Whether a copy with stamp `mine` may lack something that `theirs` has. */
+export function isBehind(mine: Stamp, theirs: Stamp): boolean {
+  if (theirs.complete > mine.complete || theirs.highest > mine.highest) {
+    return true;
+  }
+  return theirs.complete === mine.complete && theirs.extras > mine.extras;
+}
--- /dev/null
+++ b/src/http/client.ts
@@ -0,0 +1,147 @@
+/** Requests to other processes over kept-alive connections. */
+import * as http from 'node:http';
+import {Result, fail, ok} from '../result';
+import {splitAddress} from './address';
+import * as body from './body';
+
+const CONNECT_TIMEOUT_MS = 1_000;
+const MAX_IDLE_SOCKETS = 64;
+
+/**
+ * Why a call got no answer. `sent` says whether a byte of the request may
+ * have left: only where it is false is it certain that the peer saw nothing.
+ */
+export type CallError =
+  | {readonly kind: 'no-connection'; readonly sent: false}
+  | {readonly kind: 'connection-lost'; readonly sent: true}
+  | {readonly kind: 'timed-out'; readonly sent: boolean}
+  | {readonly kind: 'cancelled'; readonly sent: boolean};
+
+/** One request to an address. */
+export interface Call {
+  readonly address: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers?: http.OutgoingHttpHeaders;
+  readonly body?: Buffer | string;
+  /** Milliseconds until the head of the answer. */
+  readonly timeoutMs: number;
+  readonly signal?: AbortSignal;
+}
+
+/** Makes an agent; whoever makes it destroys it. */
+export function makeAgent(): http.Agent {
+  return new http.Agent({
+    keepAlive: true,
+    maxFreeSockets: MAX_IDLE_SOCKETS,
+    scheduling: 'lifo',
+  });
+}
+
+/** Sends a request; resolves with the head of the answer. */
+export function send(
+  agent: http.Agent,
+  call: Call,
+): Promise<Result<http.IncomingMessage, CallError>> {
+  return new Promise(resolve => {
+    const {host, port} = splitAddress(call.address);
+    let connected = false;
+    let failure: CallError | undefined;
+    const req = http.request({
+      agent,
+      host,
+      port,
+      method: call.method,
+      path: call.path,
+      headers: headersOf(call),
+    });
+    const stop = (err: CallError) => {
+      failure ??= err;
+      req.destroy();
+    };
+    const onAbort = () => stop({kind: 'cancelled', sent: connected});
+    const connectTimer = setTimeout(() => {
+      if (!connected) {
+        stop({kind: 'no-connection', sent: false});
+      }
+    }, CONNECT_TIMEOUT_MS);
+    const timer = setTimeout(
+      () => stop({kind: 'timed-out', sent: connected}),
+      Math.max(call.timeoutMs, 0),
+    );
+    const settle = () => {
+      clearTimeout(timer);
+      clearTimeout(connectTimer);
+    };
+    req.on('socket', socket => {
+      if (!socket.connecting) {
+        connected = true;
+      } else {
+        socket.once('connect', () => {
+          connected = true;
+        });
+      }
+    });
+    req.on('response', res => {
+      settle();
+      res.once('close', () =>
+        call.signal?.removeEventListener('abort', onAbort),
+      );
+      resolve(ok(res));
+    });
+    req.on('error', () => {
+      settle();
+      call.signal?.removeEventListener('abort', onAbort);
+      const lost: CallError = connected
+        ? {kind: 'connection-lost', sent: true}
+        : {kind: 'no-connection', sent: false};
+      resolve(fail(failure ?? lost));
+    });
+    if (call.signal?.aborted) {
+      onAbort();
+    } else {
+      call.signal?.addEventListener('abort', onAbort, {once: true});
+    }
+    req.end(call.body);
+  });
+}
+
+function headersOf(call: Call): http.OutgoingHttpHeaders {
+  const headers: http.OutgoingHttpHeaders = {...call.headers};
+  if (call.body !== undefined) {
+    headers['content-length'] = Buffer.byteLength(call.body);
+  }
+  return headers;
+}
+
+/** A whole answer. */
+export interface Answer {
+  readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: Buffer;
+}
+
+/** Sends a request and reads the whole answer under a cap and a time. */
+export async function fetchWhole(
+  agent: http.Agent,
+  call: Call,
+  limitBytes: number,
+): Promise<Result<Answer, CallError>> {
+  const res = await send(agent, call);
+  if (!res.ok) {
+    return res;
+  }
+  const message = res.value;
+  const timer = setTimeout(() => message.destroy(), call.timeoutMs);
+  const read = await body.readBody(message, limitBytes);
+  clearTimeout(timer);
+  if (!read.ok) {
+    message.destroy();
+    return fail({kind: 'connection-lost', sent: true});
+  }
+  return ok({
+    status: message.statusCode ?? 0,
+    headers: message.headers,
+    body: read.value,
+  });
+}
--- /dev/null
+++ b/src/http/server.ts
@@ -0,0 +1,84 @@
+/** Starting and stopping HTTP servers. */
+import * as http from 'node:http';
+import * as net from 'node:net';
+import {joinAddress, splitAddress} from './address';
+
+const HEADERS_TIMEOUT_MS = 10_000;
+const REQUEST_TIMEOUT_MS = 60_000;
+const KEEP_ALIVE_MS = 65_000;
+const MAX_HEADER_BYTES = 16 * 1024;
+
+/** Answers one request; a rejection is reported through `onFault`. */
+export type Handler = (
+  req: http.IncomingMessage,
+  res: http.ServerResponse,
+) => Promise<void>;
+
+/** A server that listens, and the address it was bound to. */
+export interface Listener {
+  readonly address: string;
+  /** Stops accepting and closes connections as they become idle. */
+  drain(): void;
+  /** Stops accepting and cuts what is still open. */
+  close(): Promise<void>;
+}
+
+/** Limits of one server. */
+export interface ServerLimits {
+  readonly maxConnections?: number;
+  readonly requestTimeoutMs?: number;
+}
+
+/**
+ * Listens on an address; port 0 takes a free one. Rejects with the
+ * system's error, `EADDRINUSE` where another process holds the port.
+ */
+export async function listen(
+  address: string,
+  handler: Handler,
+  onFault: (err: Error) => void,
+  limits: ServerLimits = {},
+): Promise<Listener> {
+  const server = http.createServer(
+    {
+      headersTimeout: HEADERS_TIMEOUT_MS,
+      requestTimeout: limits.requestTimeoutMs ?? REQUEST_TIMEOUT_MS,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      maxHeaderSize: MAX_HEADER_BYTES,
+    },
+    (req, res) => {
+      handler(req, res).catch(err => {
+        onFault(err as Error);
+        res.destroy();
+      });
+    },
+  );
+  if (limits.maxConnections !== undefined) {
+    server.maxConnections = limits.maxConnections;
+  }
+  const {host, port} = splitAddress(address);
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => {
+      server.removeListener('error', reject);
+      resolve();
+    });
+  });
+  server.on('error', onFault);
+  const bound = server.address() as net.AddressInfo;
+  return {
+    address: joinAddress(host, bound.port),
+    drain: () => {
+      server.close();
+      server.closeIdleConnections();
+    },
+    close: () => closeServer(server),
+  };
+}
+
+function closeServer(server: http.Server): Promise<void> {
+  return new Promise(resolve => {
+    server.close(() => resolve());
+    server.closeAllConnections();
+  });
+}
--- /dev/null
+++ b/src/main.ts
@@ -0,0 +1,39 @@
+#!/usr/bin/env node
+/** Entry point of the one binary: only wires the commands. */
+import {Command, CommanderError} from 'commander';
+import * as local from './commands/local';
+import * as operators from './commands/operators';
+import * as processes from './commands/processes';
+import {EXIT} from './settings/command';
+
+function makeProgram(): Command {
+  const program = new Command('ferrycleat');
+  program
+    .description('load balancer for expert-parallel model groups')
+    .showHelpAfterError('(see --help)')
+    .configureHelp({sortSubcommands: true})
+    .exitOverride();
+  processes.addEntry(program);
+  processes.addSidecar(program);
+  processes.addStandins(program);
+  operators.addDocumentCommands(program);
+  operators.addCheck(program);
+  operators.addStatus(program);
+  operators.addExplain(program);
+  local.addLocal(program);
+  return program;
+}
+
+async function main(): Promise<void> {
+  try {
+    await makeProgram().parseAsync(process.argv);
+  } catch (err) {
+    if (!(err instanceof CommanderError)) {
+      throw err;
+    }
+    // Commander has printed the reason already.
+    process.exitCode = err.exitCode === EXIT.ok ? EXIT.ok : EXIT.badUsage;
+  }
+}
+
+void main();
--- /dev/null
+++ b/src/observability/catalogue.ts
@@ -0,0 +1,100 @@
+/**
+ * The numbered log events. docs/EVENTS.md explains each; a test holds the
+ * page against this table.
+ */
+
+/** How loud an event is. */
+export type Level = 'info' | 'warn' | 'error';
+
+interface EventEntry {
+  readonly id: string;
+  readonly level: Level;
+  readonly text: string;
+}
+
+/** Every event by name. Numbers are never used again for another event. */
+export const EVENTS = {
+  processReady: {id: 'FC1001', level: 'info', text: 'process is ready'},
+  processStopping: {id: 'FC1002', level: 'info', text: 'process is stopping'},
+  processStopped: {id: 'FC1003', level: 'info', text: 'process has stopped'},
+  requestFault: {id: 'FC1004', level: 'error', text: 'a handler failed'},
+  settingRejected: {id: 'FC1005', level: 'error', text: 'bad setting'},
+  stopForced: {id: 'FC1006', level: 'warn', text: 'second signal: forced stop'},
+  requestRefused: {id: 'FC2001', level: 'info', text: 'request refused'},
+  requestRetried: {id: 'FC2002', level: 'info', text: 'request retried'},
+  streamResumed: {id: 'FC2003', level: 'warn', text: 'stream resumed'},
+  streamBroken: {id: 'FC2004', level: 'error', text: 'stream ended in error'},
+  badInput: {id: 'FC2005', level: 'warn', text: 'bad input from a caller'},
+  foreignAnswer: {
+    id: 'FC2006',
+    level: 'error',
+    text: 'answer to another request discarded',
+  },
+  callerGone: {id: 'FC2007', level: 'info', text: 'caller went away'},
+  platformUnavailable: {
+    id: 'FC3001',
+    level: 'warn',
+    text: 'platform store unavailable',
+  },
+  platformBack: {id: 'FC3002', level: 'info', text: 'platform store is back'},
+  answerLost: {
+    id: 'FC3003',
+    level: 'warn',
+    text: 'store answer lost: reading back',
+  },
+  watchRelisted: {id: 'FC3004', level: 'info', text: 'watch too old: relisted'},
+  configurationApplied: {
+    id: 'FC4001',
+    level: 'info',
+    text: 'configuration in force',
+  },
+  configurationRejected: {
+    id: 'FC4002',
+    level: 'error',
+    text: 'configuration object does not parse: kept the former one',
+  },
+  watcherChanged: {id: 'FC4003', level: 'info', text: 'source of changes set'},
+  cellTaken: {id: 'FC5001', level: 'info', text: 'claim cell taken'},
+  cellLost: {id: 'FC5002', level: 'warn', text: 'claim cell lost'},
+  cellCut: {
+    id: 'FC5003',
+    level: 'info',
+    text: 'predecessor is dead: its cell was cut short',
+  },
+  cellHandedOver: {id: 'FC5004', level: 'info', text: 'claim cell handed over'},
+  cellExtensionLate: {
+    id: 'FC5005',
+    level: 'warn',
+    text: 'claim cell could not be extended',
+  },
+  targetLeaving: {id: 'FC6001', level: 'info', text: 'target is leaving'},
+  targetEjected: {id: 'FC6002', level: 'warn', text: 'target ejected'},
+  targetReadmitted: {id: 'FC6003', level: 'info', text: 'target let back in'},
+  targetUnreachable: {
+    id: 'FC6004',
+    level: 'warn',
+    text: 'target does not answer its sidecar',
+  },
+  mapChangeStarted: {id: 'FC7001', level: 'info', text: 'map change started'},
+  mapChangeCommitted: {
+    id: 'FC7002',
+    level: 'info',
+    text: 'map change committed',
+  },
+  mapChangeAborted: {id: 'FC7003', level: 'warn', text: 'map change aborted'},
+  mapChangeRecovered: {
+    id: 'FC7004',
+    level: 'warn',
+    text: 'map change taken over',
+  },
+  staleOrderRefused: {
+    id: 'FC7005',
+    level: 'warn',
+    text: 'order with an old fence refused',
+  },
+  orderFailed: {id: 'FC7006', level: 'warn', text: 'order to a target failed'},
+  rpcRejected: {id: 'FC8001', level: 'warn', text: 'RPC of the wrong shape'},
+} as const satisfies Record<string, EventEntry>;
+
+/** Name of a catalogued event. */
+export type EventName = keyof typeof EVENTS;
--- /dev/null
+++ b/src/observability/metrics.ts
@@ -0,0 +1,111 @@
+/**
+ * Histograms by client account and class, and counters. Histograms are
+ * bounded in number: accounts beyond the cap share one named `other`.
+ */
+import * as hdr from 'hdr-histogram-js';
+
+/** Accounts with histograms of their own. */
+const MAX_ACCOUNTS = 64;
+const OTHER_ACCOUNT = 'other';
+const MICROSECONDS = 1_000;
+const HIGHEST_MICROSECONDS = 600_000_000;
+const DIGITS = 2;
+const QUANTILES = [0.5, 0.95, 0.99] as const;
+
+/** What is timed. All in milliseconds. */
+export type Timing =
+  'first_token' | 'between_tokens' | 'whole' | 'queue' | 'step_skew';
+
+/** One line of the metrics page. */
+export interface Sample {
+  readonly name: string;
+  readonly labels: Readonly<Record<string, string>>;
+  readonly value: number;
+}
+
+export class Metrics {
+  private readonly histograms = new Map<string, hdr.Histogram>();
+  private readonly labelsOf = new Map<string, Record<string, string>>();
+  private readonly accounts = new Set<string>();
+  private readonly counters = new Map<string, Sample & {value: number}>();
+
+  /** Notes a duration in milliseconds. */
+  time(timing: Timing, account: string, klass: string, ms: number): void {
+    const known = this.boundAccount(account);
+    const name = `${timing} ${known} ${klass}`;
+    let histogram = this.histograms.get(name);
+    if (histogram === undefined) {
+      histogram = hdr.build({
+        bitBucketSize: 32,
+        lowestDiscernibleValue: 1,
+        highestTrackableValue: HIGHEST_MICROSECONDS,
+        numberOfSignificantValueDigits: DIGITS,
+        useWebAssembly: false,
+      });
+      this.histograms.set(name, histogram);
+      this.labelsOf.set(name, {timing, account: known, class: klass});
+    }
+    const us = Math.round(Math.max(ms, 0) * MICROSECONDS);
+    histogram.recordValue(Math.min(us, HIGHEST_MICROSECONDS));
+  }
+
+  /** Adds to a counter. */
+  count(name: string, labels: Record<string, string> = {}, by = 1): void {
+    const key = `${name} ${JSON.stringify(labels)}`;
+    const held = this.counters.get(key);
+    this.counters.set(key, {name, labels, value: (held?.value ?? 0) + by});
+  }
+
+  /** Notes time spent in an admission queue. */
+  queued(account: string, ms: number): void {
+    this.time('queue', account, 'all', ms);
+  }
+
+  /** Notes a refusal. */
+  refused(account: string, kind: string): void {
+    this.count('refusals_total', {account: this.boundAccount(account), kind});
+  }
+
+  /** The sum of a counter over all its labels. */
+  total(name: string): number {
+    let sum = 0;
+    for (const counter of this.counters.values()) {
+      sum += counter.name === name ? counter.value : 0;
+    }
+    return sum;
+  }
+
+  /** All lines. */
+  samples(): Sample[] {
+    const samples: Sample[] = [...this.counters.values()];
+    for (const [name, histogram] of this.histograms) {
+      const {timing, ...labels} = this.labelsOf.get(name)!;
+      const base = `${timing}_ms`;
+      for (const quantile of QUANTILES) {
+        const us = histogram.getValueAtPercentile(quantile * 100);
+        samples.push({
+          name: base,
+          labels: {...labels, quantile: String(quantile)},
+          value: us / MICROSECONDS,
+        });
+      }
+      samples.push({
+        name: `${base}_count`,
+        labels,
+        value: histogram.totalCount,
+      });
+    }
+    return samples;
+  }
+
+  private boundAccount(account: string): string {
+    if (this.accounts.has(account)) {
+      return account;
+    }
+    if (this.accounts.size >= MAX_ACCOUNTS) {
+      return OTHER_ACCOUNT;
+    }
+    this.accounts.add(account);
+    return account;
+  }
+}
--- /dev/null
+++ b/src/observability/prometheus.ts
@@ -0,0 +1,31 @@
+/** The metrics page. The library is loaded when the page is first asked for. */
+import type {Sample} from './metrics';
+
+const PREFIX = 'ferrycleat_';
+
+/** A page and its content type. */
+export interface Page {
+  readonly type: string;
+  readonly text: string;
+}
+
+/** Prints samples in Prometheus' text format. */
+export async function printPage(samples: readonly Sample[]): Promise<Page> {
+  const prom = await import('prom-client');
+  const registry = new prom.Registry();
+  const gauges = new Map<string, InstanceType<typeof prom.Gauge>>();
+  for (const sample of samples) {
+    const name = PREFIX + sample.name;
+    const gauge =
+      gauges.get(name) ??
+      new prom.Gauge({
+        name,
+        help: sample.name.replaceAll('_', ' '),
+        labelNames: Object.keys(sample.labels),
+        registers: [registry],
+      });
+    gauges.set(name, gauge);
+    gauge.set({...sample.labels}, sample.value);
+  }
+  return {type: registry.contentType, text: await registry.metrics()};
+}
--- /dev/null
+++ b/src/platform/client.ts
@@ -0,0 +1,190 @@
+/**
+ * Client of the platform's object API: conditional writes, lists and
+ * long-poll watches. It holds no copy; see `configuration` for that.
+ */
+import type * as http from 'node:http';
+import * as v from 'valibot';
+import * as body from '../http/body';
+import * as httpClient from '../http/client';
+import {Result, fail, ok} from '../result';
+import * as types from './types';
+
+/** The store's own cap on a value. */
+export const MAX_VALUE_BYTES = 1024 * 1024;
+const MAX_LISTING_BYTES = 64 * 1024 * 1024;
+const CALL_TIMEOUT_MS = 3_000;
+const WATCH_GRACE_MS = 3_000;
+
+/** The object API as the other aggregates see it. */
+export abstract class ObjectApi {
+  /** Null where the object does not exist. */
+  abstract get(
+    key: string,
+  ): Promise<Result<types.StoredObject | null, types.PlatformError>>;
+
+  /**
+   * Writes if the object's version is still `expected` (0: it must not
+   * exist). Answers the new version. Fails with `conflict`,
+   * `unavailable` (the write may have taken effect) or `value-too-large`.
+   */
+  abstract put(
+    key: string,
+    value: unknown,
+    expected: number,
+  ): Promise<Result<number, types.PlatformError>>;
+
+  abstract list(
+    prefix: string,
+  ): Promise<Result<types.Listing, types.PlatformError>>;
+
+  /** Waits for changes after a revision. Fails with `watch-too-old`. */
+  abstract watch(
+    prefix: string,
+    after: number,
+    waitMs: number,
+    signal?: AbortSignal,
+  ): Promise<Result<types.Listing, types.PlatformError>>;
+
+  /** The lagging list of instances. */
+  abstract instances(): Promise<
+    Result<readonly types.Instance[], types.PlatformError>
+  >;
+
+  abstract close(): void;
+}
+
+/** The object API over HTTP. */
+export class HttpObjectApi extends ObjectApi {
+  private readonly agent: http.Agent = httpClient.makeAgent();
+
+  constructor(private readonly address: string) {
+    super();
+  }
+
+  async get(key: string) {
+    const answer = await this.call('GET', objectPath(key), CALL_TIMEOUT_MS);
+    if (!answer.ok) {
+      return answer;
+    }
+    if (answer.value.status === 404) {
+      return ok(null);
+    }
+    return parseAnswer(types.objectSchema, answer.value);
+  }
+
+  async put(key: string, value: unknown, expected: number) {
+    const text = JSON.stringify(value);
+    if (Buffer.byteLength(text) > MAX_VALUE_BYTES) {
+      return fail({
+        kind: 'value-too-large' as const,
+        limitBytes: MAX_VALUE_BYTES,
+      });
+    }
+    const answer = await this.call('PUT', objectPath(key), CALL_TIMEOUT_MS, {
+      body: text,
+      headers: {
+        'content-type': 'application/json',
+        'if-match': `"${expected}"`,
+      },
+    });
+    if (!answer.ok) {
+      return answer;
+    }
+    if (answer.value.status === 412) {
+      return fail(readConflict(answer.value));
+    }
+    const parsed = parseAnswer(types.putAnswerSchema, answer.value);
+    return parsed.ok ? ok(parsed.value.version) : parsed;
+  }
+
+  async list(prefix: string) {
+    const path = `/v1/objects?prefix=${encodeURIComponent(prefix)}`;
+    const answer = await this.call('GET', path, CALL_TIMEOUT_MS);
+    return answer.ok ? parseAnswer(types.listingSchema, answer.value) : answer;
+  }
+
+  async watch(
+    prefix: string,
+    after: number,
+    waitMs: number,
+    signal?: AbortSignal,
+  ) {
+    const path =
+      `/v1/watch?prefix=${encodeURIComponent(prefix)}` +
+      `&after=${after}&wait-ms=${waitMs}`;
+    const timeoutMs = waitMs + WATCH_GRACE_MS;
+    const answer = await this.call('GET', path, timeoutMs, {signal});
+    if (!answer.ok) {
+      return answer;
+    }
+    if (answer.value.status === 410) {
+      return fail({kind: 'watch-too-old' as const});
+    }
+    return parseAnswer(types.listingSchema, answer.value);
+  }
+
+  async instances() {
+    const answer = await this.call('GET', '/v1/instances', CALL_TIMEOUT_MS);
+    if (!answer.ok) {
+      return answer;
+    }
+    const parsed = parseAnswer(types.instanceListSchema, answer.value);
+    return parsed.ok ? ok(parsed.value.instances) : parsed;
+  }
+
+  close(): void {
+    this.agent.destroy();
+  }
+
+  private async call(
+    method: string,
+    path: string,
+    timeoutMs: number,
+    extra: Pick<httpClient.Call, 'body' | 'headers' | 'signal'> = {},
+  ): Promise<Result<httpClient.Answer, types.PlatformError>> {
+    const answer = await httpClient.fetchWhole(
+      this.agent,
+      {address: this.address, method, path, timeoutMs, ...extra},
+      MAX_LISTING_BYTES,
+    );
+    if (!answer.ok) {
+      return fail({
+        kind: 'unavailable',
+        maybeApplied: method !== 'GET' && answer.error.sent,
+      });
+    }
+    if (answer.value.status >= 500) {
+      return fail({kind: 'unavailable', maybeApplied: method !== 'GET'});
+    }
+    return answer;
+  }
+}
+
+function objectPath(key: string): string {
+  return '/v1/objects/' + key.split('/').map(encodeURIComponent).join('/');
+}
+
+function readConflict(answer: httpClient.Answer): types.PlatformError {
+  const schema = v.object({current: v.nullable(types.objectSchema)});
+  const parsed = parseAnswer(schema, answer);
+  return parsed.ok
+    ? {kind: 'conflict', current: parsed.value.current}
+    : parsed.error;
+}
+
+function parseAnswer<T>(
+  schema: v.GenericSchema<unknown, T>,
+  answer: httpClient.Answer,
+): Result<T, types.PlatformError> {
+  const json = body.parseJson(answer.body.toString('utf8'));
+  if (!json.ok) {
+    return fail({kind: 'bad-answer', detail: `status ${answer.status}`});
+  }
+  const parsed = v.safeParse(schema, json.value);
+  return parsed.success
+    ? ok(parsed.output)
+    : fail({
+        kind: 'bad-answer',
+        detail: parsed.issues[0]?.message ?? 'wrong shape',
+      });
+}
--- /dev/null
+++ b/src/platform/types.ts
@@ -0,0 +1,46 @@
+/** What the platform's object API holds and answers. */
+import * as v from 'valibot';
+import {addressSchema} from '../http/address';
+
+/** One object; `version` is the store's revision that wrote it. */
+export const objectSchema = v.object({
+  key: v.string(),
+  version: v.pipe(v.number(), v.integer(), v.minValue(0)),
+  value: v.unknown(),
+});
+export type StoredObject = v.InferOutput<typeof objectSchema>;
+
+/** Objects under a prefix as of a revision of the whole store. */
+export const listingSchema = v.object({
+  revision: v.pipe(v.number(), v.integer(), v.minValue(0)),
+  items: v.array(objectSchema),
+});
+export type Listing = v.InferOutput<typeof listingSchema>;
+
+/** An instance on the platform's lagging list. */
+export const instanceSchema = v.object({
+  id: v.pipe(v.string(), v.nonEmpty()),
+  hall: v.pipe(v.string(), v.nonEmpty()),
+  role: v.picklist(['entry', 'sidecar']),
+  address: addressSchema,
+  state: v.picklist(['live', 'leaving']),
+  /** What a sidecar's target serves, as `model/<name>` or `service/<name>`. */
+  serves: v.optional(v.string(), ''),
+});
+export type Instance = v.InferOutput<typeof instanceSchema>;
+
+export const instanceListSchema = v.object({
+  instances: v.array(instanceSchema),
+});
+
+export const putAnswerSchema = v.object({version: v.number()});
+
+/** Why a call to the platform gave nothing. */
+export type PlatformError =
+  /** The store did not answer; a write may have taken effect. */
+  | {readonly kind: 'unavailable'; readonly maybeApplied: boolean}
+  /** The object changed since `expected`; `current` is null if absent. */
+  | {readonly kind: 'conflict'; readonly current: StoredObject | null}
+  | {readonly kind: 'watch-too-old'}
+  | {readonly kind: 'value-too-large'; readonly limitBytes: number}
+  | {readonly kind: 'bad-answer'; readonly detail: string};
--- /dev/null
+++ b/src/random.ts
@@ -0,0 +1,44 @@
+/** Random numbers of one process, seedable by tests and benches. */
+import * as xoroshiro from 'pure-rand/generator/xoroshiro128plus';
+
+let generator = makeGenerator(seedFromClock());
+
+function seedFromClock(): number {
+  const [seconds, nanoseconds] = process.hrtime();
+  return (seconds * 1_000_003) ^ nanoseconds ^ (process.pid << 8);
+}
+
+function makeGenerator(seed: number) {
+  return xoroshiro.xoroshiro128plus(seed);
+}
+
+/** Makes the sequence repeatable. */
+export function seed(value: number): void {
+  generator = makeGenerator(value);
+}
+
+/** A number in [0, 1). */
+export function unit(): number {
+  const RANGE = 2 ** 32;
+  return (generator.next() >>> 0) / RANGE;
+}
+
+/** A whole number in [0, limit). */
+export function below(limit: number): number {
+  return Math.floor(unit() * limit);
+}
+
+/** One element of a list that is not empty. */
+export function pick<T>(list: readonly T[]): T {
+  return list[below(list.length)]!;
+}
+
+/** A duration between half and one and a half of the given one. */
+export function jitter(milliseconds: number): number {
+  return milliseconds * (0.5 + unit());
+}
+
+/** A draw from the exponential distribution with the given mean. */
+export function exponential(mean: number): number {
+  return -Math.log(1 - unit()) * mean;
+}
--- /dev/null
+++ b/src/requests/assistant.ts
@@ -0,0 +1,50 @@
+/** What ferrycleat reads of a chat completion; all else passes unread. */
+import * as v from 'valibot';
+import * as body from '../http/body';
+import {Result, fail, ok} from '../result';
+import * as refusals from './refusals';
+
+const messageSchema = v.looseObject({
+  role: v.string(),
+  content: v.optional(v.unknown()),
+});
+
+const chatSchema = v.looseObject({
+  model: v.pipe(v.string(), v.nonEmpty()),
+  messages: v.pipe(v.array(messageSchema), v.minLength(1)),
+  stream: v.optional(v.boolean(), false),
+});
+
+/** The parts of a chat completion that routing needs. */
+export interface ChatRequest {
+  readonly model: string;
+  readonly stream: boolean;
+  /** All messages' contents, in order. */
+  readonly prompt: string;
+}
+
+/** Path of chat completions. Source: the OpenAI API's usual shape. */
+export const CHAT_PATH = '/v1/chat/completions';
+/** Path under which a sidecar resumes and cancels streams. */
+export const STREAMS_PATH = '/v1/streams/';
+
+/** Reads a chat completion. Fails with `bad-request`. */
+export function readChat(text: Buffer): Result<ChatRequest, refusals.Refusal> {
+  const json = body.parseJson(text.toString('utf8'));
+  if (!json.ok) {
+    return fail(refusals.notRun('bad-request', 'the body is no JSON'));
+  }
+  const parsed = v.safeParse(chatSchema, json.value);
+  if (!parsed.success) {
+    const issue = parsed.issues[0];
+    const at = v.getDotPath(issue) ?? 'body';
+    return fail(refusals.notRun('bad-request', `${at}: ${issue.message}`));
+  }
+  const {model, stream, messages} = parsed.output;
+  const prompt = messages.map(message => textOf(message.content)).join('\n');
+  return ok({model, stream, prompt});
+}
+
+function textOf(content: unknown): string {
+  return typeof content === 'string' ? content : JSON.stringify(content ?? '');
+}
--- /dev/null
+++ b/src/requests/entry-context.ts
@@ -0,0 +1,133 @@
+/** What the parts of an entry's data path share. */
+import type * as http from 'node:http';
+import type {Directory} from '../claims/directory';
+import type {Follower} from '../configuration/follower';
+import type {RenderedAccount} from '../configuration/types';
+import * as body from '../http/body';
+import type {Log} from '../observability/log';
+import type {Metrics} from '../observability/metrics';
+import type {RetryBudget} from '../routing/budget';
+import type {PrefixMemory} from '../routing/prefixes';
+import type {Policy} from '../routing/types';
+import type {RpcClient} from '../rpc/client';
+import * as rpcTypes from '../rpc/types';
+import type {Target, TargetDirectory} from '../targets/directory';
+import * as targets from '../targets/types';
+import * as headers from './headers';
+import type {Journal, JournalEntry} from './journal';
+import * as refusals from './refusals';
+
+/** One entry. */
+export interface EntryContext {
+  readonly id: string;
+  readonly hall: string;
+  readonly address: () => string;
+  readonly follower: Follower;
+  readonly targets: TargetDirectory;
+  readonly claims: Directory;
+  readonly policy: Policy;
+  readonly prefixes: PrefixMemory;
+  readonly budget: RetryBudget;
+  readonly rpc: RpcClient;
+  readonly agent: http.Agent;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly journal: Journal;
+}
+
+/** A caller's request, authenticated and let in. */
+export interface CallerRequest {
+  readonly req: http.IncomingMessage;
+  readonly res: http.ServerResponse;
+  readonly id: string;
+  readonly account: RenderedAccount;
+  readonly startedAt: number;
+  /** Unix milliseconds. */
+  readonly deadlineAt: number;
+  readonly entry: JournalEntry;
+  /** Fires when the caller goes away. */
+  readonly signal: AbortSignal;
+}
+
+/** Milliseconds left until the caller's deadline. */
+export function timeLeft(caller: CallerRequest): number {
+  return Math.max(caller.deadlineAt - Date.now(), 0);
+}
+
+/** Headers of a request to a sidecar. */
+export function forwardHeaders(
+  context: EntryContext,
+  caller: CallerRequest,
+): http.OutgoingHttpHeaders {
+  const type = body.headerOf(caller.req, 'content-type');
+  return {
+    [refusals.REQUEST_HEADER]: caller.id,
+    [headers.ACCOUNT_HEADER]: caller.account.id,
+    [headers.TIMEOUT_HEADER]: String(Math.floor(timeLeft(caller))),
+    [rpcTypes.STAMP_HEADER]: context.follower.stampExchange.mine(),
+    [rpcTypes.PEER_HEADER]: context.address(),
+    ...(type === undefined ? {} : {'content-type': type}),
+  };
+}
+
+/** Learns from an answer's headers: load, stamp, leaving. */
+export function learnFrom(
+  context: EntryContext,
+  target: Target | undefined,
+  address: string,
+  res: http.IncomingMessage,
+): void {
+  const stamp = body.headerOf(res, rpcTypes.STAMP_HEADER);
+  if (stamp !== undefined) {
+    void context.follower.catchUp(stamp, address);
+  }
+  const text = body.headerOf(res, targets.LOAD_HEADER);
+  const load = text === undefined ? undefined : targets.readLoad(text);
+  if (target !== undefined && load !== undefined) {
+    context.targets.applyLoad(target, load, Date.now());
+  }
+}
+
+/** The refusal in a sidecar's answer, read from its problem document. */
+export async function readRefusal(
+  res: http.IncomingMessage,
+): Promise<refusals.Refusal | undefined> {
+  const kind = body.headerOf(res, refusals.REFUSAL_HEADER);
+  if (kind === undefined || !(kind in refusals.REFUSALS)) {
+    return undefined;
+  }
+  const limit = 64 * 1024;
+  const read = await body.readJson(res, limit);
+  const document = (read.ok ? read.value : {}) as {
+    detail?: unknown;
+    retryAfterMs?: unknown;
+  };
+  const outcome = body.headerOf(res, refusals.OUTCOME_HEADER);
+  return {
+    kind: kind as refusals.RefusalKind,
+    outcome: outcome === 'not-run' || outcome === 'ran' ? outcome : 'unknown',
+    detail: typeof document.detail === 'string' ? document.detail : '',
+    retryAfterMs:
+      typeof document.retryAfterMs === 'number'
+        ? document.retryAfterMs
+        : undefined,
+  };
+}
+
+/** Gives the caller its final answer: a refusal. */
+export function refuseCaller(
+  context: EntryContext,
+  caller: CallerRequest,
+  refusal: refusals.Refusal,
+): void {
+  caller.entry.outcome = `${refusal.kind} (${refusal.outcome})`;
+  caller.entry.detail = refusal.detail;
+  context.metrics.refused(caller.account.id, refusal.kind);
+  context.log.event('requestRefused', {
+    request: caller.id,
+    account: caller.account.id,
+    kind: refusal.kind,
+    outcome: refusal.outcome,
+  });
+  refusals.sendRefusal(caller.res, refusal, caller.id);
+}
--- /dev/null
+++ b/src/requests/entry-face.ts
@@ -0,0 +1,296 @@
+/** What callers meet: authentication, limits, deadlines, paths. */
+import type * as http from 'node:http';
+import * as uuid from 'uuid';
+import * as v from 'valibot';
+import type {RenderedAccount} from '../configuration/types';
+import * as body from '../http/body';
+import {Result, fail, ok} from '../result';
+import * as assistant from './assistant';
+import * as entryAssistant from './entry-assistant';
+import * as entry from './entry-context';
+import * as entryService from './entry-service';
+import * as headers from './headers';
+import {AccountLimits} from './limits';
+import * as refusals from './refusals';
+import {refuseBody} from './sidecar-assistant';
+
+const KEYS_PATH = '/v1/request-keys';
+const MAX_KEYS = 100;
+const NO_OWNER_RETRY_MS = 2_000;
+const BEARER = /^Bearer ([\x21-\x7e]{1,256})$/i;
+
+const keysRequestSchema = v.object({
+  service: v.string(),
+  count: v.optional(
+    v.pipe(v.number(), v.integer(), v.minValue(1), v.maxValue(MAX_KEYS)),
+    1,
+  ),
+});
+
+/** A request with its body read, before limits are applied. */
+interface Parsed {
+  readonly timeoutMs: number;
+  /** What is being asked for, in a word. */
+  readonly what: string;
+  readonly run: (caller: entry.CallerRequest) => Promise<void>;
+  /** How the entry itself refuses it. */
+  readonly refuse: (
+    caller: entry.CallerRequest,
+    refusal: refusals.Refusal,
+  ) => Promise<void>;
+}
+
+export class EntryFace {
+  private open = 0;
+
+  constructor(
+    private readonly context: entry.EntryContext,
+    private readonly limits: AccountLimits,
+  ) {}
+
+  /** Requests of callers that are being answered. */
+  get openCount(): number {
+    return this.open;
+  }
+
+  /** Answers one request of a caller. */
+  async answer(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+  ): Promise<void> {
+    const id = uuid.v7();
+    this.open += 1;
+    res.once('close', () => {
+      this.open -= 1;
+    });
+    const account = this.authenticate(req);
+    if (!account.ok) {
+      this.refuseEarly(res, id, account.error);
+      return;
+    }
+    const parsed = await this.parse(req, account.value);
+    if (!parsed.ok) {
+      this.refuseEarly(res, id, parsed.error);
+      return;
+    }
+    await this.runLimited(req, res, id, account.value, parsed.value);
+  }
+
+  private async runLimited(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+    id: string,
+    account: RenderedAccount,
+    parsed: Parsed,
+  ): Promise<void> {
+    const timeoutText = body.headerOf(req, headers.TIMEOUT_HEADER);
+    const timeoutMs = headers.readTimeout(timeoutText, parsed.timeoutMs);
+    if (timeoutMs === undefined) {
+      const detail = `${headers.TIMEOUT_HEADER}: milliseconds`;
+      this.refuseEarly(res, id, refusals.notRun('bad-request', detail));
+      return;
+    }
+    const abort = new AbortController();
+    res.once('close', () => abort.abort());
+    const now = Date.now();
+    const caller: entry.CallerRequest = {
+      req,
+      res,
+      id,
+      account,
+      startedAt: now,
+      deadlineAt: now + timeoutMs,
+      entry: this.context.journal.start(id, account.id, parsed.what),
+      signal: abort.signal,
+    };
+    const refusal = this.limits.enter(account.id, account.parameters, now);
+    if (refusal !== undefined) {
+      await parsed.refuse(caller, refusal);
+      return;
+    }
+    try {
+      await parsed.run(caller);
+    } finally {
+      this.limits.leave(account.id);
+    }
+  }
+
+  private authenticate(
+    req: http.IncomingMessage,
+  ): Result<RenderedAccount, refusals.Refusal> {
+    const match = BEARER.exec(body.headerOf(req, 'authorization') ?? '');
+    if (match === null) {
+      return fail(refusals.notRun('unauthorized', 'no bearer token'));
+    }
+    const digest = headers.digest(match[1]!);
+    const account = this.context.follower.replica.accountOfDigest(digest);
+    const held = account?.keyDigests.some(own =>
+      headers.equalDigests(own, digest),
+    );
+    return account !== undefined && held
+      ? ok(account)
+      : fail(refusals.notRun('unauthorized', 'the API key is not known'));
+  }
+
+  private async parse(
+    req: http.IncomingMessage,
+    account: RenderedAccount,
+  ): Promise<Result<Parsed, refusals.Refusal>> {
+    const url = req.url ?? '/';
+    const path = url.split('?')[0]!;
+    if (path === assistant.CHAT_PATH) {
+      return this.parseChat(req, account);
+    }
+    if (path === KEYS_PATH) {
+      return this.parseKeys(req, account);
+    }
+    return this.parseService(req, account, url);
+  }
+
+  private async parseChat(
+    req: http.IncomingMessage,
+    account: RenderedAccount,
+  ): Promise<Result<Parsed, refusals.Refusal>> {
+    const lastEventId = body.headerOf(req, 'last-event-id');
+    if (lastEventId !== undefined) {
+      req.resume();
+      return ok(
+        this.simple(account.parameters.timeoutMs, 'reconnect', caller =>
+          entryAssistant.reconnect(this.context, caller, lastEventId),
+        ),
+      );
+    }
+    if (req.method !== 'POST') {
+      return fail(refusals.notRun('method-not-allowed', 'use POST'));
+    }
+    const read = await body.readBody(req, headers.MAX_REQUEST_BYTES);
+    if (!read.ok) {
+      return fail(refuseBody(read.error));
+    }
+    const chat = assistant.readChat(read.value);
+    if (!chat.ok) {
+      return chat;
+    }
+    const {template, parameters} = account;
+    const model = template.models[chat.value.model];
+    if (model === undefined) {
+      const detail = `no model ${chat.value.model} for this account`;
+      return fail(refusals.notRun('not-found', detail));
+    }
+    const classTimeoutMs = template.classes[model.class]!.timeoutMs;
+    const timeoutMs = Math.min(classTimeoutMs, parameters.timeoutMs);
+    return ok(
+      this.simple(timeoutMs, `chat ${chat.value.model}`, caller =>
+        entryAssistant.runChat(this.context, caller, chat.value, read.value),
+      ),
+    );
+  }
+
+  private async parseKeys(
+    req: http.IncomingMessage,
+    account: RenderedAccount,
+  ): Promise<Result<Parsed, refusals.Refusal>> {
+    const limit = 4_096;
+    const read = await body.readJson(req, limit);
+    if (!read.ok) {
+      return fail(refuseBody(read.error));
+    }
+    const parsed = v.safeParse(keysRequestSchema, read.value);
+    if (!parsed.success) {
+      const detail = parsed.issues[0].message;
+      return fail(refusals.notRun('bad-request', detail));
+    }
+    const {service, count} = parsed.output;
+    const settings = account.template.services[service];
+    if (settings === undefined) {
+      return fail(refusals.notRun('not-found', `no service ${service}`));
+    }
+    return ok(
+      this.simple(settings.timeoutMs, 'request keys', caller =>
+        this.mintKeys(caller, service, count, settings.slots),
+      ),
+    );
+  }
+
+  private async mintKeys(
+    caller: entry.CallerRequest,
+    service: string,
+    count: number,
+    slots: number,
+  ): Promise<void> {
+    const minted = await this.context.claims.mint(
+      service,
+      count,
+      slots,
+      id => this.context.targets.isLive(id),
+      Date.now(),
+    );
+    if (minted.length === 0) {
+      const refusal = refusals.notRun(
+        'no-target',
+        'no live owner is known',
+        NO_OWNER_RETRY_MS,
+      );
+      entry.refuseCaller(this.context, caller, refusal);
+      return;
+    }
+    caller.entry.outcome = 'done';
+    body.sendJson(caller.res, 200, {keys: minted});
+  }
+
+  private async parseService(
+    req: http.IncomingMessage,
+    account: RenderedAccount,
+    url: string,
+  ): Promise<Result<Parsed, refusals.Refusal>> {
+    const slash = url.indexOf('/', 1);
+    const service = url.slice(1, slash < 0 ? undefined : slash);
+    const settings = account.template.services[service];
+    if (settings === undefined || slash < 0) {
+      req.resume();
+      return fail(refusals.notRun('not-found', `nothing under ${url}`));
+    }
+    const read = await body.readBody(req, headers.MAX_REQUEST_BYTES);
+    if (!read.ok) {
+      return fail(refuseBody(read.error));
+    }
+    const call: entryService.ServiceCall = {
+      service,
+      settings,
+      method: req.method ?? 'GET',
+      path: url.slice(slash),
+      key: body.headerOf(req, headers.KEY_HEADER),
+      text: read.value.length > 0 ? read.value : undefined,
+    };
+    const {parameters} = account;
+    return ok({
+      timeoutMs: Math.min(settings.timeoutMs, parameters.timeoutMs),
+      what: `${call.method} ${url.split('?')[0]}`,
+      run: caller => entryService.runService(this.context, caller, call),
+      refuse: (caller, refusal) =>
+        entryService.refuseKeyed(this.context, caller, call, refusal),
+    });
+  }
+
+  private simple(timeoutMs: number, what: string, run: Parsed['run']): Parsed {
+    return {
+      timeoutMs,
+      what,
+      run,
+      refuse: async (caller, refusal) =>
+        entry.refuseCaller(this.context, caller, refusal),
+    };
+  }
+
+  private refuseEarly(
+    res: http.ServerResponse,
+    id: string,
+    refusal: refusals.Refusal,
+  ): void {
+    this.context.log.event('badInput', {request: id, kind: refusal.kind});
+    this.context.metrics.refused('', refusal.kind);
+    // The rest of a body that is not wanted is not read either.
+    res.setHeader('connection', 'close');
+    refusals.sendRefusal(res, refusal, id);
+  }
+}
--- /dev/null
+++ b/src/requests/entry-forward.ts
@@ -0,0 +1,266 @@
+/**
+ * Sends a request that may be repeated to a target, and to another one while
+ * the budget and the deadline allow it.
+ */
+import type * as http from 'node:http';
+import * as httpClient from '../http/client';
+import {Result, fail, ok} from '../result';
+import type {Candidate, RoutedRequest} from '../routing/types';
+import type {Target} from '../targets/directory';
+import * as entry from './entry-context';
+import * as refusals from './refusals';
+
+/** What is sent to whichever target is chosen. */
+export interface Forwarded {
+  readonly method: string;
+  readonly path: string;
+  readonly text: Buffer | undefined;
+  readonly routed: RoutedRequest;
+  /** Targets that may take it; asked for again at each try. */
+  readonly eligible: () => readonly Target[];
+}
+
+/** A target's answer that is no refusal. */
+export interface Forwarding {
+  readonly target: Target;
+  readonly res: http.IncomingMessage;
+  /** Must be called once the answer has ended. */
+  readonly done: () => void;
+}
+
+const MAX_TRIES = 4;
+const MAX_EJECTED_SHARE = 0.34;
+const NO_TARGET_RETRY_MS = 1_000;
+/** Refusals after which another target may still take the request. */
+const TRY_ELSEWHERE: ReadonlySet<refusals.RefusalKind> = new Set([
+  'leaving',
+  'overloaded',
+  'deadline-unreachable',
+  'target-failed',
+  'not-found',
+]);
+
+/** Fails with the refusal that the caller gets. */
+export async function forward(
+  context: entry.EntryContext,
+  caller: entry.CallerRequest,
+  call: Forwarded,
+): Promise<Result<Forwarding, refusals.Refusal>> {
+  const tried = new Set<string>();
+  let last: refusals.Refusal | undefined;
+  context.budget.noteFirstTry();
+  for (let tries = 0; tries < MAX_TRIES; tries += 1) {
+    const target = chooseTarget(context, caller, call, tried);
+    if (target === undefined) {
+      break;
+    }
+    if (tries > 0 && !mayRetry(context, caller, last)) {
+      break;
+    }
+    tried.add(target.id);
+    const attempt = await tryTarget(context, caller, call, target);
+    if (attempt.ok) {
+      return attempt;
+    }
+    last = attempt.error;
+    if (caller.signal.aborted || !TRY_ELSEWHERE.has(last.kind)) {
+      return attempt;
+    }
+  }
+  return fail(
+    last ??
+      refusals.notRun('no-target', 'no target is live', NO_TARGET_RETRY_MS),
+  );
+}
+
+/** A `leaving` answer cost nothing, so its hop is free of the budget. */
+function mayRetry(
+  context: entry.EntryContext,
+  caller: entry.CallerRequest,
+  last: refusals.Refusal | undefined,
+): boolean {
+  if (entry.timeLeft(caller) === 0) {
+    return false;
+  }
+  if (last?.kind !== 'leaving' && !context.budget.tryDraw()) {
+    return false;
+  }
+  context.metrics.count('retries_total');
+  context.log.event('requestRetried', {
+    request: caller.id,
+    after: last?.kind,
+  });
+  return true;
+}
+
+function chooseTarget(
+  context: entry.EntryContext,
+  caller: entry.CallerRequest,
+  call: Forwarded,
+  tried: ReadonlySet<string>,
+): Target | undefined {
+  const now = Date.now();
+  const open = call.eligible().filter(target => !tried.has(target.id));
+  const probe = open.find(t => t.health.stateAt(now) === 'probing');
+  const healthy = open.filter(t => t.health.stateAt(now) === 'healthy');
+  if (probe !== undefined && tried.size === 0) {
+    probe.health.noteProbe();
+    note(caller, probe.id, []);
+    return probe;
+  }
+  // With everything ejected, a bad target is better than none.
+  const usable = healthy.length > 0 ? healthy : open;
+  if (usable.length === 0) {
+    return undefined;
+  }
+  const candidates = usable.map(t => candidateOf(context, call, t, now));
+  const decision = context.policy.choose(call.routed, candidates);
+  note(caller, decision.chosen, decision.weighed);
+  return usable.find(target => target.id === decision.chosen);
+}
+
+function note(
+  caller: entry.CallerRequest,
+  target: string,
+  weighed: readonly {
+    id: string;
+    score: number;
+    waitMs: number;
+    prefillMs: number;
+    stepMs: number;
+    hallMs: number;
+  }[],
+): void {
+  caller.entry.attempts.push({target, weighed: [...weighed], result: 'open'});
+}
+
+function candidateOf(
+  context: entry.EntryContext,
+  call: Forwarded,
+  target: Target,
+  now: number,
+): Candidate {
+  const {prefix} = call.routed;
+  return {
+    id: target.id,
+    group: target.serves.kind === 'model' ? target.serves.group : '',
+    hall: target.hall,
+    load: target.load,
+    loadAgeMs: now - target.loadAt,
+    sentSince: target.sentSince,
+    sentTokens: target.sentTokens,
+    inFlight: target.inFlight,
+    cachedTokens:
+      prefix === '' ? 0 : context.prefixes.tokensAt(prefix, target.id),
+  };
+}
+
+async function tryTarget(
+  context: entry.EntryContext,
+  caller: entry.CallerRequest,
+  call: Forwarded,
+  target: Target,
+): Promise<Result<Forwarding, refusals.Refusal>> {
+  const attempt = caller.entry.attempts[caller.entry.attempts.length - 1]!;
+  target.inFlight += 1;
+  target.sentSince += 1;
+  target.sentTokens += call.routed.promptTokens;
+  const done = once(() => {
+    target.inFlight -= 1;
+  });
+  const sent = await httpClient.send(context.agent, {
+    address: target.address,
+    method: call.method,
+    path: call.path,
+    headers: entry.forwardHeaders(context, caller),
+    body: call.text,
+    timeoutMs: entry.timeLeft(caller),
+    signal: caller.signal,
+  });
+  if (!sent.ok) {
+    done();
+    attempt.result = sent.error.kind;
+    return fail(onLost(context, target, sent.error));
+  }
+  entry.learnFrom(context, target, target.address, sent.value);
+  const refusal = await entry.readRefusal(sent.value);
+  if (refusal !== undefined) {
+    done();
+    attempt.result = refusal.kind;
+    noteRefusal(context, target, refusal);
+    return fail(refusal);
+  }
+  attempt.result = `status ${sent.value.statusCode}`;
+  noteSuccess(context, target);
+  return ok({target, res: sent.value, done});
+}
+
+function onLost(
+  context: entry.EntryContext,
+  target: Target,
+  err: httpClient.CallError,
+): refusals.Refusal {
+  switch (err.kind) {
+    case 'cancelled':
+      return refusals.unknownOutcome('target-failed', 'the caller went away');
+    case 'timed-out':
+      noteFailure(context, target);
+      return refusals.unknownOutcome(
+        'deadline-exceeded',
+        'the target did not answer in time',
+        NO_TARGET_RETRY_MS,
+      );
+    case 'no-connection':
+      noteFailure(context, target);
+      return refusals.notRun('target-failed', err.kind, NO_TARGET_RETRY_MS);
+    case 'connection-lost':
+      noteFailure(context, target);
+      return refusals.unknownOutcome(
+        'target-failed',
+        err.kind,
+        NO_TARGET_RETRY_MS,
+      );
+  }
+}
+
+function noteRefusal(
+  context: entry.EntryContext,
+  target: Target,
+  refusal: refusals.Refusal,
+): void {
+  if (refusal.kind === 'leaving') {
+    context.targets.markLeaving(target.id);
+    context.log.event('targetLeaving', {target: target.id, by: 'refusal'});
+  } else if (refusal.kind === 'target-failed') {
+    noteFailure(context, target);
+  } else {
+    noteSuccess(context, target);
+  }
+}
+
+function noteFailure(context: entry.EntryContext, target: Target): void {
+  const now = Date.now();
+  const peers = context.targets.all();
+  const out = peers.filter(t => t.health.stateAt(now) !== 'healthy').length;
+  const allowed = (out + 1) / peers.length <= MAX_EJECTED_SHARE;
+  if (target.health.noteFailure(now, allowed)) {
+    context.log.event('targetEjected', {target: target.id});
+    context.metrics.count('ejections_total');
+  }
+}
+
+function noteSuccess(context: entry.EntryContext, target: Target): void {
+  if (target.health.noteSuccess()) {
+    context.log.event('targetReadmitted', {target: target.id});
+  }
+}
+
+function once(action: () => void): () => void {
+  let isDone = false;
+  return () => {
+    if (!isDone) {
+      isDone = true;
+      action();
+    }
+  };
+}
--- /dev/null
+++ b/src/requests/entry-service.ts
@@ -0,0 +1,273 @@
+/** An entry's side of plain services: any target, or the key's owner. */
+import type * as http from 'node:http';
+import {pipeline} from 'node:stream/promises';
+import * as claims from '../claims/app';
+import * as keys from '../claims/keys';
+import type {Service} from '../configuration/types';
+import {isAddress} from '../http/address';
+import * as httpClient from '../http/client';
+import * as random from '../random';
+import {Result, fail, ok} from '../result';
+import * as entry from './entry-context';
+import * as forwarding from './entry-forward';
+import * as headers from './headers';
+import * as refusals from './refusals';
+import {contentHeaders} from './sidecar-assistant';
+import {isRepeatable} from './sidecar-service';
+
+/** A call to a plain service, with its body read. */
+export interface ServiceCall {
+  readonly service: string;
+  readonly settings: Service;
+  readonly method: string;
+  /** Path and query as the target sees them. */
+  readonly path: string;
+  readonly key: string | undefined;
+  readonly text: Buffer | undefined;
+}
+
+/** How long an owner is looked for before the caller is told to come back. */
+const OWNER_PATIENCE_MS = 2_000;
+const OWNER_PAUSE_MS = 100;
+const OWNER_RETRY_MS = 2_000;
+const BURN_TIMEOUT_MS = 500;
+
+/** Runs a call to a plain service. */
+export async function runService(
+  context: entry.EntryContext,
+  caller: entry.CallerRequest,
+  call: ServiceCall,
+): Promise<void> {
+  if (isRepeatable(call.settings, call.method, call.path)) {
+    await runAnywhere(context, caller, call);
+    return;
+  }
+  if (call.key === undefined) {
+    const detail = `${call.method} ${call.path} may not be repeated`;
+    const refusal = refusals.notRun('key-required', detail);
+    entry.refuseCaller(context, caller, refusal);
+    return;
+  }
+  const key = keys.readKey(call.key);
+  if (key === undefined) {
+    const refusal = refusals.notRun('bad-key', 'not a UUIDv7');
+    entry.refuseCaller(context, caller, refusal);
+    return;
+  }
+  const sent = await sendToOwner(context, caller, call, key);
+  if (!sent.ok) {
+    entry.refuseCaller(context, caller, sent.error);
+    return;
+  }
+  await passThrough(context, caller, sent.value);
+}
+
+/**
+ * Refuses a call with a key on the entry's own account. Only the owner may
+ * say `not-run`, so it is asked to burn the key first.
+ */
+export async function refuseKeyed(
+  context: entry.EntryContext,
+  caller: entry.CallerRequest,
+  call: ServiceCall,
+  refusal: refusals.Refusal,
+): Promise<void> {
+  const key = keys.readKey(call.key ?? '');
+  const isFree =
+    key === undefined || isRepeatable(call.settings, call.method, call.path);
+  const honest = isFree
+    ? refusal
+    : await burn(context, caller, call, key, refusal);
+  entry.refuseCaller(context, caller, honest);
+}
+
+/** The refusal, with the outcome that the key's owner vouches for. */
+async function burn(
+  context: entry.EntryContext,
+  caller: entry.CallerRequest,
+  call: ServiceCall,
+  key: keys.RequestKey,
+  refusal: refusals.Refusal,
+): Promise<refusals.Refusal> {
+  const {slots} = call.settings;
+  const owner = await context.claims.findOwner(call.service, key, slots);
+  if (owner === undefined) {
+    return {...refusal, outcome: 'unknown'};
+  }
+  const answer = await context.rpc.call(
+    owner.address,
+    claims.burn,
+    {service: call.service, account: caller.account.id, key: key.text},
+    BURN_TIMEOUT_MS,
+  );
+  const state = answer.ok ? answer.value.state : 'unknown';
+  switch (state) {
+    case 'not-run':
+    case 'ran':
+      return {...refusal, outcome: state};
+    case 'running':
+    case 'unknown':
+    case 'not-owner':
+      return {...refusal, outcome: 'unknown'};
+  }
+}
+
+async function runAnywhere(
+  context: entry.EntryContext,
+  caller: entry.CallerRequest,
+  call: ServiceCall,
+): Promise<void> {
+  const sent = await forwarding.forward(context, caller, {
+    method: call.method,
+    path: `/${call.service}${call.path}`,
+    text: call.text,
+    routed: {
+      account: caller.account.id,
+      prefix: '',
+      promptTokens: 0,
+      hall: context.hall,
+    },
+    eligible: () => context.targets.forService(call.service),
+  });
+  if (!sent.ok) {
+    entry.refuseCaller(context, caller, sent.error);
+    return;
+  }
+  try {
+    await passThrough(context, caller, sent.value.res);
+  } finally {
+    sent.value.done();
+  }
+}
+
+/**
+ * Sends a call with a key to the key's owner, again and again if need be:
+ * the owner runs it at most once, so a repeated try asks what became of it.
+ * It never goes to anybody else.
+ */
+async function sendToOwner(
+  context: entry.EntryContext,
+  caller: entry.CallerRequest,
+  call: ServiceCall,
+  key: keys.RequestKey,
+): Promise<Result<http.IncomingMessage, refusals.Refusal>> {
+  const giveUpAt = Math.min(Date.now() + OWNER_PATIENCE_MS, caller.deadlineAt);
+  let hint: string | undefined;
+  let last: refusals.Refusal | undefined;
+  for (;;) {
+    const {slots} = call.settings;
+    const owner = await context.claims.findOwner(call.service, key, slots);
+    const address = hint ?? owner?.address;
+    hint = undefined;
+    if (address !== undefined) {
+      const attempt = await tryOwner(context, caller, call, address);
+      if (attempt.ok || !isTransient(attempt.error.kind)) {
+        return attempt;
+      }
+      last = attempt.error;
+      hint = hintOf(attempt.error, address);
+    }
+    if (Date.now() >= giveUpAt || caller.signal.aborted) {
+      return fail(await lastWord(context, caller, call, key, last));
+    }
+    if (hint === undefined) {
+      await pause(random.jitter(OWNER_PAUSE_MS));
+      await context.claims.refresh(call.service);
+    }
+  }
+}
+
+/** The last word after all tries: what the owner can still vouch for. */
+async function lastWord(
+  context: entry.EntryContext,
+  caller: entry.CallerRequest,
+  call: ServiceCall,
+  key: keys.RequestKey,
+  last: refusals.Refusal | undefined,
+): Promise<refusals.Refusal> {
+  const refusal =
+    last ??
+    refusals.unknownOutcome(
+      'owner-unreachable',
+      'nobody is known to own the key',
+      OWNER_RETRY_MS,
+    );
+  return burn(context, caller, call, key, refusal);
+}
+
+function isTransient(kind: refusals.RefusalKind): boolean {
+  return kind === 'not-owner' || kind === 'owner-unreachable';
+}
+
+/** A sidecar that is not the owner names the one that is, if it knows. */
+function hintOf(refusal: refusals.Refusal, asked: string): string | undefined {
+  const address = refusal.detail;
+  return refusal.kind === 'not-owner' && isAddress(address) && address !== asked
+    ? address
+    : undefined;
+}
+
+async function tryOwner(
+  context: entry.EntryContext,
+  caller: entry.CallerRequest,
+  call: ServiceCall,
+  address: string,
+): Promise<Result<http.IncomingMessage, refusals.Refusal>> {
+  const attempt = {target: address, weighed: [], result: 'open'};
+  caller.entry.attempts.push(attempt);
+  const sent = await httpClient.send(context.agent, {
+    address,
+    method: call.method,
+    path: `/${call.service}${call.path}`,
+    headers: {
+      ...entry.forwardHeaders(context, caller),
+      [headers.KEY_HEADER]: call.key,
+    },
+    body: call.text,
+    timeoutMs: entry.timeLeft(caller),
+    signal: caller.signal,
+  });
+  if (!sent.ok) {
+    attempt.result = sent.error.kind;
+    const isLate = sent.error.kind === 'timed-out';
+    return fail(
+      refusals.unknownOutcome(
+        isLate ? 'deadline-exceeded' : 'owner-unreachable',
+        `the owner: ${sent.error.kind}`,
+        OWNER_RETRY_MS,
+      ),
+    );
+  }
+  entry.learnFrom(context, undefined, address, sent.value);
+  const refusal = await entry.readRefusal(sent.value);
+  attempt.result = refusal?.kind ?? `status ${sent.value.statusCode}`;
+  return refusal === undefined ? ok(sent.value) : fail(refusal);
+}
+
+async function passThrough(
+  context: entry.EntryContext,
+  caller: entry.CallerRequest,
+  sent: http.IncomingMessage,
+): Promise<void> {
+  const replayed = sent.headers[headers.REPLAYED_HEADER];
+  caller.res.writeHead(sent.statusCode ?? 502, {
+    ...contentHeaders(sent),
+    ...(replayed === undefined ? {} : {[headers.REPLAYED_HEADER]: replayed}),
+    [refusals.REQUEST_HEADER]: caller.id,
+    [refusals.OUTCOME_HEADER]: 'ran',
+  });
+  try {
+    await pipeline(sent, caller.res);
+    caller.entry.outcome = 'done';
+    context.metrics.count('answers_total', {kind: 'service', end: 'done'});
+  } catch {
+    caller.entry.outcome = 'cut';
+    caller.res.destroy();
+  }
+  const wholeMs = Date.now() - caller.startedAt;
+  context.metrics.time('whole', caller.account.id, 'service', wholeMs);
+}
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, milliseconds));
+}
--- /dev/null
+++ b/src/requests/limits.ts
@@ -0,0 +1,91 @@
+/**
+ * A client account's limits at one entry: a token bucket for the rate and a
+ * count for concurrency. Each entry enforces its share of the whole.
+ */
+import * as refusals from './refusals';
+
+/** An account's limits over all entries. */
+export interface AccountLimit {
+  readonly requestsPerSecond: number;
+  readonly burst: number;
+  readonly concurrent: number;
+}
+
+interface Bucket {
+  tokens: number;
+  at: number;
+  running: number;
+}
+
+const SECOND_MS = 1_000;
+const MAX_BUCKETS = 10_000;
+
+export class AccountLimits {
+  private readonly buckets = new Map<string, Bucket>();
+
+  /** `share` is this entry's part of every limit, in (0, 1]. */
+  constructor(private readonly share: () => number) {}
+
+  /** Lets a request in, or refuses it; `leave` must follow an entry. */
+  enter(
+    account: string,
+    limit: AccountLimit,
+    now: number,
+  ): refusals.Refusal | undefined {
+    const bucket = this.refill(account, limit, now);
+    const concurrent = Math.max(1, Math.ceil(limit.concurrent * this.share()));
+    if (bucket.running >= concurrent) {
+      return refusals.notRun(
+        'account-limit',
+        `${bucket.running} requests are running`,
+        SECOND_MS,
+      );
+    }
+    if (bucket.tokens < 1) {
+      const rate = limit.requestsPerSecond * this.share();
+      const waitMs = ((1 - bucket.tokens) / rate) * SECOND_MS;
+      return refusals.notRun(
+        'account-limit',
+        `more than ${limit.requestsPerSecond} requests a second`,
+        waitMs,
+      );
+    }
+    bucket.tokens -= 1;
+    bucket.running += 1;
+    return undefined;
+  }
+
+  leave(account: string): void {
+    const bucket = this.buckets.get(account);
+    if (bucket !== undefined) {
+      bucket.running = Math.max(0, bucket.running - 1);
+    }
+  }
+
+  private refill(account: string, limit: AccountLimit, now: number): Bucket {
+    const burst = Math.max(1, limit.burst * this.share());
+    const held = this.buckets.get(account);
+    if (held === undefined) {
+      const bucket = {tokens: burst, at: now, running: 0};
+      this.buckets.set(account, bucket);
+      this.forgetIdle();
+      return bucket;
+    }
+    const rate = limit.requestsPerSecond * this.share();
+    const gained = ((now - held.at) / SECOND_MS) * rate;
+    held.tokens = Math.min(burst, held.tokens + Math.max(gained, 0));
+    held.at = now;
+    return held;
+  }
+
+  private forgetIdle(): void {
+    for (const [account, bucket] of this.buckets) {
+      if (this.buckets.size <= MAX_BUCKETS) {
+        return;
+      }
+      if (bucket.running === 0) {
+        this.buckets.delete(account);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/requests/sidecar-assistant.ts
@@ -0,0 +1,432 @@
+/** A sidecar's side of chat completions: admission, stream, resume, cancel. */
+import type * as http from 'node:http';
+import {pipeline} from 'node:stream/promises';
+import * as body from '../http/body';
+import * as httpClient from '../http/client';
+import {Result, fail, ok} from '../result';
+import * as prefixes from '../routing/prefixes';
+import * as targets from '../targets/types';
+import type {Ticket} from './admission';
+import * as assistant from './assistant';
+import * as eventStream from './event-stream';
+import * as headers from './headers';
+import * as refusals from './refusals';
+import {SequenceGate} from './sequence';
+import {
+  Incoming,
+  SidecarContext,
+  abortOnClose,
+  timeLeft,
+} from './sidecar-context';
+
+const RESUME_TRIES = 3;
+const RESUME_PAUSE_MS = 100;
+const CANCEL_TIMEOUT_MS = 1_000;
+const DEFAULT_GRACE_MS = 5_000;
+const LEAVING_RETRY_MS = 1_000;
+
+/** A stream at the engine, attached to a caller's connection or not. */
+interface Session {
+  readonly request: string;
+  readonly name: string;
+  readonly ticket: Ticket | undefined;
+  readonly graceMs: number;
+  attached: http.ServerResponse | undefined;
+  graceTimer: NodeJS.Timeout | undefined;
+}
+
+export class SidecarAssistant {
+  private readonly sessions = new Map<string, Session>();
+
+  constructor(private readonly context: SidecarContext) {}
+
+  /** Streams that are open, with or without a caller. */
+  get openCount(): number {
+    return this.sessions.size;
+  }
+
+  /** Runs a new chat completion. */
+  async run(incoming: Incoming): Promise<void> {
+    const read = await body.readBody(incoming.req, headers.MAX_REQUEST_BYTES);
+    if (!read.ok) {
+      this.refuse(incoming, refuseBody(read.error));
+      return;
+    }
+    const chat = assistant.readChat(read.value);
+    if (!chat.ok) {
+      this.refuse(incoming, chat.error);
+      return;
+    }
+    const signal = abortOnClose(incoming.res);
+    const ticket = await this.enter(incoming, chat.value, signal);
+    if (!ticket.ok) {
+      this.refuse(incoming, ticket.error);
+      return;
+    }
+    this.context.metrics.queued(incoming.account, ticket.value.waitedMs);
+    const sent = await this.dispatch(incoming, read.value, signal);
+    if (!sent.ok) {
+      ticket.value.release();
+      this.refuse(incoming, sent.error);
+      return;
+    }
+    await (isEventStream(sent.value)
+      ? this.stream(incoming, chat.value, sent.value, ticket.value)
+      : this.passThrough(incoming, sent.value, ticket.value));
+  }
+
+  /** Goes on with a stream after the last event that the caller has. */
+  async resume(
+    incoming: Incoming,
+    request: string,
+    after: number,
+  ): Promise<void> {
+    const name = headers.streamNameOf(request, incoming.account);
+    const held = this.sessions.get(name);
+    const session = held ?? this.newSession(request, name, undefined, '');
+    clearTimeout(session.graceTimer);
+    // The newest connection has the stream; an older one is half-open.
+    session.attached?.destroy();
+    session.attached = incoming.res;
+    const first = await this.resumeAtEngine(session, after);
+    if (first === undefined) {
+      this.endSession(session);
+      this.refuse(
+        incoming,
+        refusals.unknownOutcome('stream-lost', 'the engine has no such stream'),
+      );
+      return;
+    }
+    await this.pump(incoming, session, first, after);
+  }
+
+  /** Cancels a stream for good. */
+  async cancel(incoming: Incoming, request: string): Promise<void> {
+    const name = headers.streamNameOf(request, incoming.account);
+    const session = this.sessions.get(name);
+    await this.cancelAtEngine(name);
+    if (session !== undefined) {
+      this.endSession(session);
+    }
+    body.sendJson(incoming.res, 200, {cancelled: true});
+  }
+
+  /** Forgets all sessions; the engine keeps its streams. */
+  close(): void {
+    for (const session of this.sessions.values()) {
+      clearTimeout(session.graceTimer);
+    }
+    this.sessions.clear();
+  }
+
+  private enter(
+    incoming: Incoming,
+    chat: assistant.ChatRequest,
+    signal: AbortSignal,
+  ): Promise<Result<Ticket, refusals.Refusal>> {
+    if (this.context.isLeaving()) {
+      return Promise.resolve(fail(leavingRefusal()));
+    }
+    return this.context.admission.enter(
+      {
+        account: incoming.account,
+        weight: incoming.weight,
+        priority: incoming.priority,
+        cost: 1 + prefixes.estimateTokens(chat.prompt) / 1_000,
+        deadlineAt: incoming.deadlineAt,
+      },
+      signal,
+    );
+  }
+
+  private async dispatch(
+    incoming: Incoming,
+    text: Buffer,
+    signal: AbortSignal,
+  ): Promise<Result<http.IncomingMessage, refusals.Refusal>> {
+    const name = headers.streamNameOf(incoming.id, incoming.account);
+    const sent = await httpClient.send(this.context.agent, {
+      address: this.context.targetAddress,
+      method: 'POST',
+      path: assistant.CHAT_PATH,
+      headers: {
+        'content-type': 'application/json',
+        [refusals.REQUEST_HEADER]: incoming.id,
+        [headers.STREAM_HEADER]: name,
+        [headers.PRIORITY_HEADER]: String(incoming.priority),
+        [headers.TIMEOUT_HEADER]: String(Math.ceil(timeLeft(incoming))),
+      },
+      body: text,
+      timeoutMs: timeLeft(incoming),
+      signal,
+    });
+    if (sent.ok) {
+      return this.checkOwn(incoming, name, sent.value);
+    }
+    const failed = sent.error.sent
+      ? refusals.unknownOutcome('target-failed', sent.error.kind)
+      : refusals.notRun('target-failed', sent.error.kind);
+    if (sent.error.kind === 'timed-out') {
+      void this.cancelAtEngine(name);
+    }
+    return fail(failed);
+  }
+
+  /** An answer that names another request is never passed on. */
+  private checkOwn(
+    incoming: Incoming,
+    name: string,
+    res: http.IncomingMessage,
+  ): Result<http.IncomingMessage, refusals.Refusal> {
+    const named = body.headerOf(res, headers.STREAM_HEADER);
+    if (named === undefined || named === name) {
+      return ok(res);
+    }
+    res.destroy();
+    this.context.log.event('foreignAnswer', {request: incoming.id, named});
+    return fail(
+      refusals.unknownOutcome('target-failed', 'answer to another request'),
+    );
+  }
+
+  private async stream(
+    incoming: Incoming,
+    chat: assistant.ChatRequest,
+    first: http.IncomingMessage,
+    ticket: Ticket,
+  ): Promise<void> {
+    const name = headers.streamNameOf(incoming.id, incoming.account);
+    const session = this.newSession(incoming.id, name, ticket, chat.model);
+    session.attached = incoming.res;
+    await this.pump(incoming, session, first, 0);
+  }
+
+  /** Passes events on, resuming at the engine, until the end or no caller. */
+  private async pump(
+    incoming: Incoming,
+    session: Session,
+    first: http.IncomingMessage,
+    after: number,
+  ): Promise<void> {
+    const {res} = incoming;
+    this.writeStreamHead(incoming);
+    const gate = new SequenceGate<string>(after);
+    const prefix = `${this.context.targetId}.${session.request}`;
+    const deliver: eventStream.Deliver = (sequence, data) =>
+      eventStream.writeEvent(res, `${prefix}.${sequence}`, data);
+    let connection: http.IncomingMessage | undefined = first;
+    res.once('close', () => connection?.destroy());
+    while (connection !== undefined && !res.destroyed) {
+      const end = await eventStream.readEvents(
+        connection,
+        session.name,
+        gate,
+        deliver,
+      );
+      if (end.kind === 'done' || end.kind === 'failed') {
+        this.endSession(session);
+        await this.finishStream(res, end);
+        return;
+      }
+      if (end.kind === 'foreign') {
+        const request = session.request;
+        this.context.log.event('foreignAnswer', {request, named: end.id});
+      }
+      connection = res.destroyed
+        ? undefined
+        : await this.resumeAtEngine(session, gate.delivered);
+    }
+    this.onDetached(session, res);
+  }
+
+  private async finishStream(
+    res: http.ServerResponse,
+    end: eventStream.StreamEnd,
+  ): Promise<void> {
+    if (end.kind === 'failed') {
+      const error = body.parseJson(end.data);
+      await eventStream.writeErrorEvent(res, error.ok ? error.value : {});
+    }
+    res.end();
+  }
+
+  private onDetached(session: Session, res: http.ServerResponse): void {
+    if (session.attached !== res) {
+      return;
+    }
+    if (!res.destroyed) {
+      // The engine has lost the stream: the entry must not take this for
+      // the end of it.
+      res.destroy();
+      this.endSession(session);
+      return;
+    }
+    session.attached = undefined;
+    this.context.log.event('callerGone', {request: session.request});
+    session.graceTimer = setTimeout(() => {
+      void this.cancelAtEngine(session.name);
+      this.endSession(session);
+    }, session.graceMs);
+  }
+
+  private async resumeAtEngine(
+    session: Session,
+    after: number,
+  ): Promise<http.IncomingMessage | undefined> {
+    for (let tries = 0; tries < RESUME_TRIES; tries += 1) {
+      const sent = await httpClient.send(this.context.agent, {
+        address: this.context.targetAddress,
+        method: 'GET',
+        path: `${assistant.STREAMS_PATH}${session.name}?after=${after}`,
+        timeoutMs: CANCEL_TIMEOUT_MS,
+      });
+      if (sent.ok && sent.value.statusCode === 200) {
+        const {request} = session;
+        this.context.log.event('streamResumed', {request, after});
+        return sent.value;
+      }
+      if (sent.ok) {
+        sent.value.destroy();
+        return undefined;
+      }
+      await new Promise(resolve => setTimeout(resolve, RESUME_PAUSE_MS));
+    }
+    return undefined;
+  }
+
+  private async cancelAtEngine(name: string): Promise<void> {
+    const limit = 64 * 1024;
+    await httpClient.fetchWhole(
+      this.context.agent,
+      {
+        address: this.context.targetAddress,
+        method: 'DELETE',
+        path: assistant.STREAMS_PATH + name,
+        timeoutMs: CANCEL_TIMEOUT_MS,
+      },
+      limit,
+    );
+  }
+
+  private async passThrough(
+    incoming: Incoming,
+    sent: http.IncomingMessage,
+    ticket: Ticket,
+  ): Promise<void> {
+    const {res} = incoming;
+    res.writeHead(sent.statusCode ?? 502, {
+      ...contentHeaders(sent),
+      ...this.ownHeaders(incoming),
+    });
+    try {
+      await pipeline(sent, res);
+    } catch {
+      // Cut on either side: the entry sees a body that does not end.
+      res.destroy();
+    } finally {
+      ticket.release();
+    }
+  }
+
+  private writeStreamHead(incoming: Incoming): void {
+    incoming.res.writeHead(200, {
+      'content-type': 'text/event-stream',
+      'cache-control': 'no-store',
+      ...this.ownHeaders(incoming),
+    });
+    incoming.res.flushHeaders();
+  }
+
+  private ownHeaders(incoming: Incoming): http.OutgoingHttpHeaders {
+    return {
+      [refusals.REQUEST_HEADER]: incoming.id,
+      [refusals.OUTCOME_HEADER]: 'ran',
+      [targets.LOAD_HEADER]: targets.printLoad(this.context.load()),
+    };
+  }
+
+  private refuse(incoming: Incoming, refusal: refusals.Refusal): void {
+    const load = targets.printLoad(this.context.load());
+    if (!incoming.res.headersSent) {
+      incoming.res.setHeader(targets.LOAD_HEADER, load);
+    }
+    this.context.metrics.refused(incoming.account, refusal.kind);
+    refusals.sendRefusal(incoming.res, refusal, incoming.id);
+  }
+
+  private newSession(
+    request: string,
+    name: string,
+    ticket: Ticket | undefined,
+    model: string,
+  ): Session {
+    const session: Session = {
+      request,
+      name,
+      ticket,
+      graceMs: this.graceOf(model),
+      attached: undefined,
+      graceTimer: undefined,
+    };
+    this.sessions.set(name, session);
+    return session;
+  }
+
+  private endSession(session: Session): void {
+    clearTimeout(session.graceTimer);
+    session.ticket?.release();
+    if (this.sessions.get(session.name) === session) {
+      this.sessions.delete(session.name);
+    }
+  }
+
+  private graceOf(model: string): number {
+    for (const template of this.context.follower.replica.allTemplates()) {
+      const found = template.models[model];
+      if (found !== undefined) {
+        return found.resumeGraceMs;
+      }
+    }
+    return DEFAULT_GRACE_MS;
+  }
+}
+
+/** The refusal of new work by a target that leaves. */
+export function leavingRefusal(): refusals.Refusal {
+  return refusals.notRun('leaving', 'the target is leaving', LEAVING_RETRY_MS);
+}
+
+/** The refusal for a body that was not read. */
+export function refuseBody(err: body.BodyError): refusals.Refusal {
+  switch (err.kind) {
+    case 'body-too-large':
+      return refusals.notRun(
+        'body-too-large',
+        `the limit is ${err.limitBytes} bytes`,
+      );
+    case 'body-cut':
+      return refusals.notRun('bad-request', 'the body ended early');
+    case 'bad-json':
+      return refusals.notRun('bad-request', err.detail);
+  }
+}
+
+/** Headers of a target's answer that a caller gets. */
+export function contentHeaders(
+  res: http.IncomingMessage,
+): http.OutgoingHttpHeaders {
+  const kept: http.OutgoingHttpHeaders = {};
+  for (const name of ['content-type', 'content-length', 'etag', 'location']) {
+    const value = res.headers[name];
+    if (value !== undefined) {
+      kept[name] = value;
+    }
+  }
+  return kept;
+}
+
+/** True for server-sent events. */
+export function isEventStream(res: http.IncomingMessage): boolean {
+  const type = res.headers['content-type'] ?? '';
+  return type.startsWith('text/event-stream');
+}
--- /dev/null
+++ b/src/requests/sidecar-service.ts
@@ -0,0 +1,331 @@
+/** A sidecar's side of plain services: pass through, or at most once. */
+import type * as http from 'node:http';
+import {pipeline} from 'node:stream/promises';
+import type {Service} from '../configuration/types';
+import * as body from '../http/body';
+import * as httpClient from '../http/client';
+import * as keys from '../claims/keys';
+import type {KeptAnswer} from '../claims/records';
+import type {KeyRefusal, RunEnd, Runs} from '../claims/runs';
+import {Result, fail, ok} from '../result';
+import * as targets from '../targets/types';
+import type {Ticket} from './admission';
+import * as headers from './headers';
+import * as refusals from './refusals';
+import {contentHeaders, leavingRefusal, refuseBody} from './sidecar-assistant';
+import {
+  Incoming,
+  SidecarContext,
+  abortOnClose,
+  timeLeft,
+} from './sidecar-context';
+
+const MAX_KEPT_ANSWER_BYTES = 64 * 1024;
+const RETRY_AFTER_MS = 1_000;
+
+/** One call, with its body read. */
+interface ServiceCall {
+  readonly incoming: Incoming;
+  readonly method: string;
+  readonly path: string;
+  readonly text: Buffer;
+}
+
+export class SidecarService {
+  constructor(
+    private readonly context: SidecarContext,
+    private readonly runs: Runs,
+    private readonly settings: () => Service | undefined,
+  ) {}
+
+  /** Answers a call; `path` is the one that the target sees. */
+  async run(incoming: Incoming, path: string): Promise<void> {
+    const read = await body.readBody(incoming.req, headers.MAX_REQUEST_BYTES);
+    if (!read.ok) {
+      this.refuse(incoming, refuseBody(read.error));
+      return;
+    }
+    const method = incoming.req.method ?? 'GET';
+    const call: ServiceCall = {incoming, method, path, text: read.value};
+    const text = body.headerOf(incoming.req, headers.KEY_HEADER);
+    if (text !== undefined && !isRepeatable(this.settings(), method, path)) {
+      await this.runKeyed(call, text);
+      return;
+    }
+    if (!isRepeatable(this.settings(), method, path)) {
+      const detail = `${method} ${path} may not be repeated`;
+      this.refuse(incoming, refusals.notRun('key-required', detail));
+      return;
+    }
+    await this.runRepeatable(call);
+  }
+
+  private async runRepeatable(call: ServiceCall): Promise<void> {
+    const {incoming} = call;
+    const signal = abortOnClose(incoming.res);
+    if (this.context.isLeaving()) {
+      this.refuse(incoming, leavingRefusal());
+      return;
+    }
+    const ticket = await this.enter(incoming, signal);
+    if (!ticket.ok) {
+      this.refuse(incoming, ticket.error);
+      return;
+    }
+    const sent = await this.dispatch(call, signal);
+    if (!sent.ok) {
+      ticket.value.release();
+      const failed = sent.error.sent
+        ? refusals.unknownOutcome('target-failed', sent.error.kind)
+        : refusals.notRun('target-failed', sent.error.kind);
+      this.refuse(incoming, failed);
+      return;
+    }
+    incoming.res.writeHead(sent.value.statusCode ?? 502, {
+      ...contentHeaders(sent.value),
+      ...this.ownHeaders(incoming),
+    });
+    try {
+      await pipeline(sent.value, incoming.res);
+    } catch {
+      incoming.res.destroy();
+    } finally {
+      ticket.value.release();
+    }
+  }
+
+  /**
+   * The caller may go away: a call with a key runs to its end all the same.
+   * A leaving owner goes on with its keys until the slot is surrendered.
+   */
+  private async runKeyed(call: ServiceCall, keyText: string): Promise<void> {
+    const {incoming} = call;
+    const key = keys.readKey(keyText);
+    if (key === undefined) {
+      this.refuse(incoming, refusals.notRun('bad-key', 'not a UUIDv7'));
+      return;
+    }
+    const admission = this.runs.admit({
+      account: incoming.account,
+      key,
+      fingerprint: fingerprintOf(call),
+    });
+    switch (admission.kind) {
+      case 'refuse':
+        this.refuse(incoming, refuseKey(admission.refusal));
+        return;
+      case 'replay':
+        this.sendKept(incoming, admission.answer, true);
+        return;
+      case 'wait':
+        this.answerEnd(incoming, await admission.end, true);
+        return;
+      case 'run': {
+        const end = await this.runOnce(call, admission.finish);
+        this.answerEnd(incoming, end.end, false, end.refusal);
+        return;
+      }
+    }
+  }
+
+  /** Always finishes the run, whatever happens on the way. */
+  private async runOnce(
+    call: ServiceCall,
+    finish: (end: RunEnd) => void,
+  ): Promise<{end: RunEnd; refusal?: refusals.Refusal}> {
+    const ticket = await this.enter(call.incoming);
+    if (!ticket.ok) {
+      finish({kind: 'not-run'});
+      return {end: {kind: 'not-run'}, refusal: ticket.error};
+    }
+    const end = await this.dispatchOnce(call);
+    ticket.value.release();
+    finish(end);
+    return {end};
+  }
+
+  private async dispatchOnce(call: ServiceCall): Promise<RunEnd> {
+    const sent = await this.dispatch(call);
+    if (!sent.ok) {
+      return {kind: sent.error.sent ? 'unknown' : 'not-run'};
+    }
+    const read = await body.readBody(sent.value, MAX_KEPT_ANSWER_BYTES);
+    if (!read.ok) {
+      sent.value.destroy();
+      return {kind: 'ran', answer: null};
+    }
+    const answer: KeptAnswer = {
+      status: sent.value.statusCode ?? 502,
+      contentType: sent.value.headers['content-type'] ?? '',
+      body: read.value.toString('base64'),
+    };
+    return {kind: 'ran', answer};
+  }
+
+  private enter(
+    incoming: Incoming,
+    signal?: AbortSignal,
+  ): Promise<Result<Ticket, refusals.Refusal>> {
+    const {account, weight, priority, deadlineAt} = incoming;
+    return this.context.admission.enter(
+      {account, weight, priority, cost: 1, deadlineAt},
+      signal,
+    );
+  }
+
+  private async dispatch(
+    call: ServiceCall,
+    signal?: AbortSignal,
+  ): Promise<Result<http.IncomingMessage, httpClient.CallError>> {
+    const {incoming} = call;
+    const type = body.headerOf(incoming.req, 'content-type');
+    const key = body.headerOf(incoming.req, headers.KEY_HEADER);
+    const sent = await httpClient.send(this.context.agent, {
+      address: this.context.targetAddress,
+      method: call.method,
+      path: call.path,
+      headers: {
+        [refusals.REQUEST_HEADER]: incoming.id,
+        [headers.ACCOUNT_HEADER]: incoming.account,
+        ...(type === undefined ? {} : {'content-type': type}),
+        ...(key === undefined ? {} : {[headers.KEY_HEADER]: key}),
+      },
+      body: call.text.length > 0 ? call.text : undefined,
+      timeoutMs: timeLeft(incoming),
+      signal,
+    });
+    return sent.ok ? this.checkOwn(incoming, sent.value) : sent;
+  }
+
+  /** An answer that names another request is never passed on. */
+  private checkOwn(
+    incoming: Incoming,
+    res: http.IncomingMessage,
+  ): Result<http.IncomingMessage, httpClient.CallError> {
+    const named = body.headerOf(res, refusals.REQUEST_HEADER);
+    if (named === undefined || named === incoming.id) {
+      return ok(res);
+    }
+    res.destroy();
+    this.context.log.event('foreignAnswer', {request: incoming.id, named});
+    return fail({kind: 'connection-lost', sent: true});
+  }
+
+  private answerEnd(
+    incoming: Incoming,
+    end: RunEnd,
+    replayed: boolean,
+    refusal?: refusals.Refusal,
+  ): void {
+    switch (end.kind) {
+      case 'ran':
+        this.sendKept(incoming, end.answer, replayed);
+        return;
+      case 'not-run':
+        this.refuse(
+          incoming,
+          refusal ?? refusals.notRun('target-failed', 'the target is away'),
+        );
+        return;
+      case 'unknown':
+        this.refuse(incoming, refuseKey({kind: 'outcome-unknown'}));
+    }
+  }
+
+  private sendKept(
+    incoming: Incoming,
+    answer: KeptAnswer | null,
+    replayed: boolean,
+  ): void {
+    if (answer === null) {
+      const detail = 'the answer is no longer kept';
+      this.refuse(incoming, {kind: 'already-ran', outcome: 'ran', detail});
+      return;
+    }
+    const {res} = incoming;
+    if (res.destroyed || res.headersSent) {
+      return;
+    }
+    const text = Buffer.from(answer.body, 'base64');
+    res.writeHead(answer.status, {
+      ...(answer.contentType === ''
+        ? {}
+        : {'content-type': answer.contentType}),
+      'content-length': text.length,
+      ...(replayed ? {[headers.REPLAYED_HEADER]: 'true'} : {}),
+      ...this.ownHeaders(incoming),
+    });
+    res.end(text);
+  }
+
+  private ownHeaders(incoming: Incoming): http.OutgoingHttpHeaders {
+    return {
+      [refusals.REQUEST_HEADER]: incoming.id,
+      [refusals.OUTCOME_HEADER]: 'ran',
+      [targets.LOAD_HEADER]: targets.printLoad(this.context.load()),
+    };
+  }
+
+  private refuse(incoming: Incoming, refusal: refusals.Refusal): void {
+    const load = targets.printLoad(this.context.load());
+    if (!incoming.res.headersSent) {
+      incoming.res.setHeader(targets.LOAD_HEADER, load);
+    }
+    this.context.metrics.refused(incoming.account, refusal.kind);
+    refusals.sendRefusal(incoming.res, refusal, incoming.id);
+  }
+}
+
+/** Whether a call may run any number of times. Unlisted calls may not. */
+export function isRepeatable(
+  service: Service | undefined,
+  method: string,
+  path: string,
+): boolean {
+  const plain = path.split('?')[0]!;
+  const isListed = (service?.repeatable ?? []).some(
+    rule =>
+      rule.method === method &&
+      (plain === rule.path || plain.startsWith(rule.path + '/')),
+  );
+  return isListed;
+}
+
+/** Two calls with one key must be the same call. */
+function fingerprintOf(call: ServiceCall): string {
+  const head = `${call.method} ${call.path}\n`;
+  return headers.digest(Buffer.concat([Buffer.from(head), call.text]));
+}
+
+/** The refusal that a caller gets for a key. */
+export function refuseKey(refusal: KeyRefusal): refusals.Refusal {
+  switch (refusal.kind) {
+    case 'key-burnt':
+      return refusals.notRun('key-burnt', 'use a new key');
+    case 'outcome-unknown':
+      return refusals.unknownOutcome(
+        'outcome-unknown',
+        'the target gave no answer',
+      );
+    case 'key-reused':
+      return {
+        kind: 'key-reused',
+        outcome: refusal.ran ? 'ran' : 'unknown',
+        detail: 'the outcome is that of the first request with this key',
+      };
+    case 'key-ahead':
+      return refusals.unknownOutcome(
+        'key-ahead',
+        `minted ${Math.ceil(refusal.leadMs)} ms ahead; see /v1/request-keys`,
+        refusal.leadMs,
+      );
+    case 'key-too-old':
+      return refusals.unknownOutcome('key-too-old', 'use a new key');
+    case 'not-owner':
+      return refusals.unknownOutcome(
+        'not-owner',
+        refusal.owner?.address ?? '',
+        RETRY_AFTER_MS,
+      );
+  }
+}
--- /dev/null
+++ b/src/roles/process-face.ts
@@ -0,0 +1,42 @@
+/** Paths that every process answers: health, metrics, RPC. */
+import type * as http from 'node:http';
+import * as body from '../http/body';
+import type {Metrics} from '../observability/metrics';
+import * as prometheus from '../observability/prometheus';
+import type {RpcServer} from '../rpc/server';
+import {RPC_PATH} from '../rpc/types';
+
+/** What a process shows of itself. */
+export interface ProcessFace {
+  readonly rpc: RpcServer;
+  readonly metrics: Metrics;
+  isReady(): boolean;
+}
+
+/** Answers a process path; false where the path is none of them. */
+export async function answerProcessPath(
+  face: ProcessFace,
+  req: http.IncomingMessage,
+  res: http.ServerResponse,
+): Promise<boolean> {
+  const path = (req.url ?? '/').split('?')[0];
+  switch (path) {
+    case RPC_PATH:
+      await face.rpc.answer(req, res);
+      return true;
+    case '/healthz':
+      body.sendJson(res, 200, {alive: true});
+      return true;
+    case '/readyz':
+      body.sendJson(res, face.isReady() ? 200 : 503, {ready: face.isReady()});
+      return true;
+    case '/metrics': {
+      const page = await prometheus.printPage(face.metrics.samples());
+      res.writeHead(200, {'content-type': page.type});
+      res.end(page.text);
+      return true;
+    }
+    default:
+      return false;
+  }
+}
--- /dev/null
+++ b/src/roles/sidecar.ts
@@ -0,0 +1,440 @@
+/** The sidecar: wires the aggregates of the process beside one target. */
+import {randomUUID} from 'node:crypto';
+import * as fs from 'node:fs';
+import type * as http from 'node:http';
+import {Subscription} from 'rxjs';
+import * as claimsApp from '../claims/app';
+import * as handover from '../claims/handover';
+import {Keeper} from '../claims/keeper';
+import * as keys from '../claims/keys';
+import {Runs} from '../claims/runs';
+import type {Owner} from '../claims/types';
+import {SteadyClock} from '../clock';
+import {Follower} from '../configuration/follower';
+import type {Service} from '../configuration/types';
+import * as body from '../http/body';
+import * as httpClient from '../http/client';
+import * as httpServer from '../http/server';
+import {Log} from '../observability/log';
+import {Metrics} from '../observability/metrics';
+import {HttpObjectApi} from '../platform/client';
+import {Admission} from '../requests/admission';
+import * as assistant from '../requests/assistant';
+import * as headers from '../requests/headers';
+import * as refusals from '../requests/refusals';
+import {SidecarAssistant} from '../requests/sidecar-assistant';
+import type {Incoming, SidecarContext} from '../requests/sidecar-context';
+import {SidecarService} from '../requests/sidecar-service';
+import {RpcClient} from '../rpc/client';
+import {RpcServer} from '../rpc/server';
+import * as rpcTypes from '../rpc/types';
+import * as targetsApp from '../targets/app';
+import {CallerMemory} from '../targets/callers';
+import {EngineProbe} from '../targets/probe';
+import * as targets from '../targets/types';
+import {answerProcessPath} from './process-face';
+import type {SidecarSettings} from './settings';
+import {waitUntilIdle} from './stopping';
+
+const BOOT_ID_FILE = '/proc/sys/kernel/random/boot_id';
+const DEFAULT_TIMEOUT_MS = 30_000;
+const FORGET_PERIOD_MS = 10_000;
+const HANDOVER_ROUNDS = 3;
+const HANDOVER_PAUSE_MS = 500;
+const STARTING_RETRY_MS = 1_000;
+const DEFAULT_SERVICE: Service = {
+  repeatable: [],
+  timeoutMs: DEFAULT_TIMEOUT_MS,
+  slots: 1,
+  termMs: 600_000,
+  retentionMs: 3_600_000,
+  maxLeadMs: 5_000,
+};
+
+/** A running sidecar. */
+export class Sidecar {
+  private readonly store: HttpObjectApi;
+  private readonly rpc: RpcClient;
+  private readonly rpcServer: RpcServer;
+  private readonly follower: Follower;
+  private readonly agent: http.Agent = httpClient.makeAgent();
+  private readonly metrics = new Metrics();
+  private readonly clock = new SteadyClock();
+  private readonly admission: Admission;
+  private readonly callers = new CallerMemory();
+  private readonly context: SidecarContext;
+  private readonly assistant: SidecarAssistant;
+  private readonly subscriptions = new Subscription();
+  private probe: EngineProbe | undefined;
+  private keeper: Keeper | undefined;
+  private runs: Runs | undefined;
+  private service: SidecarService | undefined;
+  private forgetTimer: NodeJS.Timeout | undefined;
+  private listener: httpServer.Listener | undefined;
+  private open_ = 0;
+  private ready = false;
+  private leaving = false;
+
+  constructor(
+    private readonly cfg: SidecarSettings,
+    private readonly log: Log,
+  ) {
+    this.store = new HttpObjectApi(cfg.platform);
+    this.follower = new Follower(cfg, this.store, log, () => this.rpc);
+    const stamps = this.follower.stampExchange;
+    this.rpc = new RpcClient(stamps, () => this.address);
+    this.rpcServer = new RpcServer(log, stamps);
+    this.admission = new Admission(() => ({
+      capacity: this.probe?.rank?.maxRunning ?? cfg.capacity,
+      maxQueued: cfg.maxQueued,
+    }));
+    this.context = this.makeContext();
+    this.assistant = new SidecarAssistant(this.context);
+    this.follower.serve(this.rpcServer);
+    this.rpcServer.handle(targetsApp.report, (_params, peer) => {
+      this.callers.note(peer.address, Date.now());
+      return this.report();
+    });
+  }
+
+  /** Where this sidecar listens. */
+  get address(): string {
+    return this.listener?.address ?? this.cfg.listen;
+  }
+
+  /**
+   * Listens first: to hold the address proves that the process before this
+   * one has ended. Then it catches up and becomes ready.
+   */
+  async open(): Promise<string> {
+    this.listener = await httpServer.listen(
+      this.cfg.listen,
+      (req, res) => this.answer(req, res),
+      err => this.log.event('requestFault', {error: String(err)}),
+    );
+    if (this.serves.kind === 'model') {
+      this.openEngine();
+    }
+    this.subscriptions.add(
+      this.follower.instanceLists.subscribe(() => this.onInstances()),
+    );
+    void this.follower.start().then(() => this.becomeReady());
+    return this.address;
+  }
+
+  /** Planned stop: no new work, hand over, finish what runs, end. */
+  async stop(): Promise<void> {
+    this.log.event('processStopping', {inFlight: this.open_});
+    this.leave('stop');
+    await this.handOver();
+    await waitUntilIdle(() => this.busyCount, this.cfg.stopPatienceMs);
+    this.listener?.drain();
+    await this.close();
+  }
+
+  /** Ends at once. */
+  async close(): Promise<void> {
+    this.ready = false;
+    clearTimeout(this.forgetTimer);
+    this.subscriptions.unsubscribe();
+    this.probe?.close();
+    this.assistant.close();
+    await this.keeper?.close();
+    this.follower.close();
+    await this.listener?.close();
+    this.agent.destroy();
+    this.rpc.close();
+    this.store.close();
+  }
+
+  private get busyCount(): number {
+    return (
+      this.open_ + this.assistant.openCount + (this.runs?.runningCount ?? 0)
+    );
+  }
+
+  private get serves(): targets.Serves {
+    const {serves, group, rank} = this.cfg;
+    const name = serves.slice(serves.indexOf('/') + 1);
+    return serves.startsWith('model/')
+      ? {kind: 'model', name, group, rank}
+      : {kind: 'service', name};
+  }
+
+  private makeContext(): SidecarContext {
+    const {cfg, follower, admission, agent, log, metrics} = this;
+    return {
+      targetId: cfg.id,
+      targetAddress: cfg.target,
+      serves: this.serves,
+      follower,
+      admission,
+      agent,
+      log,
+      metrics,
+      isLeaving: () => this.leaving,
+      load: () => this.load(),
+    };
+  }
+
+  private openEngine(): void {
+    this.probe = new EngineProbe(
+      this.agent,
+      this.cfg.target,
+      this.log,
+      () => undefined,
+    );
+    this.probe.start();
+  }
+
+  private becomeReady(): void {
+    if (this.serves.kind === 'service') {
+      this.openClaims();
+    }
+    this.ready = true;
+    this.log.event('processReady', {id: this.cfg.id, address: this.address});
+  }
+
+  private openClaims(): void {
+    const service = this.serves.name;
+    const settings = () =>
+      this.follower.replica.service(service) ?? DEFAULT_SERVICE;
+    const keeper = new Keeper(
+      () => ({service, ...settings()}),
+      this.identity(settings().maxLeadMs),
+      this.clock,
+      this.store,
+      this.log,
+      () => this.liveMates(),
+    );
+    const runs = new Runs(
+      keeper,
+      this.clock,
+      () => settings().slots,
+      () => settings().retentionMs,
+      this.cfg.maxAnswerBytes,
+    );
+    this.keeper = keeper;
+    this.runs = runs;
+    this.service = new SidecarService(this.context, runs, settings);
+    this.bindClaims(service, keeper, runs);
+    keeper.wake();
+    this.forgetTimer = setInterval(() => runs.forgetOld(), FORGET_PERIOD_MS);
+  }
+
+  private bindClaims(service: string, keeper: Keeper, runs: Runs): void {
+    handover.serve(this.rpcServer, service, keeper, runs, () => !this.leaving);
+    this.rpcServer.handle(claimsApp.table, () => ({cells: keeper.table()}));
+    this.rpcServer.handle(claimsApp.burn, params => {
+      const key = keys.readKey(params.key);
+      const isOwn = params.service === service && key !== undefined;
+      return {state: isOwn ? runs.burn(params.account, key) : 'not-owner'};
+    });
+  }
+
+  private identity(leadMs: number): Owner {
+    return {
+      incarnation: randomUUID(),
+      targetId: this.cfg.id,
+      address: this.address,
+      bootId: this.cfg.bootId || readBootId(),
+      anchor: this.clock.anchor,
+      leadMs,
+    };
+  }
+
+  private liveMates(): string[] {
+    const mates = this.follower.instances.filter(
+      instance =>
+        instance.serves === this.cfg.serves && instance.state === 'live',
+    );
+    const ids = new Set(mates.map(instance => instance.id));
+    if (this.leaving) {
+      ids.delete(this.cfg.id);
+    } else {
+      ids.add(this.cfg.id);
+    }
+    return [...ids];
+  }
+
+  private onInstances(): void {
+    const own = this.follower.instances.find(i => i.id === this.cfg.id);
+    if (own?.state === 'leaving' && !this.leaving) {
+      this.leave('platform list');
+      void this.handOver();
+    }
+    this.keeper?.wake();
+  }
+
+  private leave(by: string): void {
+    if (this.leaving) {
+      return;
+    }
+    this.leaving = true;
+    this.log.event('targetLeaving', {target: this.cfg.id, by});
+    for (const address of this.callers.recent(Date.now())) {
+      void this.rpc.call(address, targetsApp.leaving, {id: this.cfg.id});
+    }
+  }
+
+  private async handOver(): Promise<void> {
+    const {keeper, runs} = this;
+    if (keeper === undefined || runs === undefined) {
+      return;
+    }
+    const service = this.serves.name;
+    for (let round = 0; round < HANDOVER_ROUNDS; round += 1) {
+      const slots = this.follower.replica.service(service)?.slots ?? 1;
+      const mates = this.follower.instances.filter(
+        i =>
+          i.serves === this.cfg.serves &&
+          i.state === 'live' &&
+          i.id !== this.cfg.id,
+      );
+      await handover.handOverAll(
+        keeper,
+        runs,
+        service,
+        slots,
+        mates.map(mate => mate.address),
+        this.rpc,
+        this.log,
+      );
+      if (keeper.ownSlots().length === 0) {
+        return;
+      }
+      await new Promise(resolve => setTimeout(resolve, HANDOVER_PAUSE_MS));
+    }
+  }
+
+  private report(): targets.TargetReport {
+    const isAway = this.probe?.isReachable === false;
+    const live = isAway ? 'unreachable' : 'live';
+    return {
+      id: this.cfg.id,
+      hall: this.cfg.hall,
+      address: this.address,
+      serves: this.serves,
+      state: this.leaving ? 'leaving' : live,
+      load: this.load(),
+    };
+  }
+
+  private load(): targets.Load {
+    const rank = this.probe?.rank;
+    return {
+      running: this.admission.runningCount,
+      capacity: rank?.maxRunning ?? this.cfg.capacity,
+      queued: this.admission.queuedCount,
+      waitMs: this.admission.expectedWaitMs,
+      prefillTokens: rank?.prefillTokens ?? 0,
+      stepMs: rank?.stepMs ?? 0,
+      rankMs: rank?.rankMs ?? 0,
+    };
+  }
+
+  private async answer(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+  ): Promise<void> {
+    const face = {
+      rpc: this.rpcServer,
+      metrics: this.metrics,
+      isReady: () => this.ready && !this.leaving,
+    };
+    if (await answerProcessPath(face, req, res)) {
+      return;
+    }
+    if (!this.ready) {
+      const detail = 'this sidecar has no configuration yet';
+      const refusal = refusals.notRun('no-target', detail, STARTING_RETRY_MS);
+      refusals.sendRefusal(res, refusal, '');
+      return;
+    }
+    this.open_ += 1;
+    res.once('close', () => {
+      this.open_ -= 1;
+    });
+    await this.answerData(req, res);
+  }
+
+  private async answerData(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+  ): Promise<void> {
+    const stamp = body.headerOf(req, rpcTypes.STAMP_HEADER);
+    const peer = body.headerOf(req, rpcTypes.PEER_HEADER) ?? '';
+    this.callers.note(peer, Date.now());
+    if (stamp !== undefined) {
+      await this.follower.catchUp(stamp, peer);
+    }
+    res.setHeader(rpcTypes.STAMP_HEADER, this.follower.stampExchange.mine());
+    const incoming = this.readIncoming(req, res);
+    const url = new URL(req.url ?? '/', 'http://sidecar');
+    if (url.pathname.startsWith(assistant.STREAMS_PATH)) {
+      await this.answerStream(incoming, url);
+    } else if (url.pathname === assistant.CHAT_PATH && this.probe) {
+      await this.assistant.run(incoming);
+    } else {
+      await this.answerService(incoming, req.url ?? '/');
+    }
+  }
+
+  private async answerStream(incoming: Incoming, url: URL): Promise<void> {
+    const request = url.pathname.slice(assistant.STREAMS_PATH.length);
+    if (incoming.req.method === 'DELETE') {
+      await this.assistant.cancel(incoming, request);
+      return;
+    }
+    const after = Number(url.searchParams.get('after') ?? 0);
+    await this.assistant.resume(incoming, request, after);
+  }
+
+  private async answerService(incoming: Incoming, url: string): Promise<void> {
+    const prefix = `/${this.serves.name}/`;
+    if (this.service === undefined || !url.startsWith(prefix)) {
+      incoming.req.resume();
+      const refusal = refusals.notRun('not-found', `nothing under ${url}`);
+      refusals.sendRefusal(incoming.res, refusal, incoming.id);
+      return;
+    }
+    await this.service.run(incoming, url.slice(prefix.length - 1));
+  }
+
+  private readIncoming(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+  ): Incoming {
+    const account = body.headerOf(req, headers.ACCOUNT_HEADER) ?? '';
+    const timeoutText = body.headerOf(req, headers.TIMEOUT_HEADER);
+    const timeoutMs =
+      headers.readTimeout(timeoutText, DEFAULT_TIMEOUT_MS * 20) ?? 0;
+    const rendered = this.follower.replica.account(account);
+    return {
+      req,
+      res,
+      id: body.headerOf(req, refusals.REQUEST_HEADER) ?? '',
+      account,
+      weight: rendered?.parameters.weight ?? 1,
+      priority: this.priorityOf(account),
+      deadlineAt: Date.now() + timeoutMs,
+    };
+  }
+
+  private priorityOf(account: string): number {
+    const template = this.follower.replica.account(account)?.template;
+    const model = template?.models[this.serves.name];
+    return model === undefined
+      ? 0
+      : (template?.classes[model.class]?.priority ?? 0);
+  }
+}
+
+function readBootId(): string {
+  try {
+    return fs.readFileSync(BOOT_ID_FILE, 'utf8').trim();
+  } catch {
+    // Without a boot id no predecessor can be proved dead.
+    return randomUUID();
+  }
+}
--- /dev/null
+++ b/src/routing/policy.ts
@@ -0,0 +1,110 @@
+/** The ways to choose a target: ours, and the plain ones to beat. */
+import * as random from '../random';
+import * as rendezvous from './rendezvous';
+import * as scoring from './score';
+import * as types from './types';
+
+/** Rendezvous homes of a prompt prefix that are always weighed. */
+const HOMES = 2;
+/** Candidates besides, drawn at random. */
+const SAMPLED = 2;
+/** Candidates besides, because they are believed to hold the prefix. */
+const HOLDERS = 2;
+
+/**
+ * Weighs the prefix's homes, its believed holders and a random sample, and
+ * takes the lowest score. Never weighs all targets.
+ */
+export class ScoredPolicy extends types.Policy {
+  constructor(private readonly settings: () => scoring.ScoreSettings) {
+    super();
+  }
+
+  choose(
+    request: types.RoutedRequest,
+    candidates: readonly types.Candidate[],
+  ): types.Decision {
+    const weighed = pickFew(request, candidates).map(candidate =>
+      scoring.score(request, candidate, this.settings()),
+    );
+    weighed.sort((a, b) => a.score - b.score);
+    return {chosen: weighed[0]!.id, weighed};
+  }
+}
+
+function pickFew(
+  request: types.RoutedRequest,
+  candidates: readonly types.Candidate[],
+): types.Candidate[] {
+  if (candidates.length <= HOMES + SAMPLED) {
+    return [...candidates];
+  }
+  const few = new Set(
+    rendezvous.topByKey(
+      `${request.account}/${request.prefix}`,
+      candidates,
+      candidate => candidate.id,
+      HOMES,
+    ),
+  );
+  const holders = candidates.filter(candidate => candidate.cachedTokens > 0);
+  holders.sort((a, b) => b.cachedTokens - a.cachedTokens);
+  holders.slice(0, HOLDERS).forEach(holder => few.add(holder));
+  for (let drawn = 0; drawn < SAMPLED; drawn += 1) {
+    few.add(random.pick(candidates));
+  }
+  return [...few];
+}
+
+/** Any target, evenly. */
+export class RandomPolicy extends types.Policy {
+  choose(
+    _request: types.RoutedRequest,
+    candidates: readonly types.Candidate[],
+  ): types.Decision {
+    return {chosen: random.pick(candidates).id, weighed: []};
+  }
+}
+
+/** Each target in turn. */
+export class RoundRobinPolicy extends types.Policy {
+  private turn = 0;
+
+  choose(
+    _request: types.RoutedRequest,
+    candidates: readonly types.Candidate[],
+  ): types.Decision {
+    this.turn += 1;
+    const chosen = candidates[this.turn % candidates.length]!;
+    return {chosen: chosen.id, weighed: []};
+  }
+}
+
+/** The target with the fewest of this entry's own requests. */
+export class LeastOutstandingPolicy extends types.Policy {
+  choose(
+    _request: types.RoutedRequest,
+    candidates: readonly types.Candidate[],
+  ): types.Decision {
+    const least = candidates.reduce((best, candidate) =>
+      candidate.inFlight < best.inFlight ? candidate : best,
+    );
+    return {chosen: least.id, weighed: []};
+  }
+}
+
+/** The less loaded of two drawn at random. */
+export class TwoChoicesPolicy extends types.Policy {
+  choose(
+    _request: types.RoutedRequest,
+    candidates: readonly types.Candidate[],
+  ): types.Decision {
+    const [a, b] = [random.pick(candidates), random.pick(candidates)];
+    const chosen = outstanding(a) <= outstanding(b) ? a : b;
+    return {chosen: chosen.id, weighed: []};
+  }
+}
+
+function outstanding(candidate: types.Candidate): number {
+  return candidate.load.running + candidate.load.queued + candidate.sentSince;
+}
--- /dev/null
+++ b/src/rpc/client.ts
@@ -0,0 +1,111 @@
+/** JSON-RPC calls to other processes. */
+import type * as http from 'node:http';
+import {JSONRPCClient, JSONRPCErrorException} from 'json-rpc-2.0';
+import type {JSONRPCResponse} from 'json-rpc-2.0';
+import * as v from 'valibot';
+import * as body from '../http/body';
+import * as httpClient from '../http/client';
+import {Result, fail, ok} from '../result';
+import * as types from './types';
+
+const DEFAULT_TIMEOUT_MS = 2_000;
+
+class CallFailed extends Error {
+  constructor(readonly failure: types.RpcError) {
+    super(failure.kind);
+  }
+}
+
+/** Calls methods at addresses. */
+export class RpcClient {
+  private readonly agent: http.Agent = httpClient.makeAgent();
+
+  constructor(
+    private readonly stamps: types.StampExchange = types.NO_STAMPS,
+    private readonly ownAddress: () => string = () => '',
+  ) {}
+
+  /** Calls a method. Fails with `unreachable`, `rejected`, `bad-result`. */
+  async call<P, R>(
+    address: string,
+    method: types.Method<P, R>,
+    params: P,
+    timeoutMs = DEFAULT_TIMEOUT_MS,
+    signal?: AbortSignal,
+  ): Promise<Result<R, types.RpcError>> {
+    const client: JSONRPCClient = new JSONRPCClient(async request => {
+      const text = JSON.stringify(request);
+      client.receive(await this.post(address, text, timeoutMs, signal));
+    });
+    try {
+      const raw: unknown = await client.request(method.name, params);
+      return parseResult(method, raw);
+    } catch (err) {
+      return fail(readFailure(err));
+    }
+  }
+
+  close(): void {
+    this.agent.destroy();
+  }
+
+  private async post(
+    address: string,
+    text: string,
+    timeoutMs: number,
+    signal: AbortSignal | undefined,
+  ): Promise<JSONRPCResponse> {
+    const answer = await httpClient.fetchWhole(
+      this.agent,
+      {
+        address,
+        method: 'POST',
+        path: types.RPC_PATH,
+        headers: {
+          'content-type': 'application/json',
+          [types.STAMP_HEADER]: this.stamps.mine(),
+          [types.PEER_HEADER]: this.ownAddress(),
+        },
+        body: text,
+        timeoutMs,
+        signal,
+      },
+      types.MAX_RPC_BYTES,
+    );
+    if (!answer.ok) {
+      throw new CallFailed({kind: 'unreachable', sent: answer.error.sent});
+    }
+    const stamp = answer.value.headers[types.STAMP_HEADER];
+    if (typeof stamp === 'string' && stamp !== '') {
+      this.stamps.seen(stamp, address);
+    }
+    const parsed = body.parseJson(answer.value.body.toString('utf8'));
+    if (!parsed.ok || answer.value.status !== 200) {
+      const detail = `status ${answer.value.status}`;
+      throw new CallFailed({kind: 'bad-result', detail});
+    }
+    return parsed.value as JSONRPCResponse;
+  }
+}
+
+function parseResult<P, R>(
+  method: types.Method<P, R>,
+  raw: unknown,
+): Result<R, types.RpcError> {
+  const parsed = v.safeParse(method.result, raw);
+  if (parsed.success) {
+    return ok(parsed.output);
+  }
+  const detail = parsed.issues[0]?.message ?? 'wrong shape';
+  return fail({kind: 'bad-result', detail});
+}
+
+function readFailure(err: unknown): types.RpcError {
+  if (err instanceof CallFailed) {
+    return err.failure;
+  }
+  if (err instanceof JSONRPCErrorException) {
+    return {kind: 'rejected', code: err.code, text: err.message};
+  }
+  return {kind: 'bad-result', detail: String(err)};
+}
--- /dev/null
+++ b/src/rpc/server.ts
@@ -0,0 +1,76 @@
+/** The RPC face of a process: schema-checked methods behind POST /rpc. */
+import type * as http from 'node:http';
+import {
+  JSONRPCErrorCode,
+  JSONRPCErrorException,
+  JSONRPCServer,
+} from 'json-rpc-2.0';
+import type {JSONRPCRequest} from 'json-rpc-2.0';
+import * as v from 'valibot';
+import * as body from '../http/body';
+import {Log} from '../observability/log';
+import * as types from './types';
+
+/** What a handler knows about the process that called. */
+export interface Peer {
+  /** Where the caller listens; empty where it did not say. */
+  readonly address: string;
+}
+
+/** Methods of a process, each bound to its handler. */
+export class RpcServer {
+  private readonly server = new JSONRPCServer<Peer>({
+    errorListener: () => undefined,
+  });
+
+  constructor(
+    private readonly log: Log,
+    private readonly stamps: types.StampExchange = types.NO_STAMPS,
+  ) {}
+
+  /** Binds a handler to a method. */
+  handle<P, R>(
+    method: types.Method<P, R>,
+    handler: (params: P, peer: Peer) => Promise<R> | R,
+  ): void {
+    this.server.addMethod(method.name, async (raw: unknown, peer: Peer) => {
+      const parsed = v.safeParse(method.params, raw);
+      if (!parsed.success) {
+        throw this.reject(method.name, parsed.issues[0]?.message);
+      }
+      return handler(parsed.output, peer);
+    });
+  }
+
+  /** Answers one HTTP request to `/rpc`. */
+  async answer(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+  ): Promise<void> {
+    const peer = {address: body.headerOf(req, types.PEER_HEADER) ?? ''};
+    const stamp = body.headerOf(req, types.STAMP_HEADER);
+    if (stamp) {
+      this.stamps.seen(stamp, peer.address);
+    }
+    const read = await body.readJson(req, types.MAX_RPC_BYTES);
+    if (!read.ok) {
+      this.log.event('rpcRejected', {error: read.error.kind});
+      body.sendJson(res, 400, {error: read.error});
+      return;
+    }
+    const request = read.value as JSONRPCRequest;
+    const answer = await this.server.receive(request, peer);
+    body.sendJson(res, 200, answer ?? null, {
+      [types.STAMP_HEADER]: this.stamps.mine(),
+    });
+  }
+
+  private reject(
+    name: string,
+    detail: string | undefined,
+  ): JSONRPCErrorException {
+    const text = detail ?? 'wrong shape';
+    this.log.event('rpcRejected', {method: name, detail: text});
+    return new JSONRPCErrorException(text, JSONRPCErrorCode.InvalidParams);
+  }
+}
--- /dev/null
+++ b/src/targets/directory.ts
@@ -0,0 +1,169 @@
+/**
+ * The targets an entry knows: the platform's lagging list adds them and
+ * marks them leaving, the sidecars' own word goes first. The entry keeps the
+ * state of its subset only, never of all targets.
+ */
+import type {Instance} from '../platform/types';
+import * as rendezvous from '../routing/rendezvous';
+import {Health} from './health';
+import * as types from './types';
+
+/** One target of the subset. */
+export interface Target {
+  readonly id: string;
+  readonly address: string;
+  readonly hall: string;
+  readonly serves: types.Serves;
+  readonly health: Health;
+  state: types.TargetState;
+  load: types.Load;
+  /** Unix milliseconds of the load's report. */
+  loadAt: number;
+  /** Requests this entry sent since that report. */
+  sentSince: number;
+  /** Prompt tokens of these. */
+  sentTokens: number;
+  /** Requests of this entry that are at the target now. */
+  inFlight: number;
+}
+
+/** What an entry keeps of a target it has no report of yet. */
+export interface Known {
+  readonly id: string;
+  readonly address: string;
+  readonly hall: string;
+}
+
+/** How long a sidecar's own word outlives the platform's list. */
+const LEAVING_MEMORY_MS = 60_000;
+
+/**
+ * The targets that one entry uses: the entry's own ranking within each thing
+ * that is served, so a target that comes or goes changes one place at most.
+ */
+export function chooseSubset(
+  entryId: string,
+  live: readonly Instance[],
+  size: number,
+): Instance[] {
+  const byServes = new Map<string, Instance[]>();
+  for (const instance of live) {
+    const group = byServes.get(instance.serves) ?? [];
+    group.push(instance);
+    byServes.set(instance.serves, group);
+  }
+  return [...byServes.values()].flatMap(group =>
+    rendezvous.topByKey(entryId, group, instance => instance.id, size),
+  );
+}
+
+export class TargetDirectory {
+  private readonly targets = new Map<string, Target>();
+  private known: readonly Known[] = [];
+  private readonly leavingAt = new Map<string, number>();
+
+  constructor(
+    private readonly entryId: string,
+    private readonly subsetSize: () => number,
+  ) {}
+
+  /** Takes over the platform's list. Answers targets to ask for a report. */
+  applyInstances(instances: readonly Instance[]): readonly Known[] {
+    const sidecars = instances.filter(i => i.role === 'sidecar');
+    const live = sidecars.filter(i => i.state === 'live');
+    for (const instance of sidecars) {
+      if (instance.state === 'leaving') {
+        this.markLeaving(instance.id);
+      }
+    }
+    this.known = chooseSubset(this.entryId, live, this.subsetSize());
+    const ids = new Set(this.known.map(instance => instance.id));
+    for (const [id, target] of this.targets) {
+      if (!ids.has(id) && target.inFlight === 0) {
+        this.targets.delete(id);
+      }
+    }
+    return this.known;
+  }
+
+  /** The members of the subset, with or without a report. */
+  get members(): readonly Known[] {
+    return this.known;
+  }
+
+  /** Takes over a sidecar's own word. */
+  applyReport(report: types.TargetReport, now: number): void {
+    const held = this.targets.get(report.id);
+    const target = held?.address === report.address ? held : undefined;
+    this.targets.set(report.id, {
+      id: report.id,
+      address: report.address,
+      hall: report.hall,
+      serves: report.serves,
+      health: target?.health ?? new Health(),
+      state: report.state,
+      load: report.load,
+      loadAt: now,
+      sentSince: 0,
+      sentTokens: 0,
+      inFlight: target?.inFlight ?? 0,
+    });
+    if (report.state === 'live') {
+      this.leavingAt.delete(report.id);
+    }
+  }
+
+  /** Takes over the load that an answer carried. */
+  applyLoad(target: Target, load: types.Load, now: number): void {
+    target.load = load;
+    target.loadAt = now;
+    target.sentSince = 0;
+    target.sentTokens = 0;
+  }
+
+  /** No new work for this target from now on. */
+  markLeaving(id: string, now = Date.now()): void {
+    this.leavingAt.set(id, now);
+    const target = this.targets.get(id);
+    if (target !== undefined) {
+      target.state = 'leaving';
+    }
+    for (const [other, at] of this.leavingAt) {
+      if (at + LEAVING_MEMORY_MS < now) {
+        this.leavingAt.delete(other);
+      }
+    }
+  }
+
+  find(id: string): Target | undefined {
+    return this.targets.get(id);
+  }
+
+  /** Targets that may get new work for a model. */
+  forModel(name: string): Target[] {
+    return this.servingLive('model', name);
+  }
+
+  /** Targets that may get new work for a plain service. */
+  forService(name: string): Target[] {
+    return this.servingLive('service', name);
+  }
+
+  /** Every target of the subset, in any state. */
+  all(): Target[] {
+    return [...this.targets.values()];
+  }
+
+  isLive(id: string): boolean {
+    return this.targets.get(id)?.state === 'live';
+  }
+
+  private servingLive(kind: types.Serves['kind'], name: string): Target[] {
+    return this.all().filter(
+      target =>
+        target.state === 'live' &&
+        target.serves.kind === kind &&
+        target.serves.name === name,
+    );
+  }
+}
--- /dev/null
+++ b/src/targets/poller.ts
@@ -0,0 +1,81 @@
+/**
+ * Asks sidecars for their own word, slowly: answers to requests carry the
+ * load, so only targets that are new or quiet are asked.
+ */
+import type {RpcClient} from '../rpc/client';
+import * as random from '../random';
+import * as app from './app';
+import type {Known, TargetDirectory} from './directory';
+
+const TICK_MS = 500;
+/** A target without traffic is asked this often. */
+const QUIET_MS = 10_000;
+const MISSES_TO_UNREACHABLE = 2;
+const TIMEOUT_MS = 2_000;
+
+export class ReportPoller {
+  private timer: NodeJS.Timeout | undefined;
+  private readonly misses = new Map<string, number>();
+  private readonly asking = new Set<string>();
+  private closed = false;
+
+  constructor(
+    private readonly targets: TargetDirectory,
+    private readonly rpc: RpcClient,
+  ) {}
+
+  /** Looks at once for members that have to be asked. */
+  wake(): void {
+    clearTimeout(this.timer);
+    if (this.closed) {
+      return;
+    }
+    const now = Date.now();
+    for (const member of this.targets.members) {
+      if (this.isDue(member, now)) {
+        void this.ask(member);
+      }
+    }
+    this.timer = setTimeout(() => this.wake(), random.jitter(TICK_MS));
+  }
+
+  close(): void {
+    this.closed = true;
+    clearTimeout(this.timer);
+  }
+
+  private isDue(member: Known, now: number): boolean {
+    if (this.asking.has(member.id)) {
+      return false;
+    }
+    const target = this.targets.find(member.id);
+    return (
+      target === undefined ||
+      target.address !== member.address ||
+      target.state === 'unreachable' ||
+      now - target.loadAt >= QUIET_MS
+    );
+  }
+
+  private async ask(member: Known): Promise<void> {
+    this.asking.add(member.id);
+    const answer = await this.rpc.call(
+      member.address,
+      app.report,
+      {},
+      TIMEOUT_MS,
+    );
+    this.asking.delete(member.id);
+    if (answer.ok) {
+      this.misses.delete(member.id);
+      this.targets.applyReport(answer.value, Date.now());
+      return;
+    }
+    const misses = (this.misses.get(member.id) ?? 0) + 1;
+    this.misses.set(member.id, misses);
+    const target = this.targets.find(member.id);
+    if (misses >= MISSES_TO_UNREACHABLE && target?.state === 'live') {
+      target.state = 'unreachable';
+    }
+  }
+}
--- /dev/null
+++ b/src/targets/probe.ts
@@ -0,0 +1,91 @@
+/** A sidecar's view of its own target, asked for at short intervals. */
+import type * as http from 'node:http';
+import * as v from 'valibot';
+import * as groups from '../groups/types';
+import * as body from '../http/body';
+import * as httpClient from '../http/client';
+import {Log} from '../observability/log';
+
+const PERIOD_MS = 250;
+const TIMEOUT_MS = 1_000;
+const MISSES_TO_UNREACHABLE = 3;
+const MAX_ANSWER_BYTES = 4 * 1024 * 1024;
+
+export class EngineProbe {
+  private latest: groups.EngineRank | undefined;
+  private misses = 0;
+  private timer: NodeJS.Timeout | undefined;
+  private closed = false;
+
+  constructor(
+    private readonly agent: http.Agent,
+    private readonly address: string,
+    private readonly log: Log,
+    private readonly onReading: (rank: groups.EngineRank) => void,
+  ) {}
+
+  /** The latest reading. */
+  get rank(): groups.EngineRank | undefined {
+    return this.latest;
+  }
+
+  /** False once several readings in a row have failed. */
+  get isReachable(): boolean {
+    return this.misses < MISSES_TO_UNREACHABLE;
+  }
+
+  start(): void {
+    void this.read();
+  }
+
+  close(): void {
+    this.closed = true;
+    clearTimeout(this.timer);
+  }
+
+  /** Asks the engine now. */
+  async ask(): Promise<groups.EngineRank | undefined> {
+    const answer = await httpClient.fetchWhole(
+      this.agent,
+      {
+        address: this.address,
+        method: 'GET',
+        path: '/v1/rank',
+        timeoutMs: TIMEOUT_MS,
+      },
+      MAX_ANSWER_BYTES,
+    );
+    const json = answer.ok
+      ? body.parseJson(answer.value.body.toString('utf8'))
+      : answer;
+    const parsed = v.safeParse(
+      groups.engineRankSchema,
+      json.ok ? json.value : undefined,
+    );
+    this.note(parsed.success ? parsed.output : undefined);
+    return parsed.success ? parsed.output : undefined;
+  }
+
+  private async read(): Promise<void> {
+    const rank = await this.ask();
+    if (this.closed) {
+      return;
+    }
+    if (rank !== undefined) {
+      this.onReading(rank);
+    }
+    this.timer = setTimeout(() => void this.read(), PERIOD_MS);
+  }
+
+  private note(rank: groups.EngineRank | undefined): void {
+    if (rank !== undefined) {
+      this.latest = rank;
+      this.misses = 0;
+      return;
+    }
+    this.misses += 1;
+    if (this.misses === MISSES_TO_UNREACHABLE) {
+      this.log.event('targetUnreachable', {address: this.address});
+    }
+  }
+}
--- /dev/null
+++ b/standins/engine.ts
@@ -0,0 +1,484 @@
+/**
+ * Stand-in of a model engine: one process that hosts the ranks of a group,
+ * each with its own HTTP face. Streams can be resumed and cancelled; maps
+ * are changed by orders.
+ */
+import {createHash} from 'node:crypto';
+import type * as http from 'node:http';
+import * as v from 'valibot';
+import {fenceSchema, mapChangeSchema} from '../src/groups/types';
+import {joinAddress, splitAddress} from '../src/http/address';
+import * as body from '../src/http/body';
+import * as httpServer from '../src/http/server';
+import * as group from './engine-group';
+import * as faults from './faults';
+
+const MAX_BODY_BYTES = 8 * 1024 * 1024;
+const DEFAULT_TOKENS = 16;
+const MAX_TOKENS = 4_096;
+const PREFILL_TOKENS_PER_STEP = 2_048;
+const CHARACTERS_PER_TOKEN = 4;
+const KEPT_STREAM_MS = 60_000;
+const MS_PER_STREAM = 0.05;
+
+const chatSchema = v.object({
+  model: v.string(),
+  messages: v.array(v.object({role: v.string(), content: v.unknown()})),
+  stream: v.optional(v.boolean(), false),
+  max_tokens: v.optional(
+    v.pipe(v.number(), v.integer(), v.minValue(1), v.maxValue(MAX_TOKENS)),
+    DEFAULT_TOKENS,
+  ),
+});
+
+const orderSchema = v.object({fence: fenceSchema, change: mapChangeSchema});
+const formSchema = v.object({
+  fence: fenceSchema,
+  generation: v.number(),
+  version: v.number(),
+});
+
+interface Stream {
+  readonly name: string;
+  readonly model: string;
+  readonly prompt: string;
+  readonly total: number;
+  prefillLeft: number;
+  readonly events: string[];
+  listener: (() => void) | undefined;
+  isCancelled: boolean;
+  endedAt: number | undefined;
+}
+
+/** One rank's streams and HTTP face. */
+class Rank implements group.RankWork {
+  readonly faults: faults.EngineFaults = {
+    cutAfter: null,
+    doubled: false,
+    reordered: false,
+    lateMs: 0,
+    slowness: 1,
+    foreign: false,
+  };
+  readonly streams = new Map<string, Stream>();
+  readonly counts: number[][];
+  cancelled = 0;
+
+  constructor(
+    private readonly stepMs: number,
+    layers: number,
+    experts: number,
+  ) {
+    this.counts = Array.from({length: layers}, () =>
+      new Array<number>(experts).fill(0),
+    );
+  }
+
+  get running(): Stream[] {
+    return [...this.streams.values()].filter(s => s.endedAt === undefined);
+  }
+
+  get prefillTokens(): number {
+    return this.running.reduce((sum, s) => sum + s.prefillLeft, 0);
+  }
+
+  runStep(): number {
+    let prefillBudget = PREFILL_TOKENS_PER_STEP;
+    const running = this.running;
+    for (const stream of running) {
+      if (stream.prefillLeft > 0) {
+        const read = Math.min(prefillBudget, stream.prefillLeft);
+        stream.prefillLeft -= read;
+        prefillBudget -= read;
+      } else {
+        this.emitToken(stream);
+      }
+    }
+    this.forgetOld();
+    return (
+      (this.stepMs + running.length * MS_PER_STREAM) * this.faults.slowness
+    );
+  }
+
+  open(name: string, chat: v.InferOutput<typeof chatSchema>): Stream {
+    const prompt = JSON.stringify(chat.messages);
+    const stream: Stream = {
+      name,
+      model: chat.model,
+      prompt,
+      total: chat.max_tokens,
+      prefillLeft: Math.ceil(prompt.length / CHARACTERS_PER_TOKEN),
+      events: [],
+      listener: undefined,
+      isCancelled: false,
+      endedAt: undefined,
+    };
+    this.streams.set(name, stream);
+    return stream;
+  }
+
+  cancel(name: string): boolean {
+    const stream = this.streams.get(name);
+    if (stream === undefined || stream.endedAt !== undefined) {
+      return false;
+    }
+    stream.isCancelled = true;
+    stream.endedAt = Date.now();
+    this.cancelled += 1;
+    stream.listener?.();
+    return true;
+  }
+
+  private emitToken(stream: Stream): void {
+    const at = stream.events.length;
+    stream.events.push(eventData(stream, tokenOf(stream, at)));
+    for (const [layer, counts] of this.counts.entries()) {
+      const expert = (at * 7 + layer * 3) % counts.length;
+      counts[expert] = counts[expert]! + 1;
+    }
+    if (stream.events.length >= stream.total) {
+      stream.events.push('[DONE]');
+      stream.endedAt = Date.now();
+    }
+    stream.listener?.();
+  }
+
+  private forgetOld(): void {
+    const before = Date.now() - KEPT_STREAM_MS;
+    for (const [name, stream] of this.streams) {
+      if (stream.endedAt !== undefined && stream.endedAt < before) {
+        this.streams.delete(name);
+      }
+    }
+  }
+}
+
+/** The token at a place: it depends on the prompt, so that mix-ups show. */
+function tokenOf(stream: Stream, at: number): string {
+  const digest = createHash('sha256').update(stream.prompt).digest('hex');
+  return `${digest.slice(0, 6)}-${at + 1} `;
+}
+
+function eventData(stream: Stream, content: string): string {
+  return JSON.stringify({
+    id: stream.name,
+    object: 'chat.completion.chunk',
+    model: stream.model,
+    choices: [{index: 0, delta: {content}, finish_reason: null}],
+  });
+}
+
+/** The text that a prompt gets, for tests. */
+export function expectedText(messages: unknown, tokens: number): string {
+  const digest = createHash('sha256')
+    .update(JSON.stringify(messages))
+    .digest('hex');
+  let text = '';
+  for (let at = 0; at < tokens; at += 1) {
+    text += `${digest.slice(0, 6)}-${at + 1} `;
+  }
+  return text;
+}
+
+/** How a stand-in engine is set up. */
+export interface EngineOptions extends group.GroupOptions {
+  readonly maxRunning: number;
+}
+
+export const DEFAULT_ENGINE: EngineOptions = {
+  ranks: 4,
+  stepMs: 5,
+  layers: 2,
+  experts: 16,
+  stageMs: 20,
+  checksFences: true,
+  maxRunning: 32,
+};
+
+export class EngineStandin {
+  readonly group: group.EngineGroup;
+  private readonly ranks: Rank[] = [];
+  private readonly listeners: httpServer.Listener[] = [];
+
+  constructor(private readonly options: EngineOptions = DEFAULT_ENGINE) {
+    for (let rank = 0; rank < options.ranks; rank += 1) {
+      const {stepMs, layers, experts} = options;
+      this.ranks.push(new Rank(stepMs, layers, experts));
+    }
+    this.group = new group.EngineGroup(options, this.ranks);
+  }
+
+  /** Rank k listens k ports above the address, or on free ports for 0. */
+  async open(address: string): Promise<string[]> {
+    const {host, port} = splitAddress(address);
+    for (const [rank, state] of this.ranks.entries()) {
+      const own = joinAddress(host, port === 0 ? 0 : port + rank);
+      this.listeners.push(
+        await httpServer.listen(
+          own,
+          (req, res) => this.answer(rank, state, req, res),
+          () => undefined,
+        ),
+      );
+    }
+    this.group.start();
+    return this.listeners.map(listener => listener.address);
+  }
+
+  async close(): Promise<void> {
+    this.group.close();
+    await Promise.all(this.listeners.map(listener => listener.close()));
+  }
+
+  private async answer(
+    rank: number,
+    state: Rank,
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+  ): Promise<void> {
+    const url = new URL(req.url ?? '/', 'http://standin');
+    const path = url.pathname;
+    if (path === '/v1/chat/completions') {
+      await this.startChat(state, req, res);
+    } else if (path.startsWith('/v1/streams/')) {
+      const name = path.slice('/v1/streams/'.length);
+      this.answerStream(state, req, res, name, url.searchParams);
+    } else if (path === '/v1/rank') {
+      body.sendJson(res, 200, this.describe(rank, state));
+    } else if (path.startsWith('/v1/map/')) {
+      await this.answerOrder(rank, path.slice('/v1/map/'.length), req, res);
+    } else if (path.startsWith('/standin/')) {
+      await this.answerControl(state, path, req, res);
+    } else {
+      req.resume();
+      body.sendJson(res, 404, {});
+    }
+  }
+
+  private describe(rank: number, state: Rank) {
+    return {
+      ...this.group.describe(rank),
+      counts: state.counts,
+      running: state.running.length,
+      maxRunning: this.options.maxRunning,
+      prefillTokens: state.prefillTokens,
+    };
+  }
+
+  private async startChat(
+    state: Rank,
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+  ): Promise<void> {
+    const read = await body.readJson(req, MAX_BODY_BYTES);
+    const chat = v.safeParse(chatSchema, read.ok ? read.value : undefined);
+    const name = body.headerOf(req, 'ferrycleat-stream') ?? '';
+    if (!chat.success || name === '') {
+      body.sendJson(res, 400, {error: {message: 'malformed chat'}});
+      return;
+    }
+    if (state.running.length >= this.options.maxRunning) {
+      body.sendJson(res, 503, {error: {message: 'engine is full'}});
+      return;
+    }
+    const stream = state.open(name, chat.output);
+    if (state.faults.lateMs > 0) {
+      await new Promise(wake => setTimeout(wake, state.faults.lateMs));
+    }
+    if (chat.output.stream) {
+      this.sendEvents(state, stream, res, 0);
+    } else {
+      res.once('close', () => state.cancel(name));
+      this.sendWhole(state, stream, res);
+    }
+  }
+
+  private answerStream(
+    state: Rank,
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+    name: string,
+    query: URLSearchParams,
+  ): void {
+    if (req.method === 'DELETE') {
+      body.sendJson(res, 200, {cancelled: state.cancel(name)});
+      return;
+    }
+    const stream = state.streams.get(name);
+    if (stream === undefined || stream.isCancelled) {
+      body.sendJson(res, 404, {});
+      return;
+    }
+    this.sendEvents(state, stream, res, Number(query.get('after') ?? 0));
+  }
+
+  private sendWhole(
+    state: Rank,
+    stream: Stream,
+    res: http.ServerResponse,
+  ): void {
+    const check = () => {
+      if (stream.endedAt === undefined || stream.isCancelled) {
+        return;
+      }
+      const tokens = stream.events
+        .slice(0, -1)
+        .map((_, at) => tokenOf(stream, at));
+      body.sendJson(
+        res,
+        200,
+        {
+          id: stream.name,
+          object: 'chat.completion',
+          model: stream.model,
+          choices: [
+            {
+              index: 0,
+              message: {role: 'assistant', content: tokens.join('')},
+              finish_reason: 'stop',
+            },
+          ],
+        },
+        {'ferrycleat-stream': this.nameOf(state, stream)},
+      );
+    };
+    stream.listener = check;
+    check();
+  }
+
+  private sendEvents(
+    state: Rank,
+    stream: Stream,
+    res: http.ServerResponse,
+    after: number,
+  ): void {
+    const name = this.nameOf(state, stream);
+    res.writeHead(200, {
+      'content-type': 'text/event-stream',
+      'ferrycleat-stream': name,
+    });
+    res.flushHeaders();
+    let sent = after;
+    const send = () => {
+      const held = this.heldBack(state, stream);
+      while (sent < stream.events.length - held && !res.destroyed) {
+        sent += this.sendNext(state, stream, res, name, sent);
+        const cutAfter = state.faults.cutAfter;
+        if (cutAfter !== null && sent >= cutAfter) {
+          state.faults.cutAfter = null;
+          res.destroy();
+          return;
+        }
+      }
+      if (stream.endedAt !== undefined && sent >= stream.events.length) {
+        res.end();
+      }
+    };
+    stream.listener = send;
+    send();
+  }
+
+  /** One event stays back while pairs are to change places. */
+  private heldBack(state: Rank, stream: Stream): number {
+    return state.faults.reordered && stream.endedAt === undefined ? 1 : 0;
+  }
+
+  /** Sends what comes next, and answers how many events that was. */
+  private sendNext(
+    state: Rank,
+    stream: Stream,
+    res: http.ServerResponse,
+    name: string,
+    sent: number,
+  ): number {
+    const print = (at: number) =>
+      `id: ${name}.${at + 1}\ndata: ${stream.events[at]}\n\n`;
+    if (state.faults.reordered && sent + 1 < stream.events.length) {
+      res.write(print(sent + 1) + print(sent));
+      return 2;
+    }
+    res.write(state.faults.doubled ? print(sent) + print(sent) : print(sent));
+    return 1;
+  }
+
+  private nameOf(state: Rank, stream: Stream): string {
+    return state.faults.foreign ? 'another-request' : stream.name;
+  }
+
+  private async answerOrder(
+    rank: number,
+    order: string,
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+  ): Promise<void> {
+    const read = await body.readJson(req, MAX_BODY_BYTES);
+    const value = read.ok ? read.value : undefined;
+    if (order === 'form') {
+      const form = v.safeParse(formSchema, value);
+      const done =
+        form.success &&
+        this.group.form(rank, form.output.generation, form.output.version);
+      body.sendJson(res, done ? 200 : 409, {done});
+      return;
+    }
+    const parsed = v.safeParse(orderSchema, value);
+    if (!parsed.success) {
+      body.sendJson(res, 400, {error: parsed.issues[0].message});
+      return;
+    }
+    const {fence, change} = parsed.output;
+    if (!this.group.checkFence(rank, fence)) {
+      body.sendJson(res, 409, {done: false, error: 'old fence'});
+      return;
+    }
+    const done = await this.runOrder(rank, order, change);
+    body.sendJson(res, done ? 200 : 409, {done});
+  }
+
+  private async runOrder(
+    rank: number,
+    order: string,
+    change: v.InferOutput<typeof mapChangeSchema>,
+  ): Promise<boolean> {
+    switch (order) {
+      case 'stage':
+        await this.group.stage(rank, change.map.version);
+        return true;
+      case 'hold':
+        return this.group.hold(rank, change);
+      case 'switch':
+        return this.group.switchAt(rank, change);
+      case 'release':
+        return this.group.release(rank, change.id);
+      default:
+        return false;
+    }
+  }
+
+  private async answerControl(
+    state: Rank,
+    path: string,
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+  ): Promise<void> {
+    if (path === '/standin/steps') {
+      const {steps, mixedSteps, blockedMs, records} = this.group;
+      const {cancelled} = state;
+      const seen = {steps, mixedSteps, blockedMs, records, cancelled};
+      body.sendJson(res, 200, seen);
+      return;
+    }
+    if (path === '/standin/restart') {
+      this.group.restart();
+      body.sendJson(res, 200, {});
+      return;
+    }
+    const read = await body.readJson(req, MAX_BODY_BYTES);
+    const value = read.ok ? read.value : undefined;
+    const parsed = v.safeParse(faults.engineFaultsSchema, value);
+    if (parsed.success) {
+      Object.assign(state.faults, parsed.output);
+    }
+    body.sendJson(res, parsed.success ? 200 : 400, {});
+  }
+}
