--- a/features/support/fleet.ts
+++ b/features/support/fleet.ts
@@ -35,6 +35,8 @@
 
 interface Placed {
   readonly instance: Instance;
+  /** Where the process itself listens, past any relay. */
+  readonly own: string;
   readonly process: TestProcess;
 }
 
@@ -107,7 +109,7 @@
 
   /** Address of a placed process. */
   address(id: string): string {
-    return this.placed.get(id)!.instance.address;
+    return this.placed.get(id)!.own;
   }
 
   process(id: string): TestProcess {
@@ -298,32 +300,17 @@
         ...['--target', target, '--serves', 'service/ledger'],
       ]);
     }
-    const ports = await freePorts(ranks);
-    const own = ports.map(port => `${HOST}:${port}`);
-    const seen = await this.relayPeers(own);
-    for (const [rank, address] of own.entries()) {
+    for (let rank = 0; rank < ranks; rank += 1) {
       const id = `rank-${rank}`;
       const target = await this.relayed(id, this.engine[rank]!);
       const args = [
         ...['--target', target, '--serves', 'model/assistant'],
         ...['--group', 'group-0', '--rank', String(rank)],
-        ...['--group-peers', seen.join(',')],
       ];
-      await this.place(id, HALLS[0], 'model/assistant', args, address);
+      await this.place(id, HALLS[0], 'model/assistant', args, rank);
     }
   }
 
-  private async relayPeers(own: readonly string[]): Promise<string[]> {
-    if (!this.options.relayRanks) {
-      return [...own];
-    }
-    const seen: string[] = [];
-    for (const [rank, address] of own.entries()) {
-      seen.push(await this.openRelay(`peer-${rank}`, address));
-    }
-    return seen;
-  }
-
   private async relayed(id: string, target: string): Promise<string> {
     return this.options.relayTargets ? this.openRelay(id, target) : target;
   }
@@ -349,25 +336,29 @@
     hall: string,
     serves: string,
     args: readonly string[],
-    at?: string,
+    rank?: number,
   ): Promise<void> {
-    const address = at ?? `${HOST}:${(await freePorts(1))[0]}`;
+    const own = `${HOST}:${(await freePorts(1))[0]}`;
     const role = serves === '' ? 'entry' : 'sidecar';
     const process = this.run(id, [
       ...[role, '--id', id, '--hall', hall, '--platform', this.platform],
-      ...['--listen', address],
+      ...['--listen', own],
       ...args,
       ...(role === 'sidecar' ? (this.options.sidecarArgs ?? []) : []),
     ]);
+    const isRank = rank !== undefined;
+    const relays = isRank && this.options.relayRanks;
     const instance: Instance = {
       id,
       hall,
       role,
-      address,
+      address: relays ? await this.openRelay(`peer-${rank}`, own) : own,
       serves,
       state: 'live',
+      group: isRank ? 'group-0' : '',
+      rank: rank ?? 0,
     };
-    this.placed.set(id, {instance, process});
+    this.placed.set(id, {instance, own, process});
     await this.list(id, 'live');
   }
 
--- a/features/support/relay.ts
+++ b/features/support/relay.ts
@@ -7,6 +7,10 @@
   private readonly server: net.Server;
   private isCut = false;
   private isStalled = false;
+  /** Called with each chunk that passes. */
+  onChunk: ((direction: 'up' | 'down', text: string) => void) | undefined;
+  /** Swallows what the target answers. */
+  dropAnswers = false;
   /** Bytes carried, by direction. */
   bytes = {up: 0, down: 0};
 
@@ -71,7 +75,11 @@
     this.sockets.add(from);
     from.on('data', chunk => {
       this.bytes[direction] += chunk.length;
+      if (direction === 'down' && this.dropAnswers) {
+        return;
+      }
       to.write(chunk);
+      this.onChunk?.(direction, chunk.toString('latin1'));
     });
     from.on('error', () => undefined);
     from.on('close', () => {
--- a/src/commands/local-site.ts
+++ b/src/commands/local-site.ts
@@ -49,7 +49,16 @@
     };
     this.entry = new Entry(cfg, this.log);
     const address = await this.entry.open();
-    this.list('entry-0', HALLS[0], address, 'entry', '');
+    this.platform.list({
+      id: 'entry-0',
+      hall: HALLS[0],
+      role: 'entry',
+      address,
+      state: 'live',
+      serves: '',
+      group: '',
+      rank: 0,
+    });
     await this.entry.whenReady();
     await this.entry.whenTargetsKnown(SERVICES + 1);
     return {entry: address, platform};
@@ -112,7 +121,6 @@
         listen: FREE_PORT,
         group: '',
         rank: 0,
-        groupPeers: [],
         capacity: 64,
         maxQueued: 256,
         maxAnswerBytes: 8_000_000,
@@ -123,17 +131,16 @@
     );
     this.sidecars.push(sidecar);
     const address = await sidecar.open();
-    this.list(id, hall, address, 'sidecar', own.serves);
-  }
-
-  private list(
-    id: string,
-    hall: string,
-    address: string,
-    role: 'entry' | 'sidecar',
-    serves: string,
-  ): void {
-    this.platform.list({id, hall, role, address, state: 'live', serves});
+    this.platform.list({
+      id,
+      hall,
+      role: 'sidecar',
+      address,
+      state: 'live',
+      serves: own.serves,
+      group: own.group ?? '',
+      rank: own.rank ?? 0,
+    });
   }
 }
 
--- /dev/null
+++ b/src/groups/coordinator.ts
@@ -0,0 +1,276 @@
+/**
+ * The leader's side of a map change: stage, arm, then commit or abort.
+ *
+ * Commit is decided only when every rank has armed under this leader's
+ * fence. Abort is decided only when that can no longer happen: by the leader
+ * itself before it has decided, or by one that took over and found a rank
+ * that is not armed and has promised to obey the higher fence. A group in
+ * lock-step can't run a step without all its ranks, so to wait for a silent
+ * one costs nothing that its silence has not cost already.
+ */
+import {randomUUID} from 'node:crypto';
+import {Log} from '../observability/log';
+import type {LinkAnswer, RankLink} from './links';
+import * as types from './types';
+
+/** How an attempt at a change ended. */
+export type ChangeEnd =
+  | {readonly kind: 'committed'; readonly change: types.MapChange}
+  | {
+      readonly kind: 'aborted';
+      readonly change: types.MapChange | null;
+      readonly reason: string;
+    }
+  /** Decided, but not every rank has heard; those will ask. */
+  | {readonly kind: 'spreading'; readonly change: types.MapChange}
+  /** Another leader has a higher fence. */
+  | {readonly kind: 'superseded'}
+  /** A rank that may know the outcome is silent. */
+  | {readonly kind: 'blocked'};
+
+/** Settings of a leader. */
+export interface CoordinatorSettings {
+  /** How far ahead of the current step the switch lies. */
+  readonly leadMs: number;
+  /** Pause between tries to tell the outcome. */
+  readonly retryMs: number;
+  readonly tellTries: number;
+}
+
+export const DEFAULT_COORDINATOR: CoordinatorSettings = {
+  leadMs: 150,
+  retryMs: 50,
+  tellTries: 40,
+};
+
+/** Steps of the lead besides those that its time takes. */
+const EXTRA_STEPS = 4;
+const MIN_STEP_MS = 0.5;
+
+export class Coordinator {
+  constructor(
+    private readonly links: readonly RankLink[],
+    private readonly log: Log,
+    private readonly settings = DEFAULT_COORDINATOR,
+  ) {}
+
+  /** Changes the group's map. `map` is made from the version in force. */
+  async change(fence: types.Fence, map: types.ExpertMap): Promise<ChangeEnd> {
+    const before = await this.askAll(null, fence);
+    const ready = allAccepted(before);
+    if (ready === undefined) {
+      return this.explainSilence(before);
+    }
+    const first = ready[0]!;
+    const versions = new Set(ready.map(answer => answer.version));
+    const generations = new Set(ready.map(answer => answer.generation));
+    if (versions.size > 1 || generations.size > 1 || first.version === null) {
+      return {kind: 'aborted', change: null, reason: 'ranks differ'};
+    }
+    const draft: types.MapChange = {
+      id: randomUUID(),
+      generation: first.generation,
+      from: first.version,
+      step: 0,
+      map,
+    };
+    this.log.event('mapChangeStarted', {
+      change: draft.id,
+      version: map.version,
+    });
+    const staged = await this.all(link => link.stage(draft, fence));
+    if (allAccepted(staged) === undefined) {
+      return {kind: 'aborted', change: null, reason: 'not staged'};
+    }
+    return this.armAndDecide(fence, draft);
+  }
+
+  /**
+   * Gives a re-formed group one map before its first step: the one that a
+   * rank has taken already, or else the one that `choose` gives.
+   */
+  async form(
+    fence: types.Fence,
+    choose: (version: number | null) => types.ExpertMap,
+  ): Promise<ChangeEnd> {
+    const answers = await this.askAll(null, fence);
+    const ready = allAccepted(answers);
+    if (ready === undefined) {
+      return this.explainSilence(answers);
+    }
+    const taken = ready.flatMap(answer => answer.version ?? []);
+    const generations = new Set(ready.map(answer => answer.generation));
+    if (generations.size > 1 || new Set(taken).size > 1) {
+      return {kind: 'aborted', change: null, reason: 'ranks differ'};
+    }
+    const change: types.MapChange = {
+      id: randomUUID(),
+      generation: ready[0]!.generation,
+      from: 0,
+      step: 0,
+      map: choose(taken[0] ?? null),
+    };
+    this.log.event('mapChangeStarted', {change: change.id, form: true});
+    return this.armAndTell(fence, change, ready);
+  }
+
+  /**
+   * Finishes a change whose leader is silent, under a fence of its own.
+   */
+  async recover(
+    fence: types.Fence,
+    change: types.MapChange,
+  ): Promise<ChangeEnd> {
+    const answers = await this.askAll(change, fence);
+    if (isSuperseded(answers)) {
+      return {kind: 'superseded'};
+    }
+    const states = answers.map(answer => answer?.answer?.state);
+    if (states.includes('committed')) {
+      return this.tellAll('commit', change, fence);
+    }
+    if (states.includes('aborted')) {
+      return this.tellAll('abort', change, fence);
+    }
+    const isFenced = answers.some(
+      answer => answer?.refusal === null && answer.answer?.state === 'none',
+    );
+    if (isFenced) {
+      return this.tellAll('abort', change, fence);
+    }
+    if (states.every(state => state === 'armed')) {
+      return this.tellAll('commit', change, fence);
+    }
+    return {kind: 'blocked'};
+  }
+
+  /** The outcome, if any rank knows it; needs no fence. */
+  async findOutcome(
+    change: types.MapChange,
+  ): Promise<'committed' | 'aborted' | undefined> {
+    const answers = await this.askAll(change, null);
+    const states = answers.map(answer => answer?.answer?.state);
+    if (states.includes('committed')) {
+      return 'committed';
+    }
+    return states.includes('aborted') ? 'aborted' : undefined;
+  }
+
+  /** The highest fence that any rank has promised to obey. */
+  async highestFence(): Promise<types.Fence> {
+    const answers = await this.askAll(null, null);
+    return answers.reduce<types.Fence>((highest, answer) => {
+      const fence = answer?.answer?.fence ?? types.NO_FENCE;
+      return types.compareFences(fence, highest) > 0 ? fence : highest;
+    }, types.NO_FENCE);
+  }
+
+  private async armAndDecide(
+    fence: types.Fence,
+    draft: types.MapChange,
+  ): Promise<ChangeEnd> {
+    const now = allAccepted(await this.askAll(null, fence));
+    if (now === undefined) {
+      return {kind: 'aborted', change: null, reason: 'a rank is silent'};
+    }
+    const change = {...draft, step: this.stepAhead(now)};
+    return this.armAndTell(fence, change, now);
+  }
+
+  private async armAndTell(
+    fence: types.Fence,
+    change: types.MapChange,
+    now: readonly types.RankAnswer[],
+  ): Promise<ChangeEnd> {
+    const armed = await Promise.all(
+      this.links.map((link, at) =>
+        link.arm(change, fence, now[at]!.incarnation),
+      ),
+    );
+    if (allAccepted(armed) !== undefined) {
+      return this.tellAll('commit', change, fence);
+    }
+    const reasons = armed.map(answer => answer?.refusal ?? 'silent');
+    this.log.event('mapChangeAborted', {change: change.id, reasons});
+    return this.tellAll('abort', change, fence);
+  }
+
+  private stepAhead(answers: readonly types.RankAnswer[]): number {
+    const step = Math.max(...answers.map(answer => answer.step));
+    const stepMs = Math.max(
+      MIN_STEP_MS,
+      ...answers.map(answer => answer.stepMs),
+    );
+    return step + Math.ceil(this.settings.leadMs / stepMs) + EXTRA_STEPS;
+  }
+
+  /** Tells the outcome until all have heard, or the tries are used up. */
+  private async tellAll(
+    outcome: 'commit' | 'abort',
+    change: types.MapChange,
+    fence: types.Fence,
+  ): Promise<ChangeEnd> {
+    let open = [...this.links];
+    for (let tries = 0; tries < this.settings.tellTries; tries += 1) {
+      const answers = await Promise.all(
+        open.map(link => link[outcome](change, fence)),
+      );
+      if (isSuperseded(answers)) {
+        return {kind: 'superseded'};
+      }
+      open = open.filter((_, at) => answers[at]?.refusal !== null);
+      if (open.length === 0) {
+        return this.finish(outcome, change);
+      }
+      await new Promise(done => setTimeout(done, this.settings.retryMs));
+    }
+    return {kind: 'spreading', change};
+  }
+
+  private finish(
+    outcome: 'commit' | 'abort',
+    change: types.MapChange,
+  ): ChangeEnd {
+    if (outcome === 'commit') {
+      const {version} = change.map;
+      this.log.event('mapChangeCommitted', {change: change.id, version});
+      return {kind: 'committed', change};
+    }
+    return {kind: 'aborted', change, reason: 'a rank did not arm'};
+  }
+
+  private explainSilence(answers: readonly LinkAnswer[]): ChangeEnd {
+    return isSuperseded(answers)
+      ? {kind: 'superseded'}
+      : {kind: 'aborted', change: null, reason: 'a rank is silent'};
+  }
+
+  private askAll(
+    change: types.MapChange | null,
+    fence: types.Fence | null,
+  ): Promise<LinkAnswer[]> {
+    return this.all(link => link.query(change, fence));
+  }
+
+  private all(
+    ask: (link: RankLink) => Promise<LinkAnswer>,
+  ): Promise<LinkAnswer[]> {
+    return Promise.all(this.links.map(ask));
+  }
+}
+
+/** The ranks' answers, where every one of them accepted. */
+function allAccepted(
+  answers: readonly LinkAnswer[],
+): types.RankAnswer[] | undefined {
+  const accepted = answers.flatMap(answer =>
+    answer !== undefined && answer.refusal === null && answer.answer !== null
+      ? [answer.answer]
+      : [],
+  );
+  return accepted.length === answers.length ? accepted : undefined;
+}
+
+function isSuperseded(answers: readonly LinkAnswer[]): boolean {
+  return answers.some(answer => answer?.refusal === 'old-fence');
+}
--- /dev/null
+++ b/src/groups/leader.ts
@@ -0,0 +1,152 @@
+/**
+ * Leading a group from one of its ranks' sidecars: planned changes under a
+ * lease, taking over a change whose leader went silent, and re-forming.
+ */
+import {randomUUID} from 'node:crypto';
+import {Log} from '../observability/log';
+import type {ObjectApi} from '../platform/client';
+import {ChangeEnd, Coordinator} from './coordinator';
+import * as lease from './lease';
+import type {RankLink} from './links';
+import type {RankMember} from './member';
+import * as types from './types';
+
+/** Who leads. */
+export interface LeaderIdentity {
+  readonly group: string;
+  readonly rank: number;
+  readonly holder: string;
+}
+
+/** Times of the take-over. */
+export interface TakeoverSettings {
+  /** Wait after the change's step should have been reached. */
+  readonly patienceMs: number;
+  /** Besides, for each lower rank: that one goes first. */
+  readonly perRankMs: number;
+}
+
+export const DEFAULT_TAKEOVER: TakeoverSettings = {
+  patienceMs: 250,
+  perRankMs: 60,
+};
+
+export class GroupLeader {
+  private watchTimer: NodeJS.Timeout | undefined;
+  private busy = false;
+  private closed = false;
+
+  constructor(
+    private readonly identity: LeaderIdentity,
+    private readonly member: RankMember,
+    private readonly store: ObjectApi,
+    private readonly log: Log,
+    /** Links to all ranks, in order, this one's own among them. */
+    private readonly links: () => readonly RankLink[],
+    /** The map to form with; `version`: the one that a rank took already. */
+    private readonly baseMap: (version: number | null) => types.ExpertMap,
+    private readonly settings = DEFAULT_TAKEOVER,
+  ) {}
+
+  /** Watches readings of the rank for a change or a forming that hangs. */
+  noteReading(rank: types.EngineRank): void {
+    const needsHelp = rank.hold !== null || rank.version === null;
+    if (!needsHelp) {
+      clearTimeout(this.watchTimer);
+      this.watchTimer = undefined;
+      return;
+    }
+    this.watchTimer ??= setTimeout(
+      () => void this.help(),
+      this.patienceFor(rank),
+    );
+  }
+
+  /**
+   * Starts a change to the map that `make` builds for the fence's version.
+   * Null where this sidecar can't lead now.
+   */
+  async propose(
+    make: (version: number) => types.ExpertMap,
+  ): Promise<ChangeEnd | null> {
+    const fence = await this.acquire();
+    if (fence === null || this.closed) {
+      return null;
+    }
+    const coordinator = this.coordinator();
+    return coordinator.change(fence, make(fence.lease));
+  }
+
+  close(): void {
+    this.closed = true;
+    clearTimeout(this.watchTimer);
+  }
+
+  private patienceFor(rank: types.EngineRank): number {
+    const stepsLeft = Math.max((rank.hold?.step ?? 0) - rank.step, 0);
+    const untilStepMs = stepsLeft * rank.stepMs;
+    const {patienceMs, perRankMs} = this.settings;
+    return untilStepMs + patienceMs + perRankMs * this.identity.rank;
+  }
+
+  private async help(): Promise<void> {
+    this.watchTimer = undefined;
+    if (this.busy || this.closed) {
+      return;
+    }
+    this.busy = true;
+    try {
+      await this.helpNow();
+    } finally {
+      this.busy = false;
+    }
+  }
+
+  private async helpNow(): Promise<void> {
+    const {answer} = await this.member.query(null, null);
+    const change = await this.member.heldChange();
+    if (change !== null) {
+      await this.finishChange(change);
+    } else if (answer !== null && answer.version === null) {
+      await this.reform();
+    }
+  }
+
+  private async finishChange(change: types.MapChange): Promise<void> {
+    const coordinator = this.coordinator();
+    const outcome = await coordinator.findOutcome(change);
+    const fence = this.member.highestFence;
+    if (outcome === 'committed') {
+      await this.member.commit(change, fence);
+      return;
+    }
+    if (outcome === 'aborted') {
+      await this.member.abort(change, fence);
+      return;
+    }
+    const own = await this.ballot(coordinator);
+    const end = await coordinator.recover(own, change);
+    this.log.event('mapChangeRecovered', {change: change.id, end: end.kind});
+  }
+
+  private async reform(): Promise<void> {
+    const coordinator = this.coordinator();
+    const fence = (await this.acquire()) ?? (await this.ballot(coordinator));
+    const end = await coordinator.form(fence, this.baseMap);
+    this.log.event('mapChangeRecovered', {form: true, end: end.kind});
+  }
+
+  private async ballot(coordinator: Coordinator): Promise<types.Fence> {
+    const highest = await coordinator.highestFence();
+    return lease.nextBallot(highest, this.identity.rank);
+  }
+
+  private acquire(): Promise<types.Fence | null> {
+    const {group, rank, holder} = this.identity;
+    return lease.acquireFence(this.store, group, rank, holder, randomUUID());
+  }
+
+  private coordinator(): Coordinator {
+    return new Coordinator(this.links(), this.log);
+  }
+}
--- /dev/null
+++ b/src/groups/lease.ts
@@ -0,0 +1,54 @@
+/**
+ * Fences of a group's leaders. To lead, a sidecar writes the group's lease
+ * object; the version that the store gives that write is the fence. Nothing
+ * is renewed: a leader that has finished simply stops, and the next one
+ * writes again.
+ */
+import * as v from 'valibot';
+import type {ObjectApi} from '../platform/client';
+import * as types from './types';
+
+/** Key prefix of leases. */
+export const LEASES_PREFIX = 'leases/';
+
+const leaseSchema = v.object({holder: v.string(), nonce: v.string()});
+
+/** Null where the store does not answer or somebody was faster. */
+export async function acquireFence(
+  store: ObjectApi,
+  group: string,
+  rank: number,
+  holder: string,
+  nonce: string,
+): Promise<types.Fence | null> {
+  const key = LEASES_PREFIX + group;
+  const held = await store.get(key);
+  if (!held.ok) {
+    return null;
+  }
+  const lease = {holder, nonce};
+  const written = await store.put(key, lease, held.value?.version ?? 0);
+  if (written.ok) {
+    return {lease: written.value, ballot: 0, rank};
+  }
+  if (written.error.kind !== 'unavailable' || !written.error.maybeApplied) {
+    return null;
+  }
+  // The answer was lost: the object itself tells whose write it was.
+  const read = await store.get(key);
+  const parsed = v.safeParse(
+    leaseSchema,
+    read.ok ? read.value?.value : undefined,
+  );
+  return read.ok && parsed.success && parsed.output.nonce === nonce
+    ? {lease: read.value!.version, ballot: 0, rank}
+    : null;
+}
+
+/**
+ * The fence of a rank that finishes a change without the store: above every
+ * fence seen, and no other rank's.
+ */
+export function nextBallot(highest: types.Fence, rank: number): types.Fence {
+  return {lease: highest.lease, ballot: highest.ballot + 1, rank};
+}
--- /dev/null
+++ b/src/groups/member.ts
@@ -0,0 +1,252 @@
+/**
+ * A rank's side of a map change, in its sidecar.
+ *
+ * What the rank has promised is read from its engine, so a sidecar that
+ * restarts knows it still. Only two things are kept in memory: the highest
+ * fence seen, and which changes were aborted. A sidecar that has lost them
+ * has another incarnation, and an order to arm names the incarnation that it
+ * is for; so a late order from before the restart is refused.
+ */
+import type {EngineOrders} from './engine-orders';
+import * as types from './types';
+
+/** What a rank answers to an order. */
+export interface OrderAnswer {
+  readonly refusal: types.OrderRefusal | null;
+  /** Null where the engine does not answer. */
+  readonly answer: types.RankAnswer | null;
+}
+
+const MAX_ABORTED = 64;
+
+export class RankMember {
+  private fence: types.Fence = types.NO_FENCE;
+  private readonly aborted = new Set<string>();
+  /** A re-formed group's map that this rank has promised to take. */
+  private armedForm: types.MapChange | undefined;
+  private queue: Promise<unknown> = Promise.resolve();
+
+  constructor(
+    readonly incarnation: string,
+    private readonly orders: EngineOrders,
+  ) {}
+
+  /** The highest fence that this rank has promised to obey. */
+  get highestFence(): types.Fence {
+    return this.fence;
+  }
+
+  /** The change that the rank has armed for, if any. */
+  async heldChange(): Promise<types.MapChange | null> {
+    const rank = await this.orders.read();
+    const form = rank?.version === null ? this.armedForm : undefined;
+    return rank?.hold?.change ?? form ?? null;
+  }
+
+  /** Tells where the rank stands; with a fence, also promises to obey it. */
+  query(
+    change: types.MapChange | null,
+    fence: types.Fence | null,
+  ): Promise<OrderAnswer> {
+    return this.serialize(async () => {
+      if (fence !== null && !this.raise(fence)) {
+        return this.refuse('old-fence', change);
+      }
+      return this.accept(change);
+    });
+  }
+
+  /**
+   * Loads a map; the one in force goes on. Not serialized: it may take
+   * minutes, and orders for another change must not wait for it.
+   */
+  async stage(
+    change: types.MapChange,
+    fence: types.Fence,
+  ): Promise<OrderAnswer> {
+    if (!this.raise(fence)) {
+      return this.refuse('old-fence', change);
+    }
+    const done = await this.orders.stage(change, fence);
+    return done ? this.accept(change) : this.refuse('engine-refused', change);
+  }
+
+  /** Promises not to run the change's step until told the outcome. */
+  arm(
+    change: types.MapChange,
+    fence: types.Fence,
+    incarnation: string,
+  ): Promise<OrderAnswer> {
+    return this.serialize(async () => {
+      if (incarnation !== this.incarnation) {
+        return this.refuse('other-incarnation', change);
+      }
+      if (!this.raise(fence)) {
+        return this.refuse('old-fence', change);
+      }
+      if (this.aborted.has(change.id)) {
+        return this.refuse('already-aborted', change);
+      }
+      const rank = await this.orders.read();
+      if (rank !== undefined && this.stateOf(rank, change) === 'committed') {
+        return this.accept(change);
+      }
+      const refusal = whyNotArm(rank, change);
+      if (refusal !== null) {
+        return this.refuse(refusal, change);
+      }
+      if (rank?.version === null) {
+        this.armedForm = change;
+        return this.accept(change);
+      }
+      const done = await this.orders.hold(change, fence);
+      return done ? this.accept(change) : this.refuse('too-late', change);
+    });
+  }
+
+  /** Takes the new map at the change's step. */
+  commit(change: types.MapChange, fence: types.Fence): Promise<OrderAnswer> {
+    return this.serialize(async () => {
+      if (!this.raise(fence)) {
+        return this.refuse('old-fence', change);
+      }
+      const rank = await this.orders.read();
+      if (rank === undefined) {
+        return this.refuse('engine-silent', change);
+      }
+      const state = this.stateOf(rank, change);
+      if (state === 'committed') {
+        return this.accept(change);
+      }
+      if (state !== 'armed') {
+        return this.refuse('not-armed', change);
+      }
+      const done =
+        rank.version === null
+          ? await this.orders.form(change, fence)
+          : await this.orders.switchTo(change, fence);
+      return done ? this.accept(change) : this.refuse('engine-refused', change);
+    });
+  }
+
+  /** Goes on with the map in force. */
+  abort(change: types.MapChange, fence: types.Fence): Promise<OrderAnswer> {
+    return this.serialize(async () => {
+      if (!this.raise(fence)) {
+        return this.refuse('old-fence', change);
+      }
+      this.noteAborted(change.id);
+      if (this.armedForm?.id === change.id) {
+        this.armedForm = undefined;
+      }
+      const done = await this.orders.release(change, fence);
+      return done ? this.accept(change) : this.refuse('engine-refused', change);
+    });
+  }
+
+  private stateOf(
+    rank: types.EngineRank,
+    change: types.MapChange,
+  ): types.RankAnswer['state'] {
+    if (rank.hold?.change.id === change.id) {
+      return 'armed';
+    }
+    const {version} = change.map;
+    const isSame = rank.generation === change.generation;
+    if (
+      isSame &&
+      (rank.version === version || rank.next?.version === version)
+    ) {
+      return 'committed';
+    }
+    if (this.armedForm?.id === change.id && rank.version === null) {
+      return 'armed';
+    }
+    return this.aborted.has(change.id) ? 'aborted' : 'none';
+  }
+
+  private raise(fence: types.Fence): boolean {
+    if (types.compareFences(fence, this.fence) < 0) {
+      return false;
+    }
+    this.fence = fence;
+    return true;
+  }
+
+  private noteAborted(id: string): void {
+    this.aborted.add(id);
+    if (this.aborted.size > MAX_ABORTED) {
+      const [oldest] = this.aborted;
+      this.aborted.delete(oldest!);
+    }
+  }
+
+  private async accept(change: types.MapChange | null): Promise<OrderAnswer> {
+    const answer = await this.describe(change);
+    return {refusal: answer === null ? 'engine-silent' : null, answer};
+  }
+
+  private async refuse(
+    refusal: types.OrderRefusal,
+    change: types.MapChange | null,
+  ): Promise<OrderAnswer> {
+    return {refusal, answer: await this.describe(change)};
+  }
+
+  private async describe(
+    change: types.MapChange | null,
+  ): Promise<types.RankAnswer | null> {
+    const rank = await this.orders.read();
+    if (rank === undefined) {
+      return null;
+    }
+    if (rank.fence !== null) {
+      // An engine that checks fences remembers for a sidecar that restarted.
+      this.raise(rank.fence);
+    }
+    return {
+      rank: rank.rank,
+      incarnation: this.incarnation,
+      generation: rank.generation,
+      step: rank.step,
+      stepMs: rank.stepMs,
+      version: rank.version,
+      fence: this.fence,
+      state: change === null ? 'none' : this.stateOf(rank, change),
+    };
+  }
+
+  /** One order at a time: each reads the engine and then orders it. */
+  private serialize<T>(action: () => Promise<T>): Promise<T> {
+    const next = this.queue.then(action, action);
+    this.queue = next.catch(() => undefined);
+    return next;
+  }
+}
+
+function whyNotArm(
+  rank: types.EngineRank | undefined,
+  change: types.MapChange,
+): types.OrderRefusal | null {
+  if (rank === undefined) {
+    return 'engine-silent';
+  }
+  if (rank.generation !== change.generation) {
+    return 'other-generation';
+  }
+  if (rank.version === null) {
+    return null;
+  }
+  const isBusy = rank.next !== null || hasOtherHold(rank, change);
+  if (isBusy || rank.version !== change.from) {
+    return 'engine-refused';
+  }
+  return rank.step >= change.step ? 'too-late' : null;
+}
+
+function hasOtherHold(
+  rank: types.EngineRank,
+  change: types.MapChange,
+): boolean {
+  return rank.hold !== null && rank.hold.change.id !== change.id;
+}
--- /dev/null
+++ b/src/groups/rank-service.ts
@@ -0,0 +1,228 @@
+/**
+ * What a sidecar runs for its rank: the member's RPC face, the leader's
+ * watch, and the group as the planner sees it.
+ */
+import type {Follower} from '../configuration/follower';
+import {Log} from '../observability/log';
+import type {Metrics} from '../observability/metrics';
+import type {ObjectApi} from '../platform/client';
+import type {Instance} from '../platform/types';
+import {PlannedGroup, Planner, RankReading} from '../placement/planner';
+import * as load from '../placement/load';
+import type {RpcClient} from '../rpc/client';
+import type {RpcServer} from '../rpc/server';
+import * as app from './app';
+import type {EngineOrders} from './engine-orders';
+import {GroupLeader} from './leader';
+import {RankLink, RpcRankLink} from './links';
+import {OrderAnswer, RankMember} from './member';
+import * as types from './types';
+
+/** Which rank this is. */
+export interface RankIdentity {
+  readonly id: string;
+  readonly group: string;
+  readonly rank: number;
+  readonly model: string;
+  readonly incarnation: string;
+}
+
+const COUNTS_TIMEOUT_MS = 1_000;
+
+/** The leader's link to the rank of its own sidecar. */
+class OwnLink extends RankLink {
+  constructor(
+    private readonly member: RankMember,
+    private readonly onCommit: (
+      answer: OrderAnswer,
+      map: types.ExpertMap,
+    ) => void,
+  ) {
+    super();
+  }
+
+  query(change: types.MapChange | null, fence: types.Fence | null) {
+    return this.member.query(change, fence);
+  }
+
+  stage(change: types.MapChange, fence: types.Fence) {
+    return this.member.stage(change, fence);
+  }
+
+  arm(change: types.MapChange, fence: types.Fence, incarnation: string) {
+    return this.member.arm(change, fence, incarnation);
+  }
+
+  async commit(change: types.MapChange, fence: types.Fence) {
+    const answer = await this.member.commit(change, fence);
+    this.onCommit(answer, change.map);
+    return answer;
+  }
+
+  abort(change: types.MapChange, fence: types.Fence) {
+    return this.member.abort(change, fence);
+  }
+}
+
+export class RankService extends PlannedGroup {
+  private readonly member: RankMember;
+  private readonly leader: GroupLeader;
+  private readonly planner: Planner;
+  private latest: types.EngineRank | undefined;
+  private map: types.ExpertMap | undefined;
+
+  constructor(
+    private readonly identity: RankIdentity,
+    orders: EngineOrders,
+    private readonly follower: Follower,
+    store: ObjectApi,
+    private readonly rpc: RpcClient,
+    private readonly log: Log,
+    private readonly metrics: Metrics,
+    private readonly isLeaving: () => boolean,
+  ) {
+    super();
+    this.member = new RankMember(identity.incarnation, orders);
+    this.leader = new GroupLeader(
+      {group: identity.group, rank: identity.rank, holder: identity.id},
+      this.member,
+      store,
+      log,
+      () => this.links(),
+      version => this.mapToForm(version),
+    );
+    this.planner = new Planner(this, () => this.placementSettings());
+  }
+
+  /** Binds the RPC face. */
+  serve(server: RpcServer): void {
+    server.handle(app.query, p => this.member.query(p.change, p.fence));
+    server.handle(app.stage, p => this.member.stage(p.change, p.fence));
+    server.handle(app.arm, async p => {
+      const answer = await this.member.arm(p.change, p.fence, p.incarnation);
+      return this.noteRefusal('arm', answer);
+    });
+    server.handle(app.commit, async p => {
+      const answer = await this.member.commit(p.change, p.fence);
+      this.noteMap(answer, p.change.map);
+      return this.noteRefusal('commit', answer);
+    });
+    server.handle(app.abort, async p => {
+      const answer = await this.member.abort(p.change, p.fence);
+      return this.noteRefusal('abort', answer);
+    });
+    server.handle(app.propose, async p => {
+      const end = await this.leader.propose(version => ({version, ...p}));
+      return {end: end?.kind ?? 'no-lease'};
+    });
+    server.handle(app.counts, () => ({
+      counts: this.latest?.counts ?? [],
+      rankMs: this.latest?.rankMs ?? 0,
+      stepMs: this.latest?.stepMs ?? 0,
+    }));
+  }
+
+  start(): void {
+    this.planner.start();
+  }
+
+  close(): void {
+    this.planner.close();
+    this.leader.close();
+  }
+
+  /** Takes over a reading of the engine. */
+  noteReading(rank: types.EngineRank): void {
+    this.latest = rank;
+    this.leader.noteReading(rank);
+    const skewMs = Math.max(rank.stepMs - rank.rankMs, 0);
+    this.metrics.time('step_skew', '', this.identity.group, skewMs);
+  }
+
+  /** The lowest live rank plans, so that usually one does. */
+  isPlanner(): boolean {
+    const [first] = this.mates().filter(mate => mate.state === 'live');
+    return first?.id === this.identity.id && !this.isLeaving();
+  }
+
+  async readRanks(): Promise<readonly RankReading[] | undefined> {
+    const mates = this.mates();
+    if (mates.length !== this.latest?.ranks) {
+      return undefined;
+    }
+    const answers = await Promise.all(
+      mates.map(mate =>
+        this.rpc.call(mate.address, app.counts, {}, COUNTS_TIMEOUT_MS),
+      ),
+    );
+    const readings = answers.flatMap(answer =>
+      answer.ok ? [answer.value] : [],
+    );
+    return readings.length === mates.length ? readings : undefined;
+  }
+
+  currentMap(): types.ExpertMap | undefined {
+    const version = this.latest?.version;
+    if (version === undefined || version === null) {
+      return undefined;
+    }
+    return this.map?.version === version
+      ? this.map
+      : {version, layers: this.firstLayers()};
+  }
+
+  async propose(layers: number[][][]): Promise<boolean> {
+    const end = await this.leader.propose(version => ({version, layers}));
+    this.metrics.count('map_changes_total', {end: end?.kind ?? 'no-lease'});
+    return end?.kind === 'committed';
+  }
+
+  private links(): RankLink[] {
+    return this.mates().map(mate =>
+      mate.id === this.identity.id
+        ? new OwnLink(this.member, (a, map) => this.noteMap(a, map))
+        : new RpcRankLink(this.rpc, mate.address),
+    );
+  }
+
+  /** The group's sidecars in order of rank, in any state. */
+  private mates(): Instance[] {
+    return this.follower.instances
+      .filter(instance => instance.group === this.identity.group)
+      .sort((a, b) => a.rank - b.rank);
+  }
+
+  private placementSettings() {
+    const templates = this.follower.replica.allTemplates();
+    const own = templates.find(
+      template => template.models[this.identity.model] !== undefined,
+    );
+    return own?.placement;
+  }
+
+  private mapToForm(version: number | null): types.ExpertMap {
+    const held = this.map ?? {version: 1, layers: this.firstLayers()};
+    return version === null ? held : {...held, version};
+  }
+
+  private firstLayers(): number[][][] {
+    const counts = this.latest?.counts ?? [];
+    const experts = counts[0]?.length ?? 0;
+    return load.firstLayers(counts.length, experts, this.latest?.ranks ?? 1);
+  }
+
+  private noteMap(answer: OrderAnswer, map: types.ExpertMap): void {
+    if (answer.refusal === null) {
+      this.map = map;
+    }
+  }
+
+  private noteRefusal(order: string, answer: OrderAnswer): OrderAnswer {
+    if (answer.refusal !== null) {
+      const isStale = answer.refusal === 'old-fence';
+      const name = isStale ? 'staleOrderRefused' : 'orderFailed';
+      this.log.event(name, {order, refusal: answer.refusal});
+    }
+    return answer;
+  }
+}
--- a/src/groups/types.ts
+++ b/src/groups/types.ts
@@ -43,6 +43,31 @@
 });
 export type MapChange = v.InferOutput<typeof mapChangeSchema>;
 
+/** A rank's side of a change, as its sidecar answers for it. */
+export const rankAnswerSchema = v.object({
+  rank: whole,
+  /** Life of the sidecar that answers. */
+  incarnation: v.string(),
+  generation: whole,
+  step: whole,
+  stepMs: v.number(),
+  version: v.nullable(whole),
+  fence: fenceSchema,
+  state: v.picklist(['none', 'armed', 'committed', 'aborted']),
+});
+export type RankAnswer = v.InferOutput<typeof rankAnswerSchema>;
+
+/** Why a rank did not do as it was told. */
+export type OrderRefusal =
+  | 'old-fence'
+  | 'other-incarnation'
+  | 'other-generation'
+  | 'already-aborted'
+  | 'not-armed'
+  | 'too-late'
+  | 'engine-silent'
+  | 'engine-refused';
+
 /** What an engine tells of one of its ranks. */
 export const engineRankSchema = v.object({
   rank: whole,
@@ -54,6 +79,10 @@
   version: v.nullable(whole),
   staged: v.array(whole),
   hold: v.nullable(v.object({step: whole, change: mapChangeSchema})),
+  /** A switch that has been ordered and not yet been reached. */
+  next: v.nullable(v.object({step: whole, version: whole})),
+  /** Highest fence that the engine has seen; null: it checks none. */
+  fence: v.nullable(fenceSchema),
   stepMs: v.number(),
   rankMs: v.number(),
   /** Tokens routed to each expert, by layer, since the rank started. */
--- a/src/platform/types.ts
+++ b/src/platform/types.ts
@@ -26,6 +26,9 @@
   state: v.picklist(['live', 'leaving']),
   /** What a sidecar's target serves, as `model/<name>` or `service/<name>`. */
   serves: v.optional(v.string(), ''),
+  /** Group of ranks that the target belongs to; empty: none. */
+  group: v.optional(v.string(), ''),
+  rank: v.optional(v.number(), 0),
 });
 export type Instance = v.InferOutput<typeof instanceSchema>;
 
--- a/src/roles/settings.ts
+++ b/src/roles/settings.ts
@@ -104,12 +104,6 @@
     text: "the target's rank in its group",
     placeholder: 'number',
   },
-  groupPeers: {
-    schema: listOfAddresses,
-    fallback: '',
-    text: "the group's sidecars in order of rank, this one among them",
-    placeholder: 'ip:port,...',
-  },
   capacity: {
     schema: settings.wholeNumber(1, 100_000),
     fallback: '64',
--- a/src/roles/sidecar.ts
+++ b/src/roles/sidecar.ts
@@ -12,6 +12,8 @@
 import {SteadyClock} from '../clock';
 import {Follower} from '../configuration/follower';
 import type {Service} from '../configuration/types';
+import {HttpEngineOrders} from '../groups/engine-orders';
+import {RankService} from '../groups/rank-service';
 import * as body from '../http/body';
 import * as httpClient from '../http/client';
 import * as httpServer from '../http/server';
@@ -66,6 +68,7 @@
   private readonly assistant: SidecarAssistant;
   private readonly subscriptions = new Subscription();
   private probe: EngineProbe | undefined;
+  private rankService: RankService | undefined;
   private keeper: Keeper | undefined;
   private runs: Runs | undefined;
   private service: SidecarService | undefined;
@@ -138,6 +141,7 @@
     clearTimeout(this.forgetTimer);
     this.subscriptions.unsubscribe();
     this.probe?.close();
+    this.rankService?.close();
     this.assistant.close();
     await this.keeper?.close();
     this.follower.close();
@@ -178,13 +182,32 @@
   }
 
   private openEngine(): void {
-    this.probe = new EngineProbe(
-      this.agent,
-      this.cfg.target,
+    const probe = new EngineProbe(this.agent, this.cfg.target, this.log, rank =>
+      this.rankService?.noteReading(rank),
+    );
+    this.probe = probe;
+    if (this.cfg.group !== '') {
+      this.openRank(probe);
+    }
+    probe.start();
+  }
+
+  private openRank(probe: EngineProbe): void {
+    const {id, group, rank, target} = this.cfg;
+    const orders = new HttpEngineOrders(this.agent, target, () => probe.ask());
+    const service = new RankService(
+      {id, group, rank, model: this.serves.name, incarnation: randomUUID()},
+      orders,
+      this.follower,
+      this.store,
+      this.rpc,
       this.log,
-      () => undefined,
+      this.metrics,
+      () => this.leaving,
     );
-    this.probe.start();
+    this.rankService = service;
+    service.serve(this.rpcServer);
+    service.start();
   }
 
   private becomeReady(): void {
--- a/standins/engine-group.ts
+++ b/standins/engine-group.ts
@@ -2,7 +2,12 @@
  * The steps of a stand-in group: all ranks advance in lock-step, and each
  * step's map is recorded, so that a mixed step shows.
  */
-import type {EngineRank, Fence, MapChange} from '../src/groups/types';
+import type {
+  EngineRank,
+  ExpertMap,
+  Fence,
+  MapChange,
+} from '../src/groups/types';
 import {compareFences, NO_FENCE} from '../src/groups/types';
 
 /** Work that a rank does in a step. */
@@ -45,6 +50,8 @@
   readonly records: StepRecord[] = [];
   mixedSteps = 0;
   blockedMs = 0;
+  /** Maps by version, as the ranks were given them. */
+  readonly maps = new Map<number, ExpertMap>();
   private readonly states: RankState[] = [];
   private step = 1;
   private generation = 1;
@@ -95,6 +102,8 @@
       version: state.version,
       staged: [...state.staged],
       hold: state.hold,
+      next: state.switchAt,
+      fence: this.options.checksFences ? state.fence : null,
       stepMs: this.lastStepMs,
       rankMs: state.rankMs,
     };
@@ -138,6 +147,7 @@
     }
     state.switchAt = {step: change.step, version: change.map.version};
     state.hold = null;
+    this.maps.set(change.map.version, change.map);
     return true;
   }
 
--- a/standins/faults.ts
+++ b/standins/faults.ts
@@ -5,6 +5,8 @@
   v.strictObject({
     /** No call is answered; connections are cut. */
     outage: v.boolean(),
+    /** An outage begins after this many more writes. */
+    outageAfterWrites: v.nullable(v.number()),
     /** Writes that take effect but whose answer is cut. */
     loseAnswers: v.number(),
     /** Milliseconds before each answer. */
--- a/standins/platform.ts
+++ b/standins/platform.ts
@@ -33,6 +33,7 @@
   private revision = 0;
   private readonly faults: faults.PlatformFaults = {
     outage: false,
+    outageAfterWrites: null,
     loseAnswers: 0,
     delayMs: 0,
     listLagMs: 0,
@@ -128,9 +129,18 @@
       res.destroy();
       return;
     }
+    this.countDownToOutage();
     body.sendJson(res, 200, {version: this.revision});
   }
 
+  private countDownToOutage(): void {
+    const left = this.faults.outageAfterWrites;
+    if (left !== null) {
+      this.faults.outageAfterWrites = left - 1;
+      this.faults.outage ||= left - 1 <= 0;
+    }
+  }
+
   private async answerWatch(
     res: http.ServerResponse,
     query: URLSearchParams,
