At most once, proved under kills, freezes, outages and wrong clocks

Cause: the mechanism stood without proof. Failed first: a key from before the first cell was answered 'unknown' after 2 s, since the entry knew no owner for that time (it now asks whoever has the slot, who can tell that nobody ever owned it: not-run at once); a key of a killed owner that is back in place made the entry look for its owner for 2 s a copy (the new life now answers that nobody is left to ask).

--- /dev/null
+++ b/features/at-most-once.steps.ts
@@ -0,0 +1,266 @@
+import * as path from 'node:path';
+import * as uuid from 'uuid';
+import {StepDefinitions, autoBindSteps, loadFeature} from 'jest-cucumber';
+import * as app from '../src/claims/app';
+import * as keys from '../src/claims/keys';
+import {RpcClient} from '../src/rpc/client';
+import * as fleets from './support/fleet';
+import * as testHttp from './support/http';
+import * as site from './support/site';
+
+const feature = loadFeature(path.join(__dirname, 'at-most-once.feature'));
+const SLOTS = 6;
+const MINUTE_MS = 60_000;
+
+let fleet: fleets.Fleet;
+let key: string;
+let answers: testHttp.Answer[];
+let owner: string;
+let outage: Promise<void>;
+
+afterEach(async () => fleet.close());
+
+/** The sidecar that owns a key. */
+async function findOwner(text: string): Promise<string> {
+  const rpc = new RpcClient();
+  const slot = keys.slotOf(keys.readKey(text)!, SLOTS);
+  for (const id of fleet.idsOf('ledger')) {
+    const table = await rpc.call(fleet.address(id), app.table, {
+      service: 'ledger',
+    });
+    const cells = table.ok ? table.value.cells : [];
+    const own = cells.find(
+      line => line.slot === slot && line.cell.owner.targetId === id,
+    );
+    if (own !== undefined) {
+      rpc.close();
+      return id;
+    }
+  }
+  rpc.close();
+  throw new Error(`nobody owns slot ${slot}`);
+}
+
+async function sendCopies(count: number): Promise<void> {
+  for (let copy = 0; copy < count; copy += 1) {
+    const entry = copy % 2 === 0 ? 'entry-0' : 'entry-1';
+    answers.push(await fleet.topUp(entry, 'alpha', key));
+  }
+}
+
+/** A key whose owner is not this sidecar. */
+async function serveNewKey(): Promise<boolean> {
+  const minted = await testHttp.call(
+    fleet.address('entry-0'),
+    'POST',
+    '/v1/request-keys',
+    site.auth('alpha'),
+    JSON.stringify({service: 'ledger'}),
+  );
+  const document = JSON.parse(minted.text || '{}') as {keys?: string[]};
+  const fresh = document.keys?.[0];
+  if (fresh === undefined) {
+    return false;
+  }
+  const answer = await fleet.topUp('entry-0', 'alpha', fresh);
+  key = answer.status === 201 ? fresh : key;
+  return answer.status === 201;
+}
+
+const steps: StepDefinitions = ({given, when, then}) => {
+  given('a running ledger with two entries', async () => {
+    answers = [];
+    fleet = await fleets.Fleet.start({ranks: 0});
+  });
+
+  given(
+    /^a running ledger whose cells last (\d+) seconds$/,
+    async (s: string) => {
+      answers = [];
+      const termMs = Number(s) * 1_000;
+      fleet = await fleets.Fleet.start({ranks: 0, service: {termMs}});
+    },
+  );
+
+  given(/^the ledger takes (\d+) ms/, async (ms: string) => {
+    await fleet.setFaults(fleet.ledger, {runMs: Number(ms)});
+  });
+
+  when(/^(\d+) copies of a top-up/, async (count: string) => {
+    key = await fleet.mintKey('entry-0', 'alpha');
+    answers = await Promise.all(
+      Array.from({length: Number(count)}, (_, copy) =>
+        fleet.topUp(`entry-${copy % 2}`, 'alpha', key),
+      ),
+    );
+  });
+
+  when(/^a top-up's owner is killed while it runs/, async () => {
+    key = await fleet.mintKey('entry-0', 'alpha');
+    owner = await findOwner(key);
+    const first = fleet.topUp('entry-0', 'alpha', key);
+    await fleets.eventually('it runs', async () => {
+      return ((await fleet.runs())[key] ?? 0) > 0;
+    });
+    await fleet.process(owner).kill();
+    await fleet.restart(owner);
+    answers = [await first];
+  });
+
+  when(/^a top-up's owner is killed for good$/, async () => {
+    key = await fleet.mintKey('entry-0', 'alpha');
+    owner = await findOwner(key);
+    await fleet.topUp('entry-0', 'alpha', key);
+    await fleet.process(owner).kill();
+    await fleet.list(owner, 'leaving');
+    answers = [];
+  });
+
+  when(/^a top-up's owner is frozen before/, async () => {
+    key = await fleet.mintKey('entry-0', 'alpha');
+    owner = await findOwner(key);
+    fleet.process(owner).freeze();
+  });
+
+  when(/^the caller sends it once and its slots/, async () => {
+    const pending = fleet.topUp('entry-0', 'alpha', key, 10, {
+      'ferrycleat-timeout-ms': '1500',
+    });
+    await fleet.list(owner, 'leaving');
+    await fleets.pause(4_000);
+    answers = [await pending];
+  });
+
+  when(/^the frozen owner wakes/, async () => {
+    fleet.process(owner).thaw();
+    await sendCopies(4);
+  });
+
+  when(/^the caller sends it (\d+) times more$/, (count: string) =>
+    sendCopies(Number(count)),
+  );
+
+  when(/^all owners restart while the store loses (\d+)/, async (n: string) => {
+    await fleet.setFaults(fleet.platform, {loseAnswers: Number(n)});
+    const ids = fleet.idsOf('ledger');
+    await Promise.all(
+      ids.map(async id => {
+        await fleet.process(id).kill();
+        await fleet.restart(id);
+      }),
+    );
+  });
+
+  when(/^the store is down for (\d+) seconds$/, async (seconds: string) => {
+    key = await fleet.mintKey('entry-0', 'alpha');
+    await fleet.setFaults(fleet.platform, {outage: true});
+    outage = fleets
+      .pause(Number(seconds) * 1_000)
+      .then(() => fleet.setFaults(fleet.platform, {outage: false}));
+    await fleets.pause(2_500);
+  });
+
+  when(/^a caller whose clock is (-?\d+) minutes off/, async (n: string) => {
+    key = uuid.v7({msecs: Date.now() + Number(n) * MINUTE_MS});
+    answers = [await fleet.topUp('entry-0', 'alpha', key)];
+  });
+
+  when(/^a top-up has run and its owner stops as planned$/, async () => {
+    key = await fleet.mintKey('entry-0', 'alpha');
+    owner = await findOwner(key);
+    answers = [await fleet.topUp('entry-0', 'alpha', key)];
+    expect(await fleet.process(owner).stop()).toBe(0);
+  });
+
+  then('the ledger ran it once', async () => {
+    expect((await fleet.runs())[key]).toBe(1);
+  });
+
+  then('the ledger ran it at most once', async () => {
+    const runs = (await fleet.runs())[key] ?? 0;
+    expect(runs).toBeLessThanOrEqual(1);
+    const notRun = answers.filter(
+      answer => answer.headers['ferrycleat-outcome'] === 'not-run',
+    );
+    expect(runs === 1 && notRun.length > 0).toBe(false);
+  });
+
+  then('the ledger never ran it', async () => {
+    expect((await fleet.runs())[key]).toBeUndefined();
+  });
+
+  then('every copy got the same answer', () => {
+    expect(new Set(answers.map(answer => answer.text)).size).toBe(1);
+    expect(answers.map(answer => answer.status)).toEqual(
+      answers.map(() => 201),
+    );
+  });
+
+  then('no copy was told that it did not run', () => {
+    const outcomes = answers.map(a => a.headers['ferrycleat-outcome']);
+    expect(outcomes).not.toContain('not-run');
+    expect(outcomes).not.toContain(undefined);
+  });
+
+  then(/^every copy since was told "(.*)"$/, (outcome: string) => {
+    const outcomes = answers.map(a => a.headers['ferrycleat-outcome']);
+    expect(outcomes).toEqual(answers.map(() => outcome));
+    expect(answers.every(a => a.headers['retry-after'] !== undefined)).toBe(
+      true,
+    );
+  });
+
+  then(/^a new key is served within (\d+) seconds$/, (seconds: string) =>
+    fleets.eventually('a key is served', serveNewKey, Number(seconds) * 1_000),
+  );
+
+  then('copies of it run once', async () => {
+    await sendCopies(6);
+    expect((await fleet.runs())[key]).toBe(1);
+  });
+
+  then('lookups are answered meanwhile', async () => {
+    const answer = await testHttp.call(
+      fleet.address('entry-0'),
+      'GET',
+      '/ledger/balances/7',
+      site.auth('alpha'),
+    );
+    expect(answer.status).toBe(200);
+  });
+
+  then(/^a top-up is refused within (\d+) seconds/, async (n: string) => {
+    const late = uuid.v7();
+    const begunAt = Date.now();
+    const answer = await fleet.topUp('entry-0', 'alpha', late);
+    expect(Date.now() - begunAt).toBeLessThan(Number(n) * 1_000);
+    expect(answer.headers['ferrycleat-outcome']).toBe('unknown');
+    expect(answer.headers['retry-after']).toBeDefined();
+    expect((await fleet.runs())[late]).toBeUndefined();
+  });
+
+  then(
+    /^after the outage a new key is served within (\d+)/,
+    async (n: string) => {
+      await outage;
+      await fleets.eventually(
+        'a key is served',
+        serveNewKey,
+        Number(n) * 1_000,
+      );
+    },
+  );
+
+  then(/^the answer says "(.*)"$/, (outcome: string) => {
+    expect(answers[0]!.headers['ferrycleat-outcome']).toBe(outcome);
+  });
+
+  then('a copy of the top-up still gets the answer of the first', async () => {
+    const copy = await fleet.topUp('entry-1', 'alpha', key);
+    expect(copy.status).toBe(201);
+    expect(copy.text).toBe(answers[0]!.text);
+    expect(copy.headers['ferrycleat-replayed']).toBe('true');
+  });
+};
+
+autoBindSteps([feature], [steps]);
--- a/features/support/fleet.ts
+++ b/features/support/fleet.ts
@@ -264,12 +264,14 @@
     );
     this.run('platform', ['standin', 'platform', '--listen', this.platform]);
     this.run('ledger', ['standin', 'service', '--listen', this.ledger]);
-    this.run('engine', [
-      ...['standin', 'engine', '--listen', `${HOST}:${first}`],
-      ...['--ranks', String(ranks), '--step-ms', String(stepMs)],
-      ...['--checks-fences', String(checksFences)],
-    ]);
-    for (const name of ['platform', 'ledger', 'engine']) {
+    if (ranks > 0) {
+      this.run('engine', [
+        ...['standin', 'engine', '--listen', `${HOST}:${first}`],
+        ...['--ranks', String(ranks), '--step-ms', String(stepMs)],
+        ...['--checks-fences', String(checksFences)],
+      ]);
+    }
+    for (const name of this.processes.keys()) {
       await eventually(
         `${name} is up`,
         () => this.process(name).count('FC1001') > 0,
--- a/src/claims/directory.ts
+++ b/src/claims/directory.ts
@@ -108,7 +108,8 @@
           entry.cell.from <= key.mintedAt &&
           key.mintedAt < entry.cell.until,
       );
-    return line?.cell.owner;
+    // Whoever has the slot now also knows of the time before its cells.
+    return line?.cell.owner ?? newest?.owner;
   }
 
   /**
--- a/src/claims/runs.ts
+++ b/src/claims/runs.ts
@@ -124,6 +124,9 @@
     if (ownership.kind === 'never-owned') {
       return 'not-run';
     }
+    if (ownership.kind === 'other' && this.isFormerLife(ownership.owner)) {
+      return 'unknown';
+    }
     if (ownership.kind !== 'mine') {
       return 'not-owner';
     }
@@ -134,6 +137,15 @@
     return record.state === 'burnt' ? 'not-run' : record.state;
   }
 
+  /**
+   * The owner answered at the address that this process holds now: nobody
+   * is left to ask what became of its keys.
+   */
+  private isFormerLife(owner: Owner): boolean {
+    const {address, incarnation} = this.keeper.self;
+    return owner.address === address && owner.incarnation !== incarnation;
+  }
+
   private isTooOld(key: keys.RequestKey): boolean {
     return key.mintedAt < this.advanceOldest();
   }
@@ -164,7 +176,9 @@
       case 'never-owned':
         return {kind: 'key-burnt'};
       case 'other':
-        return {kind: 'not-owner', owner: ownership.owner};
+        return this.isFormerLife(ownership.owner)
+          ? {kind: 'outcome-unknown'}
+          : {kind: 'not-owner', owner: ownership.owner};
       case 'not-yet':
       case 'surrendered':
         return {kind: 'not-owner', owner: null};
--- a/src/requests/sidecar-service.ts
+++ b/src/requests/sidecar-service.ts
@@ -305,7 +305,7 @@
     case 'outcome-unknown':
       return refusals.unknownOutcome(
         'outcome-unknown',
-        'the target gave no answer',
+        'nobody can tell whether it ran',
       );
     case 'key-reused':
       return {
