--- /dev/null
+++ b/features/configuration.feature
@@ -0,0 +1,42 @@
+Feature: An accepted configuration is in force everywhere and never reverts
+
+  Scenario: Operators race
+    Given a running site with two entries
+    When 6 operators change the same account at once from the same version
+    Then exactly one change is accepted and 5 see both sides of the conflict
+    And the accepted change is in force at every process within 9 seconds
+
+  Scenario: The answer to an accepted change is lost
+    Given a running site with two entries
+    When an operator's change takes effect and its answer is lost
+    Then the operator is told that it is accepted
+    And the accepted change is in force at every process within 9 seconds
+
+  Scenario: The store goes down right after acceptance
+    Given a running site with two entries
+    When a change is accepted, one process is told, and the store goes down
+    Then the accepted change is in force at every process within 9 seconds
+    And no process ever saw its revision fall
+
+  Scenario: A process restarts in the outage
+    Given a running site with two entries
+    When a change is accepted, one process is told, and the store goes down
+    And "entry-1" is killed and started again with its peers set
+    Then the accepted change is in force at every process within 9 seconds
+
+  Scenario: The store answers from a replica that lags
+    Given a running site with two entries
+    When a change is in force and the store then answers from before it
+    And "entry-0" is killed and started again with its peers set
+    Then the accepted change is in force at every process within 9 seconds
+    And no process ever saw its revision fall
+
+  Scenario: A frozen process wakes
+    Given a running site with two entries
+    When "entry-1" is frozen while a change is accepted, and wakes
+    Then the accepted change is in force at every process within 9 seconds
+
+  Scenario: A change that would be unsound
+    Given a running site with two entries
+    When an operator sets a parameter outside its bounds
+    Then the change is refused with the bounds and nothing changes
--- /dev/null
+++ b/features/streams.steps.ts
@@ -0,0 +1,215 @@
+import * as path from 'node:path';
+import {StepDefinitions, autoBindSteps, loadFeature} from 'jest-cucumber';
+import {expectedText} from '../standins/engine';
+import * as fleets from './support/fleet';
+import * as testHttp from './support/http';
+import * as site from './support/site';
+
+const feature = loadFeature(path.join(__dirname, 'streams.feature'));
+
+let fleet: fleets.Fleet;
+let streams: {stream: testHttp.EventStream; content: string; tokens: number}[];
+let whole: testHttp.Answer;
+
+afterEach(async () => fleet.close());
+
+function textFor(content: string, tokens: number): string {
+  return expectedText([{role: 'user', content}], tokens);
+}
+
+function open(
+  entry: string,
+  content: string,
+  tokens: number,
+  extra: Record<string, string> = {},
+): testHttp.EventStream {
+  const stream = fleet.chat(entry, 'alpha', content, tokens, extra);
+  streams.push({stream, content, tokens});
+  return stream;
+}
+
+async function faultAll(faults: unknown): Promise<void> {
+  await Promise.all(
+    fleet.engine.map(address => fleet.setFaults(address, faults)),
+  );
+}
+
+async function expectWhole(): Promise<void> {
+  for (const {stream, content, tokens} of streams) {
+    await stream.whenEnded();
+    expect(stream.error).toBeUndefined();
+    expect(stream.text).toBe(textFor(content, tokens));
+    expect(stream.isWhole).toBe(true);
+  }
+}
+
+/** The target's name in an event's id. */
+function targetOf(stream: testHttp.EventStream): string {
+  return stream.ids[0]!.split('.')[0]!;
+}
+
+const steps: StepDefinitions = ({given, when, then}) => {
+  given('a running model with two entries', async () => {
+    streams = [];
+    fleet = await fleets.Fleet.start({ledgers: 0});
+  });
+
+  when(
+    /^the engine cuts a stream of (\d+) tokens after (\d+)/,
+    async (n, at) => {
+      await faultAll({cutAfter: Number(at)});
+      await open('entry-0', 'cut me', Number(n)).whenEnded();
+    },
+  );
+
+  when(/^the engine's events are "(.*)"$/, async (fault: string) => {
+    await faultAll(fault === 'late' ? {lateMs: 300} : {[fault]: true});
+  });
+
+  when(/^(\d+) callers stream answers of (\d+) tokens/, (count, tokens) => {
+    for (let caller = 0; caller < Number(count); caller += 1) {
+      open(`entry-${caller % 2}`, `prompt ${caller}`, Number(tokens));
+    }
+  });
+
+  when("every rank's answers name another request", () =>
+    faultAll({foreign: true}),
+  );
+
+  when(/^a caller streams an answer of (\d+) tokens$/, async tokens => {
+    await open('entry-0', 'whose is it?', Number(tokens)).whenEnded();
+  });
+
+  when(
+    /^the entry is killed after (\d+) events of a stream of (\d+)/,
+    async (events, tokens) => {
+      const stream = open('entry-0', 'go on', Number(tokens));
+      await stream.whenEvents(Number(events));
+      await fleet.process('entry-0').kill();
+      await stream.whenEnded();
+      expect(stream.isWhole).toBe(false);
+    },
+  );
+
+  when(/^the caller goes on through the other entry/, async () => {
+    const [first] = streams;
+    const last = first!.stream.ids[first!.stream.ids.length - 1]!;
+    const rest = fleet.reconnect('entry-1', 'alpha', last);
+    streams.push({...first!, stream: rest});
+    await rest.whenEnded();
+  });
+
+  when(/^another account asks for the rest/, async () => {
+    const stream = open('entry-0', 'mine alone', 60);
+    await stream.whenEvents(5);
+    const last = stream.ids[stream.ids.length - 1]!;
+    const other = fleet.reconnect('entry-1', 'beta', last);
+    await other.whenEnded();
+    streams = [{stream: other, content: '', tokens: 0}];
+  });
+
+  when(
+    /^the stream's sidecar is killed after (\d+) of (\d+)/,
+    async (events, tokens) => {
+      const stream = open('entry-0', 'keep going', Number(tokens));
+      await stream.whenEvents(Number(events));
+      const target = targetOf(stream);
+      await fleet.process(target).kill();
+      await fleet.restart(target);
+    },
+  );
+
+  when(/^the engine is killed after (\d+) of (\d+) tokens$/, async (at, n) => {
+    const stream = open('entry-0', 'lost', Number(n));
+    await stream.whenEvents(Number(at));
+    await fleet.process('engine').kill();
+    await stream.whenEnded();
+  });
+
+  when('two callers send the same request id at once', () => {
+    const id = '01890a5d-ac96-774b-bcce-b302099a8057';
+    open('entry-0', 'first caller', 30, {'ferrycleat-request': id});
+    open('entry-1', 'second caller', 30, {'ferrycleat-request': id});
+  });
+
+  when('the engine is killed while it writes a whole answer', async () => {
+    const pending = testHttp.call(
+      fleet.address('entry-0'),
+      'POST',
+      '/v1/chat/completions',
+      site.auth('alpha'),
+      JSON.stringify({
+        model: 'assistant',
+        max_tokens: 400,
+        messages: [{role: 'user', content: 'all at once'}],
+      }),
+    );
+    await fleets.pause(300);
+    await fleet.process('engine').kill();
+    whole = await pending;
+  });
+
+  when(/^a caller goes away after (\d+) of (\d+)/, async (at, tokens) => {
+    const stream = open('entry-0', 'never mind', Number(tokens));
+    await stream.whenEvents(Number(at));
+    stream.close();
+  });
+
+  then(/^(?:the|every) caller has the whole answer/, () => expectWhole());
+
+  then('the caller got a typed refusal and no token', () => {
+    const [{stream}] = streams as [(typeof streams)[0]];
+    expect(stream.status).toBe(502);
+    expect(stream.headers['ferrycleat-refusal']).toBe('target-failed');
+    expect(stream.datas).toEqual([]);
+  });
+
+  then('the two parts are the whole answer to its own prompt', () => {
+    const text = streams.map(part => part.stream.text).join('');
+    expect(text).toBe(textFor(streams[0]!.content, streams[0]!.tokens));
+    expect(streams[1]!.stream.isWhole).toBe(true);
+  });
+
+  then('it is refused and gets no token', () => {
+    const [{stream}] = streams as [(typeof streams)[0]];
+    expect(stream.status).toBe(410);
+    expect(stream.datas).toEqual([]);
+  });
+
+  then("the caller's stream ends with a typed error and no end mark", () => {
+    const [{stream, content}] = streams as [(typeof streams)[0]];
+    expect(stream.isWhole).toBe(false);
+    expect(JSON.parse(stream.error ?? '{}')).toMatchObject({
+      type: '/problems/stream-lost',
+      outcome: 'unknown',
+    });
+    expect(textFor(content, 400).startsWith(stream.text)).toBe(true);
+  });
+
+  then('the caller can see that the answer is not whole', () => {
+    const isRefused = whole.status >= 500;
+    expect(isRefused || whole.cut).toBe(true);
+    expect(whole.headers['ferrycleat-outcome']).not.toBe('not-run');
+  });
+
+  then(/^the engine's work for it is cancelled within (\d+)/, async seconds => {
+    await fleets.eventually(
+      'the stream is cancelled',
+      async () => {
+        const seen = await Promise.all(
+          fleet.engine.map(address =>
+            testHttp.callJson<{cancelled: number}>(
+              address,
+              'GET',
+              '/standin/steps',
+            ),
+          ),
+        );
+        return seen.some(rank => rank.cancelled === 1);
+      },
+      Number(seconds) * 1_000,
+    );
+  });
+};
+
+autoBindSteps([feature], [steps]);
--- a/features/support/process.ts
+++ b/features/support/process.ts
@@ -14,6 +14,8 @@
 
 export class TestProcess {
   readonly events: LoggedEvent[] = [];
+  /** Arguments of the next start, besides the first ones. */
+  extraArgs: readonly string[] = [];
   private child: childProcess.ChildProcess | undefined;
   private ended: Promise<number | null> | undefined;
 
@@ -25,7 +27,8 @@
   start(): void {
     const useBinary = process.env['FERRYCLEAT_TEST_BINARY'] === '1';
     const command = useBinary ? BINARY : process.execPath;
-    const args = useBinary ? this.args : [BUNDLE, ...this.args];
+    const own = [...this.args, ...this.extraArgs];
+    const args = useBinary ? own : [BUNDLE, ...own];
     const child = childProcess.spawn(command, args, {
       stdio: ['ignore', 'ignore', 'pipe'],
     });
--- a/src/configuration/app.ts
+++ b/src/configuration/app.ts
@@ -41,3 +41,13 @@
     instancesDigest: v.string(),
   }),
 );
+
+/**
+ * Says nothing but the stamp that every call carries: whoever is behind then
+ * fetches from the other.
+ */
+export const hello = rpc.method(
+  'configuration.hello',
+  v.object({}),
+  v.object({}),
+);
--- a/src/configuration/follower.ts
+++ b/src/configuration/follower.ts
@@ -33,6 +33,7 @@
 export const WATCHERS_PER_HALL = 2;
 const WATCH_WAIT_MS = 20_000;
 const LIST_PERIOD_MS = 2_000;
+const GOSSIP_PERIOD_MS = 5_000;
 const RETRY_MIN_MS = 200;
 const RETRY_MAX_MS = 3_000;
 const FETCH_TIMEOUT_MS = 2_000;
@@ -61,6 +62,8 @@
   private readonly closed = new Subject<void>();
   private readonly fetching = new Map<string, Promise<void>>();
   private listTimer: NodeJS.Timeout | undefined;
+  private gossipTimer: NodeJS.Timeout | undefined;
+  private started: Promise<void> | undefined;
   private storeDown = false;
   private watching: string | undefined;
 
@@ -85,9 +88,15 @@
     return this.list.pipe(map(list => list.instances));
   }
 
-  /** Starts following; resolves once the copy is filled. */
-  async start(): Promise<void> {
+  /** Starts following, once; resolves when the copy is filled. */
+  start(): Promise<void> {
+    this.started ??= this.begin();
+    return this.started;
+  }
+
+  private async begin(): Promise<void> {
     void this.followChanges();
+    void this.gossip();
     await firstValueFrom(
       merge(
         this.replica.changes.pipe(filter(() => this.replica.ready)),
@@ -124,8 +133,11 @@
   /** Binds the RPC face. */
   serve(server: RpcServer): void {
     server.handle(app.since, params => this.replica.since(params.version));
+    server.handle(app.hello, () => ({}));
     server.handle(app.push, params => {
+      const before = replica.printStamp(this.replica.stamp);
       this.replica.mergeExtra(params.item);
+      this.reportChange(before, 'operator');
       return {stamp: replica.printStamp(this.replica.stamp)};
     });
     server.handle(app.wait, params => this.answerWait(params));
@@ -136,6 +148,7 @@
     this.closed.next();
     this.closed.complete();
     clearTimeout(this.listTimer);
+    clearTimeout(this.gossipTimer);
     this.replica.close();
     this.list.complete();
   }
@@ -163,6 +176,52 @@
     const stamp = replica.printStamp(this.replica.stamp);
     if (stamp !== before) {
       this.log.event('configurationApplied', {stamp, source});
+      if (source !== 'store' && source !== this.watching) {
+        this.spreadNews(source);
+      }
+    }
+  }
+
+  /**
+   * News that did not come by the usual way may have reached nobody else:
+   * the hall's watchers are told, and by these the other halls' watchers.
+   */
+  private spreadNews(source: string): void {
+    const own = this.watchersOf(this.identity.hall);
+    const isWatcher = own.some(mate => mate.id === this.identity.id);
+    const halls = new Set(this.instances.map(instance => instance.hall));
+    const told = isWatcher
+      ? [...halls].flatMap(hall => this.watchersOf(hall))
+      : own;
+    for (const mate of told) {
+      if (mate.id !== this.identity.id && mate.address !== source) {
+        void this.rpcClient().call(mate.address, app.hello, {});
+      }
+    }
+  }
+
+  /** The processes of a hall that watch the store for it. */
+  private watchersOf(hall: string): Instance[] {
+    const mates = this.instances.filter(
+      instance => instance.hall === hall && instance.state === 'live',
+    );
+    return rendezvous.topByKey(hall, mates, m => m.id, WATCHERS_PER_HALL);
+  }
+
+  /** Slow exchange with anybody: what every other way missed. */
+  private async gossip(): Promise<void> {
+    const others = this.instances.filter(
+      i => i.state === 'live' && i.id !== this.identity.id,
+    );
+    if (others.length > 0) {
+      const {address} = random.pick(others);
+      await this.rpcClient().call(address, app.hello, {});
+    }
+    if (!this.closing.signal.aborted) {
+      this.gossipTimer = setTimeout(
+        () => void this.gossip(),
+        random.jitter(GOSSIP_PERIOD_MS),
+      );
     }
   }
 
@@ -212,12 +271,7 @@
 
   /** Undefined: this process watches the store itself. */
   private chooseSource(failures: number): string | undefined {
-    const mates = this.instances.filter(
-      instance =>
-        instance.hall === this.identity.hall && instance.state === 'live',
-    );
-    const ranked = rendezvous.rankByKey(this.identity.hall, mates, m => m.id);
-    const watchers = ranked.slice(0, WATCHERS_PER_HALL);
+    const watchers = this.watchersOf(this.identity.hall);
     const isWatcher = watchers.some(m => m.id === this.identity.id);
     // A process that reaches no watcher goes to the store: a hall whose
     // watchers died at once must not wait for the lagging list.
--- a/src/requests/entry-forward.ts
+++ b/src/requests/entry-forward.ts
@@ -47,6 +47,7 @@
   call: Forwarded,
 ): Promise<Result<Forwarding, refusals.Refusal>> {
   const tried = new Set<string>();
+  const outcomes: refusals.Outcome[] = [];
   let last: refusals.Refusal | undefined;
   context.budget.noteFirstTry();
   for (let tries = 0; tries < MAX_TRIES; tries += 1) {
@@ -62,9 +63,11 @@
     if (attempt.ok) {
       return attempt;
     }
-    last = attempt.error;
+    outcomes.push(attempt.error.outcome);
+    // What an earlier try may have done is not undone by a later refusal.
+    last = {...attempt.error, outcome: refusals.worstOutcome(outcomes)};
     if (caller.signal.aborted || !TRY_ELSEWHERE.has(last.kind)) {
-      return attempt;
+      break;
     }
   }
   return fail(
--- a/src/requests/refusals.ts
+++ b/src/requests/refusals.ts
@@ -61,6 +61,14 @@
 const SECOND_MS = 1_000;
 const PROBLEM_TYPE = 'application/problem+json';
 
+/** The outcome of several tries together: `not-run` only if all were. */
+export function worstOutcome(outcomes: readonly Outcome[]): Outcome {
+  if (outcomes.includes('ran')) {
+    return 'ran';
+  }
+  return outcomes.includes('unknown') ? 'unknown' : 'not-run';
+}
+
 /** A refusal of a request that no target has seen. */
 export function notRun(
   kind: RefusalKind,
--- a/standins/faults.ts
+++ b/standins/faults.ts
@@ -7,6 +7,8 @@
     outage: v.boolean(),
     /** An outage begins after this many more writes. */
     outageAfterWrites: v.nullable(v.number()),
+    /** Watches are not woken by changes. */
+    hideWatches: v.boolean(),
     /** Writes that take effect but whose answer is cut. */
     loseAnswers: v.number(),
     /** Milliseconds before each answer. */
--- a/standins/platform.ts
+++ b/standins/platform.ts
@@ -34,6 +34,7 @@
   private readonly faults: faults.PlatformFaults = {
     outage: false,
     outageAfterWrites: null,
+    hideWatches: false,
     loseAnswers: 0,
     delayMs: 0,
     listLagMs: 0,
@@ -179,7 +180,9 @@
   }
 
   private wakeWaiters(): void {
-    [...this.waiters].forEach(wake => wake());
+    if (!this.faults.hideWatches) {
+      [...this.waiters].forEach(wake => wake());
+    }
   }
 
   private changedSince(prefix: string, after: number): StoredObject[] {
