--- /dev/null
+++ b/features/not-run.steps.ts
@@ -0,0 +1,162 @@
+import * as path from 'node:path';
+import {StepDefinitions, autoBindSteps, loadFeature} from 'jest-cucumber';
+import * as fleets from './support/fleet';
+import * as testHttp from './support/http';
+import * as site from './support/site';
+
+const feature = loadFeature(path.join(__dirname, 'not-run.feature'));
+const AT_ONCE_MS = 700;
+
+interface Sent {
+  readonly key: string;
+  readonly answer: testHttp.Answer;
+  readonly tookMs: number;
+}
+
+let fleet: fleets.Fleet;
+let sent: Sent[];
+
+afterEach(async () => fleet.close());
+
+async function send(
+  key: string,
+  entry: string,
+  extra: Record<string, string> = {},
+): Promise<Sent> {
+  const begunAt = Date.now();
+  const answer = await fleet.topUp(entry, 'alpha', key, 10, extra);
+  return {key, answer, tookMs: Date.now() - begunAt};
+}
+
+async function mintKeys(count: number): Promise<string[]> {
+  const keys: string[] = [];
+  while (keys.length < count) {
+    keys.push(await fleet.mintKey('entry-0', 'beta'));
+  }
+  return keys;
+}
+
+function toldNotRun(): Sent[] {
+  return sent.filter(
+    one => one.answer.headers['ferrycleat-outcome'] === 'not-run',
+  );
+}
+
+async function resend(keys: readonly string[]): Promise<void> {
+  const copies = await Promise.all(keys.map(key => send(key, 'entry-1')));
+  for (const copy of copies) {
+    expect(copy.answer.status).not.toBe(201);
+  }
+}
+
+const steps: StepDefinitions = ({given, when, then}) => {
+  given(/^a ledger that takes (\d+) ms a run/, async (ms: string) => {
+    fleet = await fleets.Fleet.start({
+      ranks: 0,
+      ledgers: 1,
+      sidecarArgs: ['--capacity', '1', '--max-queued', '2'],
+    });
+    await fleet.setFaults(fleet.ledger, {runMs: Number(ms)});
+  });
+
+  given(/^an account that may send (\d+) requests a second$/, async n => {
+    fleet = await fleets.Fleet.start({ranks: 0});
+    await fleet.apply(
+      site.makeAccount('alpha', {
+        requestsPerSecond: Number(n),
+        burst: Number(n),
+      }),
+    );
+    await fleets.pause(500);
+  });
+
+  given('a ledger whose targets refuse connections', async () => {
+    fleet = await fleets.Fleet.start({ranks: 0, relayTargets: true});
+    for (const relay of fleet.relays.values()) {
+      await relay.close();
+    }
+  });
+
+  given('a ledger that runs and then loses its answers', async () => {
+    fleet = await fleets.Fleet.start({ranks: 0});
+    await fleet.setFaults(fleet.ledger, {loseAnswers: 3});
+  });
+
+  when(/^(\d+) top-ups with keys of their own/, async (count: string) => {
+    const keys = await mintKeys(Number(count));
+    sent = await Promise.all(
+      keys.map((key, at) => send(key, `entry-${at % 2}`)),
+    );
+  });
+
+  when(/^top-ups with (\d+) ms to go/, async (ms: string) => {
+    const keys = await mintKeys(5);
+    const first = send(keys[0]!, 'entry-0');
+    await fleets.pause(60);
+    const extra = {'ferrycleat-timeout-ms': ms};
+    sent = await Promise.all(
+      keys.slice(1).map(key => send(key, 'entry-0', extra)),
+    );
+    await first;
+  });
+
+  when('a top-up without a key is sent', async () => {
+    const answer = await testHttp.call(
+      fleet.address('entry-0'),
+      'POST',
+      '/ledger/top-ups',
+      site.auth('alpha'),
+      JSON.stringify({phone: '1', amount: 1}),
+    );
+    sent = [{key: '', answer, tookMs: 0}];
+  });
+
+  then(/^some are told "not-run" at once/, () => {
+    const told = toldNotRun();
+    expect(told.length).toBeGreaterThan(0);
+    for (const one of told) {
+      expect(one.tookMs).toBeLessThan(AT_ONCE_MS);
+      expect(one.answer.headers['retry-after']).toBeDefined();
+    }
+  });
+
+  then('all are told "not-run"', () => {
+    expect(toldNotRun()).toHaveLength(sent.length);
+  });
+
+  then('copies of these sent later do not run either', async () => {
+    await fleets.pause(1_500);
+    await resend(toldNotRun().map(one => one.key));
+  });
+
+  then(/^after the targets are back/, async () => {
+    for (const relay of fleet.relays.values()) {
+      await relay.reopen();
+    }
+    await resend(sent.map(one => one.key));
+  });
+
+  then('no key told "not-run" was ever run', async () => {
+    const runs = await fleet.runs();
+    const ran = toldNotRun().filter(one => runs[one.key] !== undefined);
+    expect(ran).toEqual([]);
+  });
+
+  then('none is told "not-run"', () => {
+    expect(toldNotRun()).toEqual([]);
+  });
+
+  then('each of them ran once, also after copies', async () => {
+    await resend(sent.map(one => one.key));
+    const runs = await fleet.runs();
+    expect(sent.map(one => runs[one.key])).toEqual(sent.map(() => 1));
+  });
+
+  then(/^it is refused as "(.*)" and nothing ran$/, async (kind: string) => {
+    const [one] = sent;
+    expect(one!.answer.headers['ferrycleat-refusal']).toBe(kind);
+    expect(await fleet.runs()).toEqual({});
+  });
+};
+
+autoBindSteps([feature], [steps]);
--- a/features/support/relay.ts
+++ b/features/support/relay.ts
@@ -4,7 +4,8 @@
 
 export class Relay {
   private readonly sockets = new Set<net.Socket>();
-  private readonly server: net.Server;
+  private server: net.Server;
+  private port = 0;
   private isCut = false;
   private isStalled = false;
   /** Called with each chunk that passes. */
@@ -18,7 +19,14 @@
     this.server = net.createServer(socket => this.accept(socket));
   }
 
+  /** Listens again on the port of before, after a close. */
+  async reopen(): Promise<void> {
+    this.server = net.createServer(socket => this.accept(socket));
+    await this.open(this.port);
+  }
+
   async open(port: number): Promise<void> {
+    this.port = port;
     await new Promise<void>(resolve =>
       this.server.listen(port, '127.0.0.1', () => resolve()),
     );
