--- a/bench/overload.ts
+++ b/bench/overload.ts
@@ -1,2 +1,191 @@
+/**
+ * Admission under overload, in real time on fake targets: ours beside one
+ * queue in order of arrival without a bound, at half to four times what the
+ * targets can do, one client account flooding. Refused callers come back
+ * once, when they were told to.
+ */
+import * as random from '../src/random';
+import {Admission} from '../src/requests/admission';
 import type {Bench} from './main';
-export const bench: Bench = {name: 'overload', text: '', run: async () => null};
+import * as stats from './stats';
+
+const TARGETS = 3;
+const CAPACITY = 8;
+const SERVICE_MS = 20;
+const DEADLINE_MS = 300;
+const MAX_QUEUED = 64;
+const RUN_MS = 5_000;
+const DRAIN_MS = 500;
+const TICK_MS = 2;
+const QUIET_ACCOUNTS = 9;
+/** Part of what the targets can do that each quiet account asks for. */
+const QUIET_SHARE = 0.04;
+const MULTIPLES = [0.5, 0.8, 1, 1.5, 2, 4];
+const PER_SECOND = (TARGETS * CAPACITY * 1_000) / SERVICE_MS;
+
+interface Tally {
+  offered: number;
+  good: number;
+  refused: number;
+  cameBack: number;
+  servedOnReturn: number;
+}
+
+/** One fake target behind an admission. */
+class FakeTarget {
+  readonly admission: Admission;
+
+  constructor(isBounded: boolean) {
+    this.admission = new Admission(() => ({
+      capacity: CAPACITY,
+      maxQueued: isBounded ? MAX_QUEUED : Infinity,
+    }));
+  }
+}
+
+class Run {
+  readonly tallies = new Map<string, Tally>();
+  readonly refusalMs: number[] = [];
+  readonly goodMs: number[] = [];
+  isOpen = true;
+  private readonly targets: FakeTarget[];
+
+  constructor(private readonly isOurs: boolean) {
+    this.targets = Array.from({length: TARGETS}, () => new FakeTarget(isOurs));
+  }
+
+  async offer(account: string, returnTo?: FakeTarget): Promise<void> {
+    const isReturn = returnTo !== undefined;
+    const tally = this.tallyOf(account);
+    const begunAt = performance.now();
+    const deadlineAt = Date.now() + DEADLINE_MS;
+    if (!isReturn) {
+      tally.offered += 1;
+    }
+    const target =
+      returnTo ??
+      this.targets.reduce((best, one) =>
+        one.admission.expectedWaitMs < best.admission.expectedWaitMs
+          ? one
+          : best,
+      );
+    const entered = await target.admission.enter({
+      account: this.isOurs ? account : 'all',
+      weight: 1,
+      priority: 0,
+      cost: 1,
+      // Without bounds, a request waits however late it is.
+      isReturning: isReturn,
+      deadlineAt: this.isOurs ? deadlineAt : Date.now() + 3_600_000,
+    });
+    if (!entered.ok) {
+      this.refusalMs.push(performance.now() - begunAt);
+      tally.refused += 1;
+      const {retryAfterMs} = entered.error;
+      if (!isReturn && retryAfterMs !== undefined) {
+        setTimeout(() => this.comeBack(account, target), retryAfterMs);
+      }
+      return;
+    }
+    const workMs = random.exponential(SERVICE_MS);
+    await new Promise(resolve => setTimeout(resolve, workMs));
+    entered.value.release();
+    const tookMs = performance.now() - begunAt;
+    if (tookMs <= DEADLINE_MS) {
+      tally.good += 1;
+      tally.servedOnReturn += isReturn ? 1 : 0;
+      this.goodMs.push(tookMs);
+    }
+  }
+
+  /** Times beyond the end of the run are not waited for. */
+  private comeBack(account: string, target: FakeTarget): void {
+    if (this.isOpen) {
+      this.tallyOf(account).cameBack += 1;
+      void this.offer(account, target);
+    }
+  }
+
+  private tallyOf(account: string): Tally {
+    const held = this.tallies.get(account) ?? {
+      offered: 0,
+      good: 0,
+      refused: 0,
+      cameBack: 0,
+      servedOnReturn: 0,
+    };
+    this.tallies.set(account, held);
+    return held;
+  }
+}
+
+async function runOne(isOurs: boolean, multiple: number) {
+  const run = new Run(isOurs);
+  const quietRate = PER_SECOND * QUIET_SHARE * Math.min(multiple, 1);
+  const floodRate = PER_SECOND * multiple - quietRate * QUIET_ACCOUNTS;
+  const rates = [
+    ...Array.from({length: QUIET_ACCOUNTS}, (_, at) => ({
+      account: `quiet-${at}`,
+      rate: quietRate,
+    })),
+    {account: 'flood', rate: floodRate},
+  ];
+  const begunAt = performance.now();
+  const nextAt = new Map(rates.map(one => [one.account, 0]));
+  while (performance.now() - begunAt < RUN_MS) {
+    const elapsed = performance.now() - begunAt;
+    for (const {account, rate} of rates) {
+      let due = nextAt.get(account)!;
+      while (due <= elapsed) {
+        void run.offer(account);
+        due += random.exponential(1_000 / rate);
+      }
+      nextAt.set(account, due);
+    }
+    await new Promise(resolve => setTimeout(resolve, TICK_MS));
+  }
+  run.isOpen = false;
+  await new Promise(resolve => setTimeout(resolve, DRAIN_MS));
+  return summarize(run);
+}
+
+function summarize(run: Run) {
+  const all = [...run.tallies.entries()];
+  const quiet = all.filter(([account]) => account !== 'flood');
+  const sum = (pick: (tally: Tally) => number) =>
+    all.reduce((total, [, tally]) => total + pick(tally), 0);
+  const quietKept = quiet.map(([, t]) => t.good / Math.max(t.offered, 1));
+  return {
+    offered: sum(t => t.offered),
+    goodput: sum(t => t.good),
+    jainOfQuiet: stats.jain(quietKept),
+    worstQuietKept: Math.min(...quietKept),
+    refusalP99Ms: stats.quantile(run.refusalMs, 0.99),
+    servedOnReturn: sum(t => t.servedOnReturn) / (sum(t => t.cameBack) || 1),
+    cameBack: sum(t => t.cameBack),
+    goodP95Ms: stats.quantile(run.goodMs, 0.95),
+  };
+}
+
+async function run(): Promise<unknown> {
+  const rows = [];
+  for (const multiple of MULTIPLES) {
+    rows.push({
+      multiple,
+      ours: await runOne(true, multiple),
+      unbounded: await runOne(false, multiple),
+    });
+  }
+  const best = Math.max(...rows.map(row => row.ours.goodput));
+  return {
+    rows,
+    goodputAt4ToBest: rows[rows.length - 1]!.ours.goodput / best,
+    unboundedAt4ToBest: rows[rows.length - 1]!.unbounded.goodput / best,
+  };
+}
+
+export const bench: Bench = {
+  name: 'overload',
+  text: 'admission under overload',
+  run,
+};
--- a/scripts/bench.js
+++ b/scripts/bench.js
@@ -5,7 +5,7 @@
 const esbuild = require('esbuild');
 
 const ROOT = path.join(__dirname, '..');
-const outfile = path.join(ROOT, 'dist', 'bench.js');
+const outfile = path.join(ROOT, 'dist', `bench-${process.pid}.js`);
 esbuild.buildSync({
   entryPoints: [path.join(ROOT, 'bench', 'main.ts')],
   bundle: true,
@@ -16,3 +16,4 @@
   logLevel: 'warning',
 });
 require(outfile);
+process.on('exit', () => require('node:fs').rmSync(outfile, {force: true}));
--- a/src/http/body.ts
+++ b/src/http/body.ts
@@ -1,6 +1,7 @@
 /** Reading and writing whole HTTP bodies under a size cap. */
 import * as http from 'node:http';
 import type {Readable} from 'node:stream';
+import {pipeline} from 'node:stream/promises';
 import {Result, fail, ok} from '../result';
 
 /** Why a body was not read. */
@@ -10,27 +11,46 @@
   | {readonly kind: 'bad-json'; readonly detail: string};
 
 /** Reads a body to its end. Fails with `body-too-large` or `body-cut`. */
-export async function readBody(
+export function readBody(
   stream: Readable,
   limitBytes: number,
 ): Promise<Result<Buffer, BodyError>> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  try {
-    for await (const chunk of stream) {
-      size += (chunk as Buffer).length;
+  if (stream instanceof http.IncomingMessage && hasNoBody(stream)) {
+    stream.resume();
+    return Promise.resolve(ok(EMPTY));
+  }
+  return new Promise(resolve => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    stream.on('data', (chunk: Buffer) => {
+      size += chunk.length;
       if (size > limitBytes) {
-        return fail({kind: 'body-too-large', limitBytes});
+        stream.pause();
+        resolve(fail({kind: 'body-too-large', limitBytes}));
+        return;
       }
-      chunks.push(chunk as Buffer);
-    }
-  } catch {
-    return fail({kind: 'body-cut'});
-  }
-  if (stream instanceof http.IncomingMessage && !stream.complete) {
-    return fail({kind: 'body-cut'});
-  }
-  return ok(Buffer.concat(chunks));
+      chunks.push(chunk);
+    });
+    stream.on('end', () => {
+      const isCut = stream instanceof http.IncomingMessage && !stream.complete;
+      resolve(isCut ? fail({kind: 'body-cut'}) : ok(Buffer.concat(chunks)));
+    });
+    // Either comes without an end where the peer goes away early.
+    stream.on('error', () => resolve(fail({kind: 'body-cut'})));
+    stream.on('close', () => resolve(fail({kind: 'body-cut'})));
+  });
+}
+
+const EMPTY = Buffer.alloc(0);
+
+/** A request that names no length and no coding has no body. */
+function hasNoBody(message: http.IncomingMessage): boolean {
+  return (
+    message.method !== undefined &&
+    message.method !== null &&
+    message.headers['content-length'] === undefined &&
+    message.headers['transfer-encoding'] === undefined
+  );
 }
 
 /** Parses a JSON text. Fails with `bad-json`. */
@@ -78,3 +98,33 @@
   const value = message.headers[name];
   return Array.isArray(value) ? value[0] : value;
 }
+
+/** Bodies up to this size are passed on in one piece. */
+const SMALL_BYTES = 64 * 1024;
+
+/**
+ * Passes an answer's body on with backpressure. True where it came whole; a
+ * body that breaks off breaks off for the receiver too.
+ */
+export async function passBody(
+  from: http.IncomingMessage,
+  to: http.ServerResponse,
+): Promise<boolean> {
+  const length = Number(from.headers['content-length'] ?? NaN);
+  if (length <= SMALL_BYTES) {
+    const read = await readBody(from, SMALL_BYTES);
+    if (read.ok) {
+      to.end(read.value);
+      return true;
+    }
+    to.destroy();
+    return false;
+  }
+  try {
+    await pipeline(from, to);
+    return true;
+  } catch {
+    to.destroy();
+    return false;
+  }
+}
--- a/src/requests/admission.ts
+++ b/src/requests/admission.ts
@@ -6,6 +6,7 @@
 import {Result, fail, ok} from '../result';
 import * as fairQueue from './fair-queue';
 import * as refusals from './refusals';
+import {ReturnBook} from './return-book';
 
 /** A request that asks to be let in. */
 export interface Applicant {
@@ -15,6 +16,8 @@
   readonly cost: number;
   /** Unix milliseconds. */
   readonly deadlineAt: number;
+  /** True: the caller says that it comes back as it was told to. */
+  readonly isReturning?: boolean;
 }
 
 /** Limits of a target. */
@@ -35,17 +38,27 @@
   readonly queuedAt: number;
   readonly settle: (result: Result<Ticket, refusals.Refusal>) => void;
   timer: NodeJS.Timeout | undefined;
+  predictedMs: number;
 }
 
 const EWMA_SHARE = 0.1;
 const INITIAL_SERVICE_MS = 50;
-const MAX_RETRY_AFTER_MS = 60_000;
+/** Share of the deadline that a newcomer may wait while a line stands. */
+const NEWCOMER_SHARE = 0.3;
+/** Predicted waits are learnt from: longest correction either way. */
+const MIN_BIAS = 0.5;
+const MAX_BIAS = 4;
+const MIN_PREDICTED_MS = 1;
+const RATE_HALF_LIFE_MS = 1_000;
 
 export class Admission {
   private readonly queue = new fairQueue.FairQueue<Waiting>();
   private running = 0;
   private serviceMs = INITIAL_SERVICE_MS;
-  private nextReturnAt = 0;
+  /** By how much waits turn out longer than predicted. */
+  private bias = 1;
+  private readonly returns = new ReturnBook();
+  private readonly rates = new Map<string, DecayingRate>();
   private stopped: refusals.Refusal | undefined;
 
   constructor(private readonly settings: () => AdmissionSettings) {}
@@ -58,8 +71,16 @@
     if (this.stopped !== undefined) {
       return Promise.resolve(fail(this.stopped));
     }
+    const now = Date.now();
+    const isDue =
+      applicant.isReturning === true &&
+      this.returns.takeDue(applicant.account, now);
     if (this.running < this.settings().capacity && this.queue.size === 0) {
-      return Promise.resolve(ok(this.start(0)));
+      return Promise.resolve(ok(this.start(applicant.account, 0)));
+    }
+    if (!isDue && this.mustLineUp(applicant, now)) {
+      const refusal = this.deadlineRefusal(applicant, this.expectedWaitMs);
+      return Promise.resolve(fail(refusal));
     }
     return new Promise(settle => {
       const waiting: Waiting = {
@@ -67,6 +88,7 @@
         queuedAt: Date.now(),
         settle,
         timer: undefined,
+        predictedMs: 0,
       };
       this.admitToQueue(waiting, signal);
     });
@@ -96,21 +118,22 @@
   private admitToQueue(waiting: Waiting, signal?: AbortSignal): void {
     const waitMs = this.waitBehind(this.queue.countAhead(waiting));
     const slackMs = waiting.deadlineAt - Date.now() - this.serviceMs;
-    if (waitMs > slackMs) {
-      waiting.settle(fail(this.deadlineRefusal(waitMs)));
+    waiting.predictedMs = waitMs;
+    if (waitMs * this.bias > slackMs) {
+      waiting.settle(fail(this.deadlineRefusal(waiting, waitMs)));
       return;
     }
     if (this.queue.size >= this.settings().maxQueued) {
       const isLast = this.queue.countAhead(waiting) >= this.queue.size;
       const displaced = isLast ? waiting : this.queue.last()!;
-      this.refuse(displaced, this.overloadRefusal());
+      this.refuse(displaced, this.overloadRefusal(displaced));
       if (isLast) {
         return;
       }
     }
     this.queue.push(waiting);
     waiting.timer = setTimeout(
-      () => this.refuse(waiting, this.deadlineRefusal(this.expectedWaitMs)),
+      () => this.expire(waiting),
       Math.max(slackMs, 0),
     );
     signal?.addEventListener('abort', () => this.leaveQueue(waiting), {
@@ -131,7 +154,13 @@
     waiting.settle(fail(refusal));
   }
 
-  private start(waitedMs: number): Ticket {
+  /** It will not make it: the prediction was too good. */
+  private expire(waiting: Waiting): void {
+    this.learnBias(waiting);
+    this.refuse(waiting, this.deadlineRefusal(waiting, this.expectedWaitMs));
+  }
+
+  private start(account: string, waitedMs: number): Ticket {
     this.running += 1;
     const startedAt = Date.now();
     let released = false;
@@ -141,7 +170,7 @@
       }
       released = true;
       this.running -= 1;
-      this.learn(Date.now() - startedAt);
+      this.learnService(account, Date.now() - startedAt);
       this.startNext();
     };
     return {waitedMs, release};
@@ -154,12 +183,39 @@
         return;
       }
       clearTimeout(waiting.timer);
-      waiting.settle(ok(this.start(Date.now() - waiting.queuedAt)));
+      this.learnBias(waiting);
+      const waitedMs = Date.now() - waiting.queuedAt;
+      waiting.settle(ok(this.start(waiting.account, waitedMs)));
     }
   }
 
-  private learn(serviceMs: number): void {
+  private learnService(account: string, serviceMs: number): void {
     this.serviceMs += EWMA_SHARE * (serviceMs - this.serviceMs);
+    const rate = this.rates.get(account) ?? new DecayingRate();
+    this.rates.set(account, rate);
+    rate.note(Date.now());
+  }
+
+  /** Others overtake who queues: how much so is learnt from what came. */
+  private learnBias(waiting: Waiting): void {
+    const waitedMs = Date.now() - waiting.queuedAt;
+    const predictedMs = Math.max(waiting.predictedMs, MIN_PREDICTED_MS);
+    const seen = Math.min(waitedMs / predictedMs, MAX_BIAS);
+    this.bias += EWMA_SHARE * (seen - this.bias);
+    this.bias = Math.max(this.bias, MIN_BIAS);
+  }
+
+  /** While an account's callers wait their turn, newcomers don't pass. */
+  private mustLineUp(applicant: Applicant, now: number): boolean {
+    const slackMs = applicant.deadlineAt - now - this.serviceMs;
+    return (
+      this.returns.hasLine(applicant.account, now) &&
+      this.waitBehind(this.queueAheadOf(applicant)) > slackMs * NEWCOMER_SHARE
+    );
+  }
+
+  private queueAheadOf(applicant: Applicant): number {
+    return this.queue.countAhead(applicant as Waiting);
   }
 
   private waitBehind(ahead: number): number {
@@ -170,32 +226,53 @@
     return ((ahead + 1) / capacity) * this.serviceMs;
   }
 
-  private deadlineRefusal(waitMs: number): refusals.Refusal {
+  private deadlineRefusal(
+    applicant: Applicant,
+    waitMs: number,
+  ): refusals.Refusal {
     return refusals.notRun(
       'deadline-unreachable',
       `the wait would be ${Math.ceil(waitMs)} ms`,
-      this.bookReturn(),
+      this.bookReturn(applicant),
     );
   }
 
-  private overloadRefusal(): refusals.Refusal {
+  private overloadRefusal(applicant: Applicant): refusals.Refusal {
     return refusals.notRun(
       'overloaded',
       `${this.queue.size} requests are queued`,
-      this.bookReturn(),
+      this.bookReturn(applicant),
     );
   }
 
-  /**
-   * Milliseconds after which to come back. Refused callers are told times
-   * one service time apart, so that they don't all return at once.
-   */
-  private bookReturn(): number {
+  /** Milliseconds after which to come back: the next place in the line. */
+  private bookReturn(applicant: Applicant): number {
     const now = Date.now();
-    const spacingMs = this.serviceMs / this.settings().capacity;
+    const {capacity} = this.settings();
+    const whole = capacity / this.serviceMs;
+    const own = this.rates.get(applicant.account)?.perMs(now) ?? 0;
+    const rate = Math.max(own, whole / Math.max(this.rates.size, 1));
     const soonest = now + this.expectedWaitMs;
-    const at = Math.max(soonest, this.nextReturnAt + spacingMs);
-    this.nextReturnAt = Math.min(at, now + MAX_RETRY_AFTER_MS);
-    return this.nextReturnAt - now;
+    const time = this.returns.book(applicant.account, now, soonest, 1 / rate);
+    return time - now;
+  }
+}
+
+/** Events a millisecond, decayed. */
+class DecayingRate {
+  private weight = 0;
+  private at = 0;
+
+  note(now: number): void {
+    this.weight = this.decayed(now) + 1;
+    this.at = now;
+  }
+
+  perMs(now: number): number {
+    return (this.decayed(now) * Math.LN2) / RATE_HALF_LIFE_MS;
+  }
+
+  private decayed(now: number): number {
+    return this.weight * 0.5 ** ((now - this.at) / RATE_HALF_LIFE_MS);
   }
 }
--- a/src/requests/entry-assistant.ts
+++ b/src/requests/entry-assistant.ts
@@ -1,6 +1,5 @@
 /** An entry's side of chat completions: route, stream, resume, reconnect. */
 import type * as http from 'node:http';
-import {pipeline} from 'node:stream/promises';
 import * as body from '../http/body';
 import * as httpClient from '../http/client';
 import * as prefixes from '../routing/prefixes';
@@ -201,15 +200,10 @@
     [refusals.REQUEST_HEADER]: caller.id,
     [refusals.OUTCOME_HEADER]: 'ran',
   });
-  try {
-    await pipeline(sent, caller.res);
-    caller.entry.outcome = 'done';
-    const wholeMs = Date.now() - caller.startedAt;
-    context.metrics.time('whole', caller.account.id, 'assistant', wholeMs);
-  } catch {
-    caller.entry.outcome = 'cut';
-    caller.res.destroy();
-  }
+  const isWhole = await body.passBody(sent, caller.res);
+  caller.entry.outcome = isWhole ? 'done' : 'cut';
+  const wholeMs = Date.now() - caller.startedAt;
+  context.metrics.time('whole', caller.account.id, 'assistant', wholeMs);
 }
 
 /** Times first tokens and the gaps between tokens. */
--- a/src/requests/entry-context.ts
+++ b/src/requests/entry-context.ts
@@ -60,6 +60,7 @@
   caller: CallerRequest,
 ): http.OutgoingHttpHeaders {
   const type = body.headerOf(caller.req, 'content-type');
+  const returnTo = body.headerOf(caller.req, headers.RETURN_HEADER);
   return {
     [refusals.REQUEST_HEADER]: caller.id,
     [headers.ACCOUNT_HEADER]: caller.account.id,
@@ -67,6 +68,7 @@
     [rpcTypes.STAMP_HEADER]: context.follower.stampExchange.mine(),
     [rpcTypes.PEER_HEADER]: context.address(),
     ...(type === undefined ? {} : {'content-type': type}),
+    ...(returnTo === undefined ? {} : {[headers.RETURN_HEADER]: returnTo}),
   };
 }
 
@@ -103,7 +105,9 @@
     retryAfterMs?: unknown;
   };
   const outcome = body.headerOf(res, refusals.OUTCOME_HEADER);
+  const returnTo = body.headerOf(res, headers.RETURN_HEADER);
   return {
+    returnTo,
     kind: kind as refusals.RefusalKind,
     outcome: outcome === 'not-run' || outcome === 'ran' ? outcome : 'unknown',
     detail: typeof document.detail === 'string' ? document.detail : '',
--- a/src/requests/entry-face.ts
+++ b/src/requests/entry-face.ts
@@ -91,7 +91,11 @@
       return;
     }
     const abort = new AbortController();
-    res.once('close', () => abort.abort());
+    res.once('close', () => {
+      if (!res.writableFinished) {
+        abort.abort();
+      }
+    });
     const now = Date.now();
     const caller: entry.CallerRequest = {
       req,
--- a/src/requests/entry-forward.ts
+++ b/src/requests/entry-forward.ts
@@ -3,11 +3,13 @@
  * the budget and the deadline allow it.
  */
 import type * as http from 'node:http';
+import * as body from '../http/body';
 import * as httpClient from '../http/client';
 import {Result, fail, ok} from '../result';
 import type {Candidate, RoutedRequest} from '../routing/types';
 import type {Target} from '../targets/directory';
 import * as entry from './entry-context';
+import * as headers from './headers';
 import * as refusals from './refusals';
 
 /** What is sent to whichever target is chosen. */
@@ -30,6 +32,8 @@
 
 const MAX_TRIES = 4;
 const MAX_EJECTED_SHARE = 0.34;
+/** Between halls, one way. */
+const ONE_WAY_MS = 2;
 const NO_TARGET_RETRY_MS = 1_000;
 /** Refusals after which another target may still take the request. */
 const TRY_ELSEWHERE: ReadonlySet<refusals.RefusalKind> = new Set([
@@ -106,6 +110,11 @@
   const open = call.eligible().filter(target => !tried.has(target.id));
   const probe = open.find(t => t.health.stateAt(now) === 'probing');
   const healthy = open.filter(t => t.health.stateAt(now) === 'healthy');
+  const kept = open.find(target => target.id === returnTo(caller));
+  if (kept !== undefined) {
+    note(caller, kept.id, []);
+    return kept;
+  }
   if (probe !== undefined && tried.size === 0) {
     probe.health.noteProbe();
     note(caller, probe.id, []);
@@ -122,6 +131,11 @@
   return usable.find(target => target.id === decision.chosen);
 }
 
+/** The target that keeps a place for a caller that comes back. */
+function returnTo(caller: entry.CallerRequest): string | undefined {
+  return body.headerOf(caller.req, headers.RETURN_HEADER);
+}
+
 function note(
   caller: entry.CallerRequest,
   target: string,
@@ -144,14 +158,16 @@
   now: number,
 ): Candidate {
   const {prefix} = call.routed;
+  // The report was made about one way before it arrived.
+  const unseen = target.sent.since(target.loadAt - ONE_WAY_MS);
   return {
     id: target.id,
     group: target.serves.kind === 'model' ? target.serves.group : '',
     hall: target.hall,
     load: target.load,
     loadAgeMs: now - target.loadAt,
-    sentSince: target.sentSince,
-    sentTokens: target.sentTokens,
+    sentSince: unseen.requests,
+    sentTokens: unseen.tokens,
     inFlight: target.inFlight,
     cachedTokens:
       prefix === '' ? 0 : context.prefixes.tokensAt(prefix, target.id),
@@ -166,8 +182,9 @@
 ): Promise<Result<Forwarding, refusals.Refusal>> {
   const attempt = caller.entry.attempts[caller.entry.attempts.length - 1]!;
   target.inFlight += 1;
-  target.sentSince += 1;
-  target.sentTokens += call.routed.promptTokens;
+  const cached = context.prefixes.tokensAt(call.routed.prefix, target.id);
+  const tokens = Math.max(call.routed.promptTokens - cached, 0);
+  target.sent.note(Date.now(), tokens);
   const done = once(() => {
     target.inFlight -= 1;
   });
--- a/src/requests/entry-service.ts
+++ b/src/requests/entry-service.ts
@@ -1,10 +1,10 @@
 /** An entry's side of plain services: any target, or the key's owner. */
 import type * as http from 'node:http';
-import {pipeline} from 'node:stream/promises';
 import * as claims from '../claims/app';
 import * as keys from '../claims/keys';
 import type {Service} from '../configuration/types';
 import {isAddress} from '../http/address';
+import * as body from '../http/body';
 import * as httpClient from '../http/client';
 import * as random from '../random';
 import {Result, fail, ok} from '../result';
@@ -256,14 +256,12 @@
     [refusals.REQUEST_HEADER]: caller.id,
     [refusals.OUTCOME_HEADER]: 'ran',
   });
-  try {
-    await pipeline(sent, caller.res);
-    caller.entry.outcome = 'done';
-    context.metrics.count('answers_total', {kind: 'service', end: 'done'});
-  } catch {
-    caller.entry.outcome = 'cut';
-    caller.res.destroy();
-  }
+  const isWhole = await body.passBody(sent, caller.res);
+  caller.entry.outcome = isWhole ? 'done' : 'cut';
+  context.metrics.count('answers_total', {
+    kind: 'service',
+    end: caller.entry.outcome,
+  });
   const wholeMs = Date.now() - caller.startedAt;
   context.metrics.time('whole', caller.account.id, 'service', wholeMs);
 }
--- a/src/requests/headers.ts
+++ b/src/requests/headers.ts
@@ -11,6 +11,11 @@
 export const PRIORITY_HEADER = 'ferrycleat-priority';
 /** The caller's key of a call that may not be repeated. */
 export const KEY_HEADER = 'idempotency-key';
+/**
+ * In a refusal: the target that keeps a place for the caller. A caller that
+ * comes back sends it along.
+ */
+export const RETURN_HEADER = 'ferrycleat-return';
 /** Set on an answer that was kept from an earlier call with the key. */
 export const REPLAYED_HEADER = 'ferrycleat-replayed';
 
--- a/src/requests/refusals.ts
+++ b/src/requests/refusals.ts
@@ -1,6 +1,7 @@
 /** Every refusal a caller can get: its type, status and outcome. */
 import type * as http from 'node:http';
 import * as body from '../http/body';
+import {RETURN_HEADER} from './headers';
 
 /** What is known about whether the request (or its key) has run. */
 export type Outcome = 'not-run' | 'ran' | 'unknown';
@@ -11,6 +12,8 @@
   readonly outcome: Outcome;
   readonly detail: string;
   readonly retryAfterMs?: number;
+  /** The target that keeps a place for the caller's return. */
+  readonly returnTo?: string;
 }
 
 interface RefusalEntry {
@@ -117,6 +120,9 @@
     const seconds = Math.ceil(refusal.retryAfterMs / SECOND_MS);
     headers['retry-after'] = String(Math.max(seconds, 1));
   }
+  if (refusal.returnTo !== undefined) {
+    headers[RETURN_HEADER] = refusal.returnTo;
+  }
   body.sendJson(
     res,
     REFUSALS[refusal.kind].status,
--- a/src/requests/sidecar-assistant.ts
+++ b/src/requests/sidecar-assistant.ts
@@ -1,6 +1,5 @@
 /** A sidecar's side of chat completions: admission, stream, resume, cancel. */
 import type * as http from 'node:http';
-import {pipeline} from 'node:stream/promises';
 import * as body from '../http/body';
 import * as httpClient from '../http/client';
 import {Result, fail, ok} from '../result';
@@ -134,6 +133,7 @@
         priority: incoming.priority,
         cost: 1 + prefixes.estimateTokens(chat.prompt) / 1_000,
         deadlineAt: incoming.deadlineAt,
+        isReturning: incoming.isReturning,
       },
       signal,
     );
@@ -318,14 +318,8 @@
       ...contentHeaders(sent),
       ...this.ownHeaders(incoming),
     });
-    try {
-      await pipeline(sent, res);
-    } catch {
-      // Cut on either side: the entry sees a body that does not end.
-      res.destroy();
-    } finally {
-      ticket.release();
-    }
+    await body.passBody(sent, res);
+    ticket.release();
   }
 
   private writeStreamHead(incoming: Incoming): void {
@@ -351,7 +345,8 @@
       incoming.res.setHeader(targets.LOAD_HEADER, load);
     }
     this.context.metrics.refused(incoming.account, refusal.kind);
-    refusals.sendRefusal(incoming.res, refusal, incoming.id);
+    const returnTo = keepsPlace(refusal) ? this.context.targetId : undefined;
+    refusals.sendRefusal(incoming.res, {...refusal, returnTo}, incoming.id);
   }
 
   private newSession(
@@ -391,6 +386,13 @@
   }
 }
 
+/** Whether the admission keeps a place for the caller's return. */
+export function keepsPlace(refusal: refusals.Refusal): boolean {
+  return (
+    refusal.kind === 'overloaded' || refusal.kind === 'deadline-unreachable'
+  );
+}
+
 /** The refusal of new work by a target that leaves. */
 export function leavingRefusal(): refusals.Refusal {
   return refusals.notRun('leaving', 'the target is leaving', LEAVING_RETRY_MS);
--- a/src/requests/sidecar-context.ts
+++ b/src/requests/sidecar-context.ts
@@ -31,6 +31,8 @@
   readonly priority: number;
   /** Unix milliseconds. */
   readonly deadlineAt: number;
+  /** True: the caller comes back as this target told it to. */
+  readonly isReturning: boolean;
 }
 
 /** Milliseconds left until the deadline. */
--- a/src/requests/sidecar-service.ts
+++ b/src/requests/sidecar-service.ts
@@ -1,6 +1,5 @@
 /** A sidecar's side of plain services: pass through, or at most once. */
 import type * as http from 'node:http';
-import {pipeline} from 'node:stream/promises';
 import type {Service} from '../configuration/types';
 import * as body from '../http/body';
 import * as httpClient from '../http/client';
@@ -12,7 +11,12 @@
 import type {Ticket} from './admission';
 import * as headers from './headers';
 import * as refusals from './refusals';
-import {contentHeaders, leavingRefusal, refuseBody} from './sidecar-assistant';
+import {
+  contentHeaders,
+  keepsPlace,
+  leavingRefusal,
+  refuseBody,
+} from './sidecar-assistant';
 import {
   Incoming,
   SidecarContext,
@@ -85,13 +89,8 @@
       ...contentHeaders(sent.value),
       ...this.ownHeaders(incoming),
     });
-    try {
-      await pipeline(sent.value, incoming.res);
-    } catch {
-      incoming.res.destroy();
-    } finally {
-      ticket.value.release();
-    }
+    await body.passBody(sent.value, incoming.res);
+    ticket.value.release();
   }
 
   /**
@@ -166,9 +165,9 @@
     incoming: Incoming,
     signal?: AbortSignal,
   ): Promise<Result<Ticket, refusals.Refusal>> {
-    const {account, weight, priority, deadlineAt} = incoming;
+    const {account, weight, priority, deadlineAt, isReturning} = incoming;
     return this.context.admission.enter(
-      {account, weight, priority, cost: 1, deadlineAt},
+      {account, weight, priority, cost: 1, deadlineAt, isReturning},
       signal,
     );
   }
@@ -272,7 +271,8 @@
       incoming.res.setHeader(targets.LOAD_HEADER, load);
     }
     this.context.metrics.refused(incoming.account, refusal.kind);
-    refusals.sendRefusal(incoming.res, refusal, incoming.id);
+    const returnTo = keepsPlace(refusal) ? this.context.targetId : undefined;
+    refusals.sendRefusal(incoming.res, {...refusal, returnTo}, incoming.id);
   }
 }
 
--- a/src/roles/sidecar.ts
+++ b/src/roles/sidecar.ts
@@ -440,6 +440,7 @@
       account,
       weight: rendered?.parameters.weight ?? 1,
       priority: this.priorityOf(account),
+      isReturning: body.headerOf(req, headers.RETURN_HEADER) === this.cfg.id,
       deadlineAt: Date.now() + timeoutMs,
     };
   }
--- a/src/targets/directory.ts
+++ b/src/targets/directory.ts
@@ -6,6 +6,7 @@
 import type {Instance} from '../platform/types';
 import * as rendezvous from '../routing/rendezvous';
 import {Health} from './health';
+import {SentLog} from './sent-log';
 import * as types from './types';
 
 /** One target of the subset. */
@@ -19,10 +20,8 @@
   load: types.Load;
   /** Unix milliseconds of the load's report. */
   loadAt: number;
-  /** Requests this entry sent since that report. */
-  sentSince: number;
-  /** Prompt tokens of these. */
-  sentTokens: number;
+  /** What this entry sent lately. */
+  readonly sent: SentLog;
   /** Requests of this entry that are at the target now. */
   inFlight: number;
 }
@@ -104,8 +103,7 @@
       state: report.state,
       load: report.load,
       loadAt: now,
-      sentSince: 0,
-      sentTokens: 0,
+      sent: target?.sent ?? new SentLog(),
       inFlight: target?.inFlight ?? 0,
     });
     if (report.state === 'live') {
@@ -117,8 +115,6 @@
   applyLoad(target: Target, load: types.Load, now: number): void {
     target.load = load;
     target.loadAt = now;
-    target.sentSince = 0;
-    target.sentTokens = 0;
   }
 
   /** No new work for this target from now on. */
