--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -1,2 +1,351 @@
+/**
+ * Slopes for docs/CAPACITY.md: state by accounts and targets, size and
+ * processor time of each control message, and real idle sidecars by the
+ * dozen on one machine with the store calls they make.
+ */
+import * as http from 'node:http';
+import type {Socket} from 'node:net';
+import * as configurationApp from '../src/configuration/app';
+import * as parse from '../src/configuration/parse';
+import {Replica} from '../src/configuration/replica';
+import {accountKey, templateKey} from '../src/configuration/types';
+import * as groupsApp from '../src/groups/app';
+import type {MapChange} from '../src/groups/types';
+import {SILENT_LOG} from '../src/observability/log';
+import * as load from '../src/placement/load';
+import type {Instance, StoredObject} from '../src/platform/types';
+import {RpcClient} from '../src/rpc/client';
+import {RpcServer} from '../src/rpc/server';
+import type {Method} from '../src/rpc/types';
+import * as targetsApp from '../src/targets/app';
+import {TargetDirectory, chooseSubset} from '../src/targets/directory';
+import {IDLE_LOAD} from '../src/targets/types';
+import {DEMO_DOCUMENTS} from '../src/commands/demo';
+import * as hop from './hop';
 import type {Bench} from './main';
-export const bench: Bench = {name: 'capacity', text: '', run: async () => null};
+
+const ACCOUNT_COUNTS = [770, 7_700];
+const TARGET_COUNTS = [100, 1_000, 3_200];
+const SUBSET = 24;
+const MESSAGES = 400;
+const HALLS = 6;
+const PROCESS_COUNTS = [10, 40, 100];
+const SETTLE_MS = 12_000;
+const WATCH_MS = 20_000;
+const KILOBYTE = 1_024;
+const MEGABYTE = KILOBYTE * KILOBYTE;
+
+function heap(): number {
+  global.gc?.();
+  return process.memoryUsage().heapUsed;
+}
+
+function accountObjects(count: number): StoredObject[] {
+  const parsed = parse.parseFile(DEMO_DOCUMENTS);
+  const documents = parsed.ok ? parsed.value : [];
+  const change = (document: unknown) => ({
+    changeId: '01890a5d-ac96-774b-bcce-b302099a8057',
+    author: 'bench',
+    at: '2026-12-02T00:00:00.000Z',
+    document,
+    former: [],
+  });
+  const objects: StoredObject[] = [
+    {key: templateKey('demo'), version: 1, value: change(documents[0])},
+  ];
+  for (let at = 0; at < count; at += 1) {
+    const id = `account-${at}`;
+    const digest = at.toString(16).padStart(64, '0');
+    const document = {
+      ...{kind: 'account', id, template: 'demo'},
+      ...{keyDigests: [digest], parameters: {weight: 2, burst: 50}},
+    };
+    objects.push({
+      key: accountKey(id),
+      version: at + 2,
+      value: change(document),
+    });
+  }
+  return objects;
+}
+
+function measureAccounts(count: number) {
+  const objects = accountObjects(count);
+  const bytes = JSON.stringify(objects).length;
+  const copy = JSON.parse(JSON.stringify(objects)) as StoredObject[];
+  objects.length = 0;
+  const before = heap();
+  const replica = new Replica();
+  const begunAt = performance.now();
+  replica.mergeListing({revision: count + 2, items: copy});
+  const fillMs = performance.now() - begunAt;
+  const held = heap() - before;
+  const oneMs = measureOneChange(replica, count);
+  return {
+    accounts: replica.accountCount,
+    bytesPerAccountOnTheWire: bytes / count,
+    heapBytesPerAccountBesideTheObject: held / count,
+    objectHeapBytesPerAccount: objectHeap(count),
+    fillMs,
+    oneChangeMs: oneMs,
+  };
+}
+
+function objectHeap(count: number): number {
+  const before = heap();
+  const text = JSON.stringify(accountObjects(count));
+  const held = JSON.parse(text) as StoredObject[];
+  const bytes = heap() - before - text.length;
+  return held.length > 0 ? bytes / count : 0;
+}
+
+/** Processor time of one accepted change in a full copy. */
+function measureOneChange(replica: Replica, count: number): number {
+  const CHANGES = 200;
+  const [, sample] = accountObjects(1);
+  const begunAt = performance.now();
+  for (let at = 0; at < CHANGES; at += 1) {
+    replica.mergeListing({
+      revision: count + 3 + at,
+      items: [{...sample!, version: count + 3 + at}],
+    });
+  }
+  return (performance.now() - begunAt) / CHANGES;
+}
+
+function instances(count: number): Instance[] {
+  return Array.from({length: count}, (_, at) => ({
+    id: `target-${at}`,
+    hall: `hall-${at % HALLS}`,
+    role: 'sidecar' as const,
+    address: `10.0.${at >> 8}.${at & 255}:7000`,
+    state: 'live' as const,
+    serves: at % 10 === 0 ? 'service/ledger' : `model/assistant-${at % 5}`,
+    group: `group-${at >> 6}`,
+    rank: at & 63,
+  }));
+}
+
+function measureTargets(count: number) {
+  const list = instances(count);
+  const listBytes = JSON.stringify(list).length;
+  const before = heap();
+  const directory = new TargetDirectory('entry-0', () => SUBSET);
+  const members = directory.applyInstances(list);
+  for (const member of members) {
+    directory.applyReport(
+      {
+        ...{id: member.id, hall: member.hall, address: member.address},
+        serves: {kind: 'service', name: 'ledger'},
+        state: 'live',
+        load: IDLE_LOAD,
+      },
+      1,
+    );
+  }
+  const held = heap() - before;
+  const begunAt = performance.now();
+  chooseSubset('entry-1', list, SUBSET);
+  const chooseMs = performance.now() - begunAt;
+  return {
+    targets: count,
+    members: members.length,
+    heapBytesPerMember: held / members.length,
+    listBytesPerTarget: listBytes / count,
+    chooseSubsetMs: chooseMs,
+  };
+}
+
+/** Bytes and processor time of a control message, both sides together. */
+async function measureMessage<P, R>(
+  method: Method<P, R>,
+  params: P,
+  result: R,
+) {
+  let bytes = 0;
+  const rpcServer = new RpcServer(SILENT_LOG);
+  rpcServer.handle(method, () => result);
+  const server = http.createServer((req, res) => {
+    void rpcServer.answer(req, res);
+  });
+  const sockets = new Set<Socket>();
+  server.on('connection', socket => {
+    sockets.add(socket);
+    socket.once('close', () => {
+      bytes += socket.bytesRead + socket.bytesWritten;
+    });
+  });
+  await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
+  const {port} = server.address() as {port: number};
+  const client = new RpcClient();
+  const before = process.cpuUsage();
+  for (let sent = 0; sent < MESSAGES; sent += 1) {
+    await client.call(`127.0.0.1:${port}`, method, params);
+  }
+  const used = process.cpuUsage(before);
+  client.close();
+  server.closeAllConnections();
+  await new Promise(done => server.close(done));
+  await new Promise(done => setTimeout(done, 50));
+  const cpuMs = (used.user + used.system) / 1_000 / MESSAGES;
+  return {
+    method: method.name,
+    bytesBothWays: bytes / MESSAGES,
+    cpuMsBothSides: cpuMs,
+  };
+}
+
+async function measureMessages() {
+  const report = {
+    ...{id: 'target-1000', hall: 'hall-1', address: '10.0.0.1:7000'},
+    serves: {kind: 'service' as const, name: 'ledger'},
+    state: 'live' as const,
+    load: IDLE_LOAD,
+  };
+  const change: MapChange = {
+    ...{id: '01890a5d-ac96-774b-bcce-b302099a8057', generation: 1, from: 1},
+    step: 1,
+    map: {version: 2, layers: load.firstLayers(8, 128, 64)},
+  };
+  const answer = {
+    refusal: null,
+    answer: {
+      ...{rank: 1, incarnation: change.id, generation: 1, step: 1, stepMs: 5},
+      ...{version: 1, fence: {lease: 1, ballot: 0, rank: 0}},
+      state: 'armed' as const,
+    },
+  };
+  const fence = {lease: 1, ballot: 0, rank: 0};
+  const counts = Array.from({length: 8}, () =>
+    new Array<number>(128).fill(123_456),
+  );
+  return [
+    await measureMessage(targetsApp.report, {}, report),
+    await measureMessage(configurationApp.hello, {}, {}),
+    await measureMessage(
+      configurationApp.wait,
+      {stamp: '1.1.0', instancesDigest: 'x'.repeat(43), waitMs: 0},
+      {
+        delta: {complete: 1, items: []},
+        instances: null,
+        instancesDigest: 'x'.repeat(43),
+      },
+    ),
+    await measureMessage(
+      configurationApp.since,
+      {version: 1},
+      {complete: 2, items: accountObjects(1).slice(1)},
+    ),
+    await measureMessage(
+      groupsApp.arm,
+      {change, fence, incarnation: ''},
+      answer,
+    ),
+    await measureMessage(groupsApp.counts, {}, {counts, rankMs: 1, stepMs: 1}),
+  ];
+}
+
+/** Real idle sidecars, and the store calls a second that they make. */
+async function measureProcesses(count: number, first: number) {
+  const platform = `127.0.0.1:${first}`;
+  const target = `127.0.0.1:${first + 1}`;
+  const fleet = new hop.BenchFleet();
+  try {
+    fleet.start('platform', ['standin', 'platform', '--listen', platform]);
+    fleet.start('target', ['standin', 'service', '--listen', target]);
+    await hop.until(
+      async () => (await hop.post(platform, '/standin/faults', {})) === 200,
+    );
+    for (let at = 0; at < count; at += 1) {
+      await place(fleet, platform, target, at, first + 2 + at);
+    }
+    await new Promise(done => setTimeout(done, SETTLE_MS));
+    const callsBefore = await readCalls(platform);
+    const names = [...fleet.children.keys()].filter(n => n.startsWith('side'));
+    const ticksBefore = names.map(name => fleet.usage(name).ticks);
+    await new Promise(done => setTimeout(done, WATCH_MS));
+    const calls = await readCalls(platform);
+    const uses = names.map(name => fleet.usage(name));
+    const seconds = WATCH_MS / 1_000;
+    const ticks = uses.map((use, at) => use.ticks - ticksBefore[at]!);
+    const perSecond = (a: number, b: number) => (b - a) / seconds;
+    const mean = (values: readonly number[]) =>
+      values.reduce((sum, value) => sum + value, 0) / values.length;
+    return {
+      processes: count,
+      halls: Math.min(HALLS, count),
+      rssMb: (mean(uses.map(use => use.rssKb)) * KILOBYTE) / MEGABYTE,
+      maxRssMb: (Math.max(...uses.map(u => u.rssKb)) * KILOBYTE) / MEGABYTE,
+      coreShare: mean(ticks) / 100 / seconds,
+      maxCoreShare: Math.max(...ticks) / 100 / seconds,
+      storeReadsPerSecond: perSecond(callsBefore.reads, calls.reads),
+      storeWatchesPerSecond: perSecond(callsBefore.watches, calls.watches),
+      storeWritesPerSecond: perSecond(callsBefore.writes, calls.writes),
+    };
+  } finally {
+    await fleet.close();
+  }
+}
+
+async function place(
+  fleet: hop.BenchFleet,
+  platform: string,
+  target: string,
+  at: number,
+  port: number,
+): Promise<void> {
+  const id = `side-${at}`;
+  const hall = `hall-${at % HALLS}`;
+  const address = `127.0.0.1:${port}`;
+  const serves = 'model/assistant';
+  fleet.start(id, [
+    ...['sidecar', '--id', id, '--hall', hall, '--listen', address],
+    ...['--platform', platform, '--target', target, '--serves', serves],
+  ]);
+  await hop.post(platform, '/standin/instances', {
+    ...{id, hall, address, serves, role: 'sidecar', state: 'live'},
+  });
+}
+
+function readCalls(
+  platform: string,
+): Promise<{reads: number; writes: number; watches: number}> {
+  return new Promise((resolve, reject) => {
+    http
+      .get(`http://${platform}/standin/calls`, res => {
+        let text = '';
+        res.on('data', (chunk: Buffer) => {
+          text += chunk.toString();
+        });
+        res.on('end', () =>
+          resolve(
+            JSON.parse(text) as {
+              reads: number;
+              writes: number;
+              watches: number;
+            },
+          ),
+        );
+      })
+      .on('error', reject);
+  });
+}
+
+async function run(): Promise<unknown> {
+  const accounts = ACCOUNT_COUNTS.map(measureAccounts);
+  const targets = TARGET_COUNTS.map(measureTargets);
+  const messages = await measureMessages();
+  const processes = [];
+  let first = 23_000;
+  for (const count of PROCESS_COUNTS) {
+    processes.push(await measureProcesses(count, first));
+    first += count + 10;
+  }
+  return {accounts, targets, messages, processes};
+}
+
+export const bench: Bench = {
+  name: 'capacity',
+  text: 'slopes for the capacity page',
+  run,
+};
--- a/src/configuration/parse.ts
+++ b/src/configuration/parse.ts
@@ -5,6 +5,8 @@
 import * as render from './render';
 import * as types from './types';
 
+const MAX_ALIASES = 100;
+
 /** Where and why a file is refused. Line and column start at 1. */
 export interface FileError {
   readonly kind: 'bad-file';
@@ -26,7 +28,12 @@
       errors.push(...source.errors.map(err => syntaxError(err, lines)));
       continue;
     }
-    const result = v.safeParse(types.documentSchema, source.toJS());
+    const value = toValue(source);
+    if (!value.ok) {
+      errors.push(value.error);
+      continue;
+    }
+    const result = v.safeParse(types.documentSchema, value.value);
     if (result.success) {
       documents.push(result.output);
     } else {
@@ -70,6 +77,16 @@
   return yaml.stringify(document);
 }
 
+/** Aliases are resolved only here, and may lead nowhere or explode. */
+function toValue(source: yaml.Document): Result<unknown, FileError> {
+  try {
+    return ok(source.toJS({maxAliasCount: MAX_ALIASES}));
+  } catch (err) {
+    const detail = (err as Error).message;
+    return fail({kind: 'bad-file', line: 1, column: 1, path: '', detail});
+  }
+}
+
 function syntaxError(
   err: yaml.YAMLParseError,
   lines: yaml.LineCounter,
