--- a/bench/main.ts
+++ b/bench/main.ts
@@ -16,7 +16,6 @@
   placement: async () => (await import('./placement')).bench,
   routing: async () => (await import('./routing')).bench,
   overload: async () => (await import('./overload')).bench,
-  retries: async () => (await import('./retries')).bench,
   membership: async () => (await import('./membership')).bench,
   hop: async () => (await import('./hop')).bench,
   recovery: async () => (await import('./recovery')).bench,
--- a/bench/retries.ts
+++ /dev/null
@@ -1,2 +0,0 @@
-import type {Bench} from './main';
-export const bench: Bench = {name: 'retries', text: '', run: async () => null};
--- a/features/support/process.ts
+++ b/features/support/process.ts
@@ -2,8 +2,8 @@
 import * as childProcess from 'node:child_process';
 import * as path from 'node:path';
 
-const BUNDLE = path.join(__dirname, '..', '..', 'dist', 'ferrycleat.js');
-const BINARY = path.join(__dirname, '..', '..', 'dist', 'ferrycleat');
+const BUNDLE = path.join(process.cwd(), 'dist', 'ferrycleat.js');
+const BINARY = path.join(process.cwd(), 'dist', 'ferrycleat');
 const KILL_PATIENCE_MS = 5_000;
 
 /** A logged event. */
--- a/src/configuration/follower.ts
+++ b/src/configuration/follower.ts
@@ -61,6 +61,8 @@
   private readonly closing = new AbortController();
   private readonly closed = new Subject<void>();
   private readonly fetching = new Map<string, Promise<void>>();
+  /** True while this process asks the store for the list of instances. */
+  private isListing = false;
   private listTimer: NodeJS.Timeout | undefined;
   private gossipTimer: NodeJS.Timeout | undefined;
   private started: Promise<void> | undefined;
@@ -293,8 +295,8 @@
   }
 
   private async waitAtWatcher(address: string): Promise<boolean> {
+    this.isListing = false;
     clearTimeout(this.listTimer);
-    this.listTimer = undefined;
     const answer = await this.rpcClient().call(
       address,
       app.wait,
@@ -320,7 +322,10 @@
   private watchRevision: number | undefined;
 
   private async watchStore(): Promise<boolean> {
-    this.listTimer ??= setTimeout(() => void this.pollInstances(), 0);
+    if (!this.isListing) {
+      this.isListing = true;
+      this.listTimer = setTimeout(() => void this.pollInstances(), 0);
+    }
     const before = replica.printStamp(this.replica.stamp);
     const answer =
       this.watchRevision === undefined
@@ -367,7 +372,8 @@
 
   private async pollInstances(): Promise<void> {
     const answer = await this.store.instances();
-    if (this.closing.signal.aborted) {
+    // Another process may have become the watcher meanwhile.
+    if (this.closing.signal.aborted || !this.isListing) {
       return;
     }
     if (answer.ok) {
