Only the owner says not-run of a key, also while a process starts

An entry or sidecar that had restarted in a store outage refused with 'not-run', for want of configuration, without asking the key's owner; so did refusals before a call was parsed. Such refusals now say 'unknown' of a call with a key, and an entry goes on looking for an owner that is starting.

--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -31,7 +31,8 @@
 const MESSAGES = 1_500;
 const HALLS = 6;
 const PROCESS_COUNTS = [10, 40, 100];
-const SETTLE_MS = 12_000;
+/** Long enough for every first watch to end: only watchers go on. */
+const SETTLE_MS = 26_000;
 const WATCH_MS = 20_000;
 const KILOBYTE = 1_024;
 const MEGABYTE = KILOBYTE * KILOBYTE;
--- a/features/not-run.feature
+++ b/features/not-run.feature
@@ -38,3 +38,13 @@
     Given a ledger that takes 0 ms a run, one at a time, with room for 2
     When a top-up without a key is sent
     Then it is refused as "key-required" and nothing ran
+
+  Scenario Outline: A process that has no configuration yet knows nothing of keys
+    Given an account that may send 100 requests a second
+    When a top-up has run, and "<process>" restarts while the store is down
+    Then a copy of it through "<process>" is not told "not-run"
+
+    Examples:
+      | process  |
+      | entry-0  |
+      | ledger-0 |
--- a/features/not-run.steps.ts
+++ b/features/not-run.steps.ts
@@ -100,6 +100,28 @@
     await first;
   });
 
+  when(/^a top-up has run, and "(.*)" restarts while/, async (id: string) => {
+    const keys = await mintKeys(12);
+    sent = await Promise.all(keys.map(key => send(key, 'entry-1')));
+    await fleet.setFaults(fleet.platform, {outage: true});
+    await fleet.process(id).kill();
+    const before = fleet.process(id).count('FC4003');
+    fleet.process(id).start();
+    await fleets.eventually(
+      `${id} answers`,
+      () => fleet.process(id).count('FC4003') > before,
+    );
+  });
+
+  then(/^a copy of it through "(.*)" is not told "not-run"$/, async id => {
+    const entry = id.startsWith('entry') ? id : 'entry-1';
+    const copies = await Promise.all(
+      sent.map(one => send(one.key, entry, {'ferrycleat-timeout-ms': '3000'})),
+    );
+    const outcomes = copies.map(c => c.answer.headers['ferrycleat-outcome']);
+    expect(outcomes).not.toContain('not-run');
+  });
+
   when('a top-up without a key is sent', async () => {
     const answer = await testHttp.call(
       fleet.address('entry-0'),
--- a/features/support/fleet.ts
+++ b/features/support/fleet.ts
@@ -40,24 +40,26 @@
   readonly process: TestProcess;
 }
 
-/** Ports that were free a moment ago. */
+/**
+ * Ports below the system's range for outgoing connections, each given out
+ * once: a port that is let go of before its process listens could otherwise
+ * go to a second process, or to a connection.
+ */
+const FIRST_PORT = 11_000;
+const PORTS_PER_WORKER = 1_000;
+const WORKER = Number(process.env['JEST_WORKER_ID'] ?? 0) % 10;
+let nextPort = 0;
+
+/** Ports that nobody else gets. */
 export async function freePorts(count: number): Promise<number[]> {
-  const servers = await Promise.all(
-    Array.from(
-      {length: count},
-      () =>
-        new Promise<net.Server>(resolve => {
-          const server = net.createServer();
-          server.listen(0, HOST, () => resolve(server));
-        }),
-    ),
-  );
-  const ports = servers.map(
-    server => (server.address() as net.AddressInfo).port,
-  );
-  await Promise.all(
-    servers.map(server => new Promise(done => server.close(done))),
-  );
+  const ports: number[] = [];
+  while (ports.length < count) {
+    const port = FIRST_PORT + WORKER * PORTS_PER_WORKER + nextPort;
+    nextPort = (nextPort + 1) % PORTS_PER_WORKER;
+    if (!(await isTaken(port))) {
+      ports.push(port);
+    }
+  }
   return ports;
 }
 
@@ -282,12 +284,10 @@
   /** Neighbouring ports for the ranks of one engine process. */
   private async freeRange(count: number): Promise<number> {
     for (;;) {
-      const [first] = await freePorts(1);
-      const taken = await Promise.all(
-        Array.from({length: count}, (_, at) => isTaken(first! + at)),
-      );
-      if (!taken.includes(true)) {
-        return first!;
+      const ports = await freePorts(count);
+      const first = ports[0] ?? 0;
+      if (ports.every((port, at) => port === first + at)) {
+        return first;
       }
     }
   }
--- /dev/null
+++ b/features/together.steps.ts
@@ -0,0 +1,38 @@
+import * as path from 'node:path';
+import {StepDefinitions, autoBindSteps, loadFeature} from 'jest-cucumber';
+import * as random from '../src/random';
+import * as chaos from './support/chaos';
+import type {Fleet} from './support/fleet';
+
+const feature = loadFeature(path.join(__dirname, 'together.feature'));
+
+let fleet: Fleet;
+let report: chaos.ChaosReport;
+
+afterEach(async () => fleet.close());
+
+const steps: StepDefinitions = ({given, when, then}) => {
+  given(/^a fleet with two entries/, async () => {
+    fleet = await chaos.openChaosFleet();
+  });
+
+  when(
+    /^failures drawn from seed (\d+) hit it for (\d+)/,
+    async (seed: string, seconds: string) => {
+      random.seed(Number(seed));
+      report = await new chaos.Chaos(fleet).run(Number(seconds) * 1_000);
+    },
+  );
+
+  then('every promise held', () => {
+    expect(report.violations).toEqual([]);
+  });
+
+  then('most of the work was done', () => {
+    expect(report.streams).toBeGreaterThan(5);
+    expect(report.topUps).toBeGreaterThan(5);
+    expect(report.wholeStreams).toBeGreaterThan(report.streams / 3);
+  });
+};
+
+autoBindSteps([feature], [steps]);
--- a/jest.config.js
+++ b/jest.config.js
@@ -12,6 +12,7 @@
       },
     ],
   },
+  reporters: ['default', '<rootDir>/scripts/closing-line.js'],
   testTimeout: 60000,
   maxWorkers: 4,
 };
--- a/src/configuration/follower.ts
+++ b/src/configuration/follower.ts
@@ -61,8 +61,8 @@
   private readonly closing = new AbortController();
   private readonly closed = new Subject<void>();
   private readonly fetching = new Map<string, Promise<void>>();
-  /** True while this process asks the store for the list of instances. */
-  private isListing = false;
+  /** Odd while this process asks the store for the list of instances. */
+  private listRound = 0;
   private listTimer: NodeJS.Timeout | undefined;
   private gossipTimer: NodeJS.Timeout | undefined;
   private started: Promise<void> | undefined;
@@ -295,7 +295,7 @@
   }
 
   private async waitAtWatcher(address: string): Promise<boolean> {
-    this.isListing = false;
+    this.listRound += this.listRound % 2;
     clearTimeout(this.listTimer);
     const answer = await this.rpcClient().call(
       address,
@@ -322,9 +322,9 @@
   private watchRevision: number | undefined;
 
   private async watchStore(): Promise<boolean> {
-    if (!this.isListing) {
-      this.isListing = true;
-      this.listTimer = setTimeout(() => void this.pollInstances(), 0);
+    if (this.listRound % 2 === 0) {
+      this.listRound += 1;
+      void this.pollInstances(this.listRound);
     }
     const before = replica.printStamp(this.replica.stamp);
     const answer =
@@ -370,17 +370,18 @@
     }
   }
 
-  private async pollInstances(): Promise<void> {
+  private async pollInstances(round: number): Promise<void> {
     const answer = await this.store.instances();
-    // Another process may have become the watcher meanwhile.
-    if (this.closing.signal.aborted || !this.isListing) {
+    // Another process may have become the watcher meanwhile, or this one
+    // may have begun another round.
+    if (this.closing.signal.aborted || round !== this.listRound) {
       return;
     }
     if (answer.ok) {
       this.setInstances(answer.value);
     }
     const waitMs = random.jitter(LIST_PERIOD_MS);
-    this.listTimer = setTimeout(() => void this.pollInstances(), waitMs);
+    this.listTimer = setTimeout(() => void this.pollInstances(round), waitMs);
   }
 
   private setInstances(instances: readonly Instance[]): void {
--- a/src/requests/entry-assistant.ts
+++ b/src/requests/entry-assistant.ts
@@ -10,7 +10,7 @@
 import * as eventStream from './event-stream';
 import * as refusals from './refusals';
 import {SequenceGate} from './sequence';
-import {contentHeaders, isEventStream} from './sidecar-assistant';
+import * as answers from './answers';
 
 const RESUME_PATIENCE_MS = 4_000;
 const RESUME_PAUSE_MS = 150;
@@ -44,7 +44,7 @@
   const {target, res, done} = sent.value;
   context.prefixes.noteSent(prefix, target.id, promptTokens);
   try {
-    await (isEventStream(res)
+    await (answers.isEventStream(res)
       ? pump(context, caller, target, res, 0)
       : passThrough(context, caller, res));
   } finally {
@@ -176,7 +176,7 @@
       timeoutMs: giveUpAt - Date.now(),
       signal: caller.signal,
     });
-    if (sent.ok && isEventStream(sent.value)) {
+    if (sent.ok && answers.isEventStream(sent.value)) {
       const request = caller.id;
       context.log.event('streamResumed', {request, target: target.id, after});
       return sent.value;
@@ -196,7 +196,7 @@
   sent: http.IncomingMessage,
 ): Promise<void> {
   caller.res.writeHead(sent.statusCode ?? 502, {
-    ...contentHeaders(sent),
+    ...answers.contentHeaders(sent),
     [refusals.REQUEST_HEADER]: caller.id,
     [refusals.OUTCOME_HEADER]: 'ran',
   });
--- a/src/requests/entry-face.ts
+++ b/src/requests/entry-face.ts
@@ -12,7 +12,7 @@
 import * as headers from './headers';
 import {AccountLimits} from './limits';
 import * as refusals from './refusals';
-import {refuseBody} from './sidecar-assistant';
+import * as answers from './answers';
 
 const KEYS_PATH = '/v1/request-keys';
 const MAX_KEYS = 100;
@@ -65,12 +65,12 @@
     });
     const account = this.authenticate(req);
     if (!account.ok) {
-      this.refuseEarly(res, id, account.error);
+      this.refuseEarly(req, res, id, account.error);
       return;
     }
     const parsed = await this.parse(req, account.value);
     if (!parsed.ok) {
-      this.refuseEarly(res, id, parsed.error);
+      this.refuseEarly(req, res, id, parsed.error);
       return;
     }
     await this.runLimited(req, res, id, account.value, parsed.value);
@@ -87,7 +87,7 @@
     const timeoutMs = headers.readTimeout(timeoutText, parsed.timeoutMs);
     if (timeoutMs === undefined) {
       const detail = `${headers.TIMEOUT_HEADER}: milliseconds`;
-      this.refuseEarly(res, id, refusals.notRun('bad-request', detail));
+      this.refuseEarly(req, res, id, refusals.notRun('bad-request', detail));
       return;
     }
     const abort = new AbortController();
@@ -169,7 +169,7 @@
     }
     const read = await body.readBody(req, headers.MAX_REQUEST_BYTES);
     if (!read.ok) {
-      return fail(refuseBody(read.error));
+      return fail(answers.refuseBody(read.error));
     }
     const chat = assistant.readChat(read.value);
     if (!chat.ok) {
@@ -197,7 +197,7 @@
     const limit = 4_096;
     const read = await body.readJson(req, limit);
     if (!read.ok) {
-      return fail(refuseBody(read.error));
+      return fail(answers.refuseBody(read.error));
     }
     const parsed = v.safeParse(keysRequestSchema, read.value);
     if (!parsed.success) {
@@ -256,7 +256,7 @@
     }
     const read = await body.readBody(req, headers.MAX_REQUEST_BYTES);
     if (!read.ok) {
-      return fail(refuseBody(read.error));
+      return fail(answers.refuseBody(read.error));
     }
     const call: entryService.ServiceCall = {
       service,
@@ -287,6 +287,7 @@
   }
 
   private refuseEarly(
+    req: http.IncomingMessage,
     res: http.ServerResponse,
     id: string,
     refusal: refusals.Refusal,
@@ -295,6 +296,6 @@
     this.context.metrics.refused('', refusal.kind);
     // The rest of a body that is not wanted is not read either.
     res.setHeader('connection', 'close');
-    refusals.sendRefusal(res, refusal, id);
+    refusals.sendRefusal(res, refusals.withoutOwner(req, refusal), id);
   }
 }
--- a/src/requests/entry-forward.ts
+++ b/src/requests/entry-forward.ts
@@ -31,7 +31,6 @@
 }
 
 const MAX_TRIES = 4;
-const MAX_EJECTED_SHARE = 0.34;
 /** Between halls, one way. */
 const ONE_WAY_MS = 2;
 const NO_TARGET_RETRY_MS = 1_000;
@@ -200,14 +199,14 @@
   if (!sent.ok) {
     done();
     attempt.result = sent.error.kind;
-    return fail(onLost(context, target, sent.error));
+    return fail(onLost(context, caller, target, sent.error));
   }
   entry.learnFrom(context, target, target.address, sent.value);
   const refusal = await entry.readRefusal(sent.value);
   if (refusal !== undefined) {
     done();
     attempt.result = refusal.kind;
-    noteRefusal(context, target, refusal);
+    noteRefusal(context, caller, target, refusal);
     return fail(refusal);
   }
   attempt.result = `status ${sent.value.statusCode}`;
@@ -217,6 +216,7 @@
 
 function onLost(
   context: entry.EntryContext,
+  caller: entry.CallerRequest,
   target: Target,
   err: httpClient.CallError,
 ): refusals.Refusal {
@@ -224,17 +224,17 @@
     case 'cancelled':
       return refusals.unknownOutcome('target-failed', 'the caller went away');
     case 'timed-out':
-      noteFailure(context, target);
+      noteFailure(context, caller, target);
       return refusals.unknownOutcome(
         'deadline-exceeded',
         'the target did not answer in time',
         NO_TARGET_RETRY_MS,
       );
     case 'no-connection':
-      noteFailure(context, target);
+      noteFailure(context, caller, target);
       return refusals.notRun('target-failed', err.kind, NO_TARGET_RETRY_MS);
     case 'connection-lost':
-      noteFailure(context, target);
+      noteFailure(context, caller, target);
       return refusals.unknownOutcome(
         'target-failed',
         err.kind,
@@ -245,6 +245,7 @@
 
 function noteRefusal(
   context: entry.EntryContext,
+  caller: entry.CallerRequest,
   target: Target,
   refusal: refusals.Refusal,
 ): void {
@@ -252,17 +253,22 @@
     context.targets.markLeaving(target.id);
     context.log.event('targetLeaving', {target: target.id, by: 'refusal'});
   } else if (refusal.kind === 'target-failed') {
-    noteFailure(context, target);
+    noteFailure(context, caller, target);
   } else {
     noteSuccess(context, target);
   }
 }
 
-function noteFailure(context: entry.EntryContext, target: Target): void {
+function noteFailure(
+  context: entry.EntryContext,
+  caller: entry.CallerRequest,
+  target: Target,
+): void {
+  const {maxEjectedShare} = caller.account.template.routing;
   const now = Date.now();
   const peers = context.targets.all();
   const out = peers.filter(t => t.health.stateAt(now) !== 'healthy').length;
-  const allowed = (out + 1) / peers.length <= MAX_EJECTED_SHARE;
+  const allowed = (out + 1) / peers.length <= maxEjectedShare;
   if (target.health.noteFailure(now, allowed)) {
     context.log.event('targetEjected', {target: target.id});
     context.metrics.count('ejections_total');
--- a/src/requests/entry-service.ts
+++ b/src/requests/entry-service.ts
@@ -12,7 +12,7 @@
 import * as forwarding from './entry-forward';
 import * as headers from './headers';
 import * as refusals from './refusals';
-import {contentHeaders} from './sidecar-assistant';
+import * as answers from './answers';
 import {isRepeatable} from './sidecar-service';
 
 /** A call to a plain service, with its body read. */
@@ -196,7 +196,10 @@
 }
 
 function isTransient(kind: refusals.RefusalKind): boolean {
-  return kind === 'not-owner' || kind === 'owner-unreachable';
+  // `no-target`: the owner has just started and has no configuration yet.
+  return (
+    kind === 'not-owner' || kind === 'owner-unreachable' || kind === 'no-target'
+  );
 }
 
 /** A sidecar that is not the owner names the one that is, if it knows. */
@@ -251,7 +254,7 @@
 ): Promise<void> {
   const replayed = sent.headers[headers.REPLAYED_HEADER];
   caller.res.writeHead(sent.statusCode ?? 502, {
-    ...contentHeaders(sent),
+    ...answers.contentHeaders(sent),
     ...(replayed === undefined ? {} : {[headers.REPLAYED_HEADER]: replayed}),
     [refusals.REQUEST_HEADER]: caller.id,
     [refusals.OUTCOME_HEADER]: 'ran',
--- a/src/requests/refusals.ts
+++ b/src/requests/refusals.ts
@@ -1,7 +1,7 @@
 /** Every refusal a caller can get: its type, status and outcome. */
 import type * as http from 'node:http';
 import * as body from '../http/body';
-import {RETURN_HEADER} from './headers';
+import {KEY_HEADER, RETURN_HEADER} from './headers';
 
 /** What is known about whether the request (or its key) has run. */
 export type Outcome = 'not-run' | 'ran' | 'unknown';
@@ -90,6 +90,20 @@
   return {kind, outcome: 'unknown', detail, retryAfterMs};
 }
 
+/**
+ * A refusal by a process that can't ask the key's owner. Of a call with a key
+ * it can't say `not-run`: an earlier copy may have run.
+ */
+export function withoutOwner(
+  req: http.IncomingMessage,
+  refusal: Refusal,
+): Refusal {
+  const hasKey = body.headerOf(req, KEY_HEADER) !== undefined;
+  return hasKey && refusal.outcome === 'not-run'
+    ? {...refusal, outcome: 'unknown'}
+    : refusal;
+}
+
 /** The problem document of a refusal. Source: RFC 9457. */
 export function problemOf(refusal: Refusal, requestId: string) {
   const entry = REFUSALS[refusal.kind];
--- a/src/requests/sidecar-assistant.ts
+++ b/src/requests/sidecar-assistant.ts
@@ -4,9 +4,9 @@
 import * as httpClient from '../http/client';
 import {Result, fail, ok} from '../result';
 import * as prefixes from '../routing/prefixes';
-import * as targets from '../targets/types';
 import type {Ticket} from './admission';
 import * as assistant from './assistant';
+import * as answers from './answers';
 import * as eventStream from './event-stream';
 import * as headers from './headers';
 import * as refusals from './refusals';
@@ -22,7 +22,6 @@
 const RESUME_PAUSE_MS = 100;
 const CANCEL_TIMEOUT_MS = 1_000;
 const DEFAULT_GRACE_MS = 5_000;
-const LEAVING_RETRY_MS = 1_000;
 
 /** A stream at the engine, attached to a caller's connection or not. */
 interface Session {
@@ -48,28 +47,28 @@
   async run(incoming: Incoming): Promise<void> {
     const read = await body.readBody(incoming.req, headers.MAX_REQUEST_BYTES);
     if (!read.ok) {
-      this.refuse(incoming, refuseBody(read.error));
+      answers.refuse(this.context, incoming, answers.refuseBody(read.error));
       return;
     }
     const chat = assistant.readChat(read.value);
     if (!chat.ok) {
-      this.refuse(incoming, chat.error);
+      answers.refuse(this.context, incoming, chat.error);
       return;
     }
     const signal = abortOnClose(incoming.res);
     const ticket = await this.enter(incoming, chat.value, signal);
     if (!ticket.ok) {
-      this.refuse(incoming, ticket.error);
+      answers.refuse(this.context, incoming, ticket.error);
       return;
     }
     this.context.metrics.queued(incoming.account, ticket.value.waitedMs);
     const sent = await this.dispatch(incoming, read.value, signal);
     if (!sent.ok) {
       ticket.value.release();
-      this.refuse(incoming, sent.error);
+      answers.refuse(this.context, incoming, sent.error);
       return;
     }
-    await (isEventStream(sent.value)
+    await (answers.isEventStream(sent.value)
       ? this.stream(incoming, chat.value, sent.value, ticket.value)
       : this.passThrough(incoming, sent.value, ticket.value));
   }
@@ -90,7 +89,8 @@
     const first = await this.resumeAtEngine(session, after);
     if (first === undefined) {
       this.endSession(session);
-      this.refuse(
+      answers.refuse(
+        this.context,
         incoming,
         refusals.unknownOutcome('stream-lost', 'the engine has no such stream'),
       );
@@ -124,7 +124,7 @@
     signal: AbortSignal,
   ): Promise<Result<Ticket, refusals.Refusal>> {
     if (this.context.isLeaving()) {
-      return Promise.resolve(fail(leavingRefusal()));
+      return Promise.resolve(fail(answers.leavingRefusal()));
     }
     return this.context.admission.enter(
       {
@@ -315,8 +315,8 @@
   ): Promise<void> {
     const {res} = incoming;
     res.writeHead(sent.statusCode ?? 502, {
-      ...contentHeaders(sent),
-      ...this.ownHeaders(incoming),
+      ...answers.contentHeaders(sent),
+      ...answers.ownHeaders(this.context, incoming),
     });
     await body.passBody(sent, res);
     ticket.release();
@@ -326,29 +326,11 @@
     incoming.res.writeHead(200, {
       'content-type': 'text/event-stream',
       'cache-control': 'no-store',
-      ...this.ownHeaders(incoming),
+      ...answers.ownHeaders(this.context, incoming),
     });
     incoming.res.flushHeaders();
   }
 
-  private ownHeaders(incoming: Incoming): http.OutgoingHttpHeaders {
-    return {
-      [refusals.REQUEST_HEADER]: incoming.id,
-      [refusals.OUTCOME_HEADER]: 'ran',
-      [targets.LOAD_HEADER]: targets.printLoad(this.context.load()),
-    };
-  }
-
-  private refuse(incoming: Incoming, refusal: refusals.Refusal): void {
-    const load = targets.printLoad(this.context.load());
-    if (!incoming.res.headersSent) {
-      incoming.res.setHeader(targets.LOAD_HEADER, load);
-    }
-    this.context.metrics.refused(incoming.account, refusal.kind);
-    const returnTo = keepsPlace(refusal) ? this.context.targetId : undefined;
-    refusals.sendRefusal(incoming.res, {...refusal, returnTo}, incoming.id);
-  }
-
   private newSession(
     request: string,
     name: string,
@@ -385,50 +367,3 @@
     return DEFAULT_GRACE_MS;
   }
 }
-
-/** Whether the admission keeps a place for the caller's return. */
-export function keepsPlace(refusal: refusals.Refusal): boolean {
-  return (
-    refusal.kind === 'overloaded' || refusal.kind === 'deadline-unreachable'
-  );
-}
-
-/** The refusal of new work by a target that leaves. */
-export function leavingRefusal(): refusals.Refusal {
-  return refusals.notRun('leaving', 'the target is leaving', LEAVING_RETRY_MS);
-}
-
-/** The refusal for a body that was not read. */
-export function refuseBody(err: body.BodyError): refusals.Refusal {
-  switch (err.kind) {
-    case 'body-too-large':
-      return refusals.notRun(
-        'body-too-large',
-        `the limit is ${err.limitBytes} bytes`,
-      );
-    case 'body-cut':
-      return refusals.notRun('bad-request', 'the body ended early');
-    case 'bad-json':
-      return refusals.notRun('bad-request', err.detail);
-  }
-}
-
-/** Headers of a target's answer that a caller gets. */
-export function contentHeaders(
-  res: http.IncomingMessage,
-): http.OutgoingHttpHeaders {
-  const kept: http.OutgoingHttpHeaders = {};
-  for (const name of ['content-type', 'content-length', 'etag', 'location']) {
-    const value = res.headers[name];
-    if (value !== undefined) {
-      kept[name] = value;
-    }
-  }
-  return kept;
-}
-
-/** True for server-sent events. */
-export function isEventStream(res: http.IncomingMessage): boolean {
-  const type = res.headers['content-type'] ?? '';
-  return type.startsWith('text/event-stream');
-}
--- a/src/requests/sidecar-service.ts
+++ b/src/requests/sidecar-service.ts
@@ -7,16 +7,10 @@
 import type {KeptAnswer} from '../claims/records';
 import type {KeyRefusal, RunEnd, Runs} from '../claims/runs';
 import {Result, fail, ok} from '../result';
-import * as targets from '../targets/types';
 import type {Ticket} from './admission';
 import * as headers from './headers';
 import * as refusals from './refusals';
-import {
-  contentHeaders,
-  keepsPlace,
-  leavingRefusal,
-  refuseBody,
-} from './sidecar-assistant';
+import * as answers from './answers';
 import {
   Incoming,
   SidecarContext,
@@ -46,7 +40,9 @@
   async run(incoming: Incoming, path: string): Promise<void> {
     const read = await body.readBody(incoming.req, headers.MAX_REQUEST_BYTES);
     if (!read.ok) {
-      this.refuse(incoming, refuseBody(read.error));
+      const refusal = answers.refuseBody(read.error);
+      const honest = refusals.withoutOwner(incoming.req, refusal);
+      answers.refuse(this.context, incoming, honest);
       return;
     }
     const method = incoming.req.method ?? 'GET';
@@ -58,7 +54,11 @@
     }
     if (!isRepeatable(this.settings(), method, path)) {
       const detail = `${method} ${path} may not be repeated`;
-      this.refuse(incoming, refusals.notRun('key-required', detail));
+      answers.refuse(
+        this.context,
+        incoming,
+        refusals.notRun('key-required', detail),
+      );
       return;
     }
     await this.runRepeatable(call);
@@ -68,12 +68,12 @@
     const {incoming} = call;
     const signal = abortOnClose(incoming.res);
     if (this.context.isLeaving()) {
-      this.refuse(incoming, leavingRefusal());
+      answers.refuse(this.context, incoming, answers.leavingRefusal());
       return;
     }
     const ticket = await this.enter(incoming, signal);
     if (!ticket.ok) {
-      this.refuse(incoming, ticket.error);
+      answers.refuse(this.context, incoming, ticket.error);
       return;
     }
     const sent = await this.dispatch(call, signal);
@@ -82,12 +82,12 @@
       const failed = sent.error.sent
         ? refusals.unknownOutcome('target-failed', sent.error.kind)
         : refusals.notRun('target-failed', sent.error.kind);
-      this.refuse(incoming, failed);
+      answers.refuse(this.context, incoming, failed);
       return;
     }
     incoming.res.writeHead(sent.value.statusCode ?? 502, {
-      ...contentHeaders(sent.value),
-      ...this.ownHeaders(incoming),
+      ...answers.contentHeaders(sent.value),
+      ...answers.ownHeaders(this.context, incoming),
     });
     await body.passBody(sent.value, incoming.res);
     ticket.value.release();
@@ -101,7 +101,11 @@
     const {incoming} = call;
     const key = keys.readKey(keyText);
     if (key === undefined) {
-      this.refuse(incoming, refusals.notRun('bad-key', 'not a UUIDv7'));
+      answers.refuse(
+        this.context,
+        incoming,
+        refusals.notRun('bad-key', 'not a UUIDv7'),
+      );
       return;
     }
     const admission = this.runs.admit({
@@ -111,7 +115,7 @@
     });
     switch (admission.kind) {
       case 'refuse':
-        this.refuse(incoming, refuseKey(admission.refusal));
+        answers.refuse(this.context, incoming, refuseKey(admission.refusal));
         return;
       case 'replay':
         this.sendKept(incoming, admission.answer, true);
@@ -221,13 +225,18 @@
         this.sendKept(incoming, end.answer, replayed);
         return;
       case 'not-run':
-        this.refuse(
+        answers.refuse(
+          this.context,
           incoming,
           refusal ?? refusals.notRun('target-failed', 'the target is away'),
         );
         return;
       case 'unknown':
-        this.refuse(incoming, refuseKey({kind: 'outcome-unknown'}));
+        answers.refuse(
+          this.context,
+          incoming,
+          refuseKey({kind: 'outcome-unknown'}),
+        );
     }
   }
 
@@ -238,7 +247,11 @@
   ): void {
     if (answer === null) {
       const detail = 'the answer is no longer kept';
-      this.refuse(incoming, {kind: 'already-ran', outcome: 'ran', detail});
+      answers.refuse(this.context, incoming, {
+        kind: 'already-ran',
+        outcome: 'ran',
+        detail,
+      });
       return;
     }
     const {res} = incoming;
@@ -252,28 +265,10 @@
         : {'content-type': answer.contentType}),
       'content-length': text.length,
       ...(replayed ? {[headers.REPLAYED_HEADER]: 'true'} : {}),
-      ...this.ownHeaders(incoming),
+      ...answers.ownHeaders(this.context, incoming),
     });
     res.end(text);
   }
-
-  private ownHeaders(incoming: Incoming): http.OutgoingHttpHeaders {
-    return {
-      [refusals.REQUEST_HEADER]: incoming.id,
-      [refusals.OUTCOME_HEADER]: 'ran',
-      [targets.LOAD_HEADER]: targets.printLoad(this.context.load()),
-    };
-  }
-
-  private refuse(incoming: Incoming, refusal: refusals.Refusal): void {
-    const load = targets.printLoad(this.context.load());
-    if (!incoming.res.headersSent) {
-      incoming.res.setHeader(targets.LOAD_HEADER, load);
-    }
-    this.context.metrics.refused(incoming.account, refusal.kind);
-    const returnTo = keepsPlace(refusal) ? this.context.targetId : undefined;
-    refusals.sendRefusal(incoming.res, {...refusal, returnTo}, incoming.id);
-  }
 }
 
 /** Whether a call may run any number of times. Unlisted calls may not. */
--- a/src/roles/entry.ts
+++ b/src/roles/entry.ts
@@ -177,7 +177,7 @@
     if (!this.ready) {
       const detail = 'this entry has no configuration yet';
       const refusal = refusals.notRun('no-target', detail, STARTING_RETRY_MS);
-      refusals.sendRefusal(res, refusal, '');
+      refusals.sendRefusal(res, refusals.withoutOwner(req, refusal), '');
       return;
     }
     if (this.stopping) {
--- a/src/roles/sidecar.ts
+++ b/src/roles/sidecar.ts
@@ -371,7 +371,7 @@
     if (!this.ready) {
       const detail = 'this sidecar has no configuration yet';
       const refusal = refusals.notRun('no-target', detail, STARTING_RETRY_MS);
-      refusals.sendRefusal(res, refusal, '');
+      refusals.sendRefusal(res, refusals.withoutOwner(req, refusal), '');
       return;
     }
     this.open_ += 1;
@@ -418,7 +418,8 @@
     if (this.service === undefined || !url.startsWith(prefix)) {
       incoming.req.resume();
       const refusal = refusals.notRun('not-found', `nothing under ${url}`);
-      refusals.sendRefusal(incoming.res, refusal, incoming.id);
+      const honest = refusals.withoutOwner(incoming.req, refusal);
+      refusals.sendRefusal(incoming.res, honest, incoming.id);
       return;
     }
     await this.service.run(incoming, url.slice(prefix.length - 1));
