--- a/src/requests/entry-assistant.ts
+++ b/src/requests/entry-assistant.ts
@@ -182,8 +182,12 @@
       return sent.value;
     }
     if (sent.ok) {
+      const refusal = await entry.readRefusal(sent.value);
       sent.value.destroy();
-      return undefined;
+      // A sidecar that has just started refuses for want of configuration.
+      if (refusal?.kind !== 'no-target') {
+        return undefined;
+      }
     }
     await new Promise(resolve => setTimeout(resolve, RESUME_PAUSE_MS));
   }
