--- a/scripts/bench.js
+++ b/scripts/bench.js
@@ -1,19 +1,4 @@
 #!/usr/bin/env node
 'use strict';
-// Bundles the bench named on the command line and runs it.
-const path = require('node:path');
-const esbuild = require('esbuild');
-
-const ROOT = path.join(__dirname, '..');
-const outfile = path.join(ROOT, 'dist', `bench-${process.pid}.js`);
-esbuild.buildSync({
-  entryPoints: [path.join(ROOT, 'bench', 'main.ts')],
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'cjs',
-  outfile,
-  logLevel: 'warning',
-});
-require(outfile);
-process.on('exit', () => require('node:fs').rmSync(outfile, {force: true}));
+// Runs the bench named on the command line.
+require('./bundle').runBundled('bench/main.ts', 'bench');
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -5,7 +5,7 @@
 const fs = require('node:fs');
 const path = require('node:path');
 const {execFileSync} = require('node:child_process');
-const esbuild = require('esbuild');
+const {bundle} = require('./bundle');
 
 const ROOT = path.join(__dirname, '..');
 const BUNDLE = path.join(ROOT, 'dist', 'ferrycleat.js');
@@ -14,18 +14,6 @@
 const SEA_CONFIG = path.join(ROOT, 'dist', 'sea-config.json');
 const SEA_FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
 
-function bundle(entryPoint, outfile) {
-  esbuild.buildSync({
-    entryPoints: [path.join(ROOT, entryPoint)],
-    bundle: true,
-    platform: 'node',
-    target: 'node20',
-    format: 'cjs',
-    outfile,
-    logLevel: 'warning',
-  });
-}
-
 function makeExecutable() {
   const config = {
     main: BUNDLE,
@@ -53,4 +41,3 @@
 if (!process.argv.includes('--bundle-only')) {
   makeExecutable();
 }
-module.exports = {bundle};
--- /dev/null
+++ b/scripts/bundle.js
@@ -0,0 +1,29 @@
+'use strict';
+// Bundling, for the build and for the tools that run from a bundle.
+const fs = require('node:fs');
+const path = require('node:path');
+const esbuild = require('esbuild');
+
+const ROOT = path.join(__dirname, '..');
+
+function bundle(entryPoint, outfile) {
+  esbuild.buildSync({
+    entryPoints: [path.join(ROOT, entryPoint)],
+    bundle: true,
+    platform: 'node',
+    target: 'node20',
+    format: 'cjs',
+    outfile,
+    logLevel: 'warning',
+  });
+}
+
+// Each run has a bundle of its own, so that two may run at once.
+function runBundled(entryPoint, name) {
+  const outfile = path.join(ROOT, 'dist', `${name}-${process.pid}.js`);
+  bundle(entryPoint, outfile);
+  process.on('exit', () => fs.rmSync(outfile, {force: true}));
+  require(outfile);
+}
+
+module.exports = {bundle, runBundled};
