--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -79,7 +79,7 @@
   const before = heap();
   const replica = new Replica();
   const begunAt = performance.now();
-  replica.mergeListing({revision: count + 2, items: copy});
+  replica.mergeListing({revision: count + 2, items: copy, removed: []});
   const fillMs = performance.now() - begunAt;
   const held = heap() - before;
   const oneMs = measureOneChange(replica, count);
@@ -110,6 +110,7 @@
     replica.mergeListing({
       revision: count + 3 + at,
       items: [{...sample!, version: count + 3 + at}],
+      removed: [],
     });
   }
   return (performance.now() - begunAt) / CHANGES;
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -1,7 +1,8 @@
 #!/usr/bin/env node
 'use strict';
 // Bundles src/main.ts and, unless --bundle-only is given, makes the single
-// executable dist/ferrycleat from the bundle and this machine's Node.
+// executable dist/ferrycleat from the bundle and this machine's Node. With
+// --target it only makes the bundle that deploy/system.toml runs.
 const fs = require('node:fs');
 const path = require('node:path');
 const {execFileSync} = require('node:child_process');
@@ -36,8 +37,12 @@
   fs.rmSync(SEA_CONFIG);
 }
 
-fs.mkdirSync(path.join(ROOT, 'dist'), {recursive: true});
-bundle('src/main.ts', BUNDLE);
-if (!process.argv.includes('--bundle-only')) {
-  makeExecutable();
+if (process.argv.includes('--target')) {
+  bundle('src/main.ts', path.join(ROOT, 'target', 'ferrycleat.js'));
+} else {
+  fs.mkdirSync(path.join(ROOT, 'dist'), {recursive: true});
+  bundle('src/main.ts', BUNDLE);
+  if (!process.argv.includes('--bundle-only')) {
+    makeExecutable();
+  }
 }
--- a/src/configuration/replica.test.ts
+++ b/src/configuration/replica.test.ts
@@ -29,7 +29,7 @@
 function listing(version: number) {
   const items = new Map<string, StoredObject>();
   HISTORY.filter(o => o.version <= version).forEach(o => items.set(o.key, o));
-  return {revision: version, items: [...items.values()]};
+  return {revision: version, items: [...items.values()], removed: []};
 }
 
 type Event =
--- /dev/null
+++ b/src/forwarding/choose.ts
@@ -0,0 +1,92 @@
+/**
+ * Choosing a target by what this entry sees itself: its own requests in
+ * flight, and how recent ones ended. Nothing is asked of a target for it.
+ */
+import * as random from '../random';
+import type {Target} from './types';
+
+/** Weight of the newest outcome in a target's share of failures. */
+const NEW_SHARE = 0.25;
+/** A failing share counts like this many requests in flight. */
+const FAILURE_WEIGHT = 6;
+/** A share of failures is halved in this time, in milliseconds. */
+const FORGET_MS = 2_000;
+/** Places that another hall costs: a hop is little beside a request. */
+const HALL_WEIGHT = 0.4;
+
+interface Record_ {
+  inFlight: number;
+  failing: number;
+  at: number;
+}
+
+export class TargetLoads {
+  private readonly records = new Map<string, Record_>();
+
+  constructor(private readonly hall: string) {}
+
+  /** Notes that a request goes to a target. */
+  begin(id: string): void {
+    this.recordOf(id).inFlight += 1;
+  }
+
+  /** Notes how it ended. */
+  end(id: string, isFailure: boolean, now: number): void {
+    const record = this.recordOf(id);
+    record.inFlight -= 1;
+    const failing = decayed(record, now);
+    record.failing = failing + NEW_SHARE * ((isFailure ? 1 : 0) - failing);
+    record.at = now;
+  }
+
+  inFlight(id: string): number {
+    return this.records.get(id)?.inFlight ?? 0;
+  }
+
+  /** The target with the lowest score; undefined where there is none. */
+  choose(targets: readonly Target[], now: number): Target | undefined {
+    let best: Target | undefined;
+    let bestScore = Infinity;
+    for (const target of targets) {
+      const score = this.score(target, now) + random.unit() * TIE_BREAK;
+      if (score < bestScore) {
+        best = target;
+        bestScore = score;
+      }
+    }
+    return best;
+  }
+
+  /** Forgets targets that are gone and have nothing in flight. */
+  retain(isKnown: (id: string) => boolean): void {
+    for (const [id, record] of this.records) {
+      if (record.inFlight === 0 && !isKnown(id)) {
+        this.records.delete(id);
+      }
+    }
+  }
+
+  private score(target: Target, now: number): number {
+    const record = this.records.get(target.id);
+    const inFlight = record?.inFlight ?? 0;
+    const failing = record === undefined ? 0 : decayed(record, now);
+    const hop = target.hall === this.hall ? 0 : HALL_WEIGHT;
+    return inFlight + hop + failing * FAILURE_WEIGHT;
+  }
+
+  private recordOf(id: string): Record_ {
+    let record = this.records.get(id);
+    if (record === undefined) {
+      record = {inFlight: 0, failing: 0, at: 0};
+      this.records.set(id, record);
+    }
+    return record;
+  }
+}
+
+/** Less than any real difference between scores. */
+const TIE_BREAK = 0.1;
+
+function decayed(record: Record_, now: number): number {
+  return record.failing * 0.5 ** ((now - record.at) / FORGET_MS);
+}
--- /dev/null
+++ b/src/forwarding/event-splitter.ts
@@ -0,0 +1,60 @@
+/**
+ * Cuts a stream of server-sent events into whole events without changing a
+ * byte, so that a stream that breaks off never ends within an event.
+ * Source: WHATWG HTML, section 9.2.
+ */
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
+/** Cap on one event. */
+const MAX_EVENT_BYTES = 1024 * 1024;
+
+export class EventSplitter {
+  /** Id of the last whole event that had one. */
+  lastId: string | undefined;
+  /** Whole events so far. */
+  count = 0;
+  private rest: Buffer = Buffer.alloc(0);
+
+  /** Bytes that belong to an event that is not whole yet. */
+  get partial(): Buffer {
+    return this.rest;
+  }
+
+  get isTooLong(): boolean {
+    return this.rest.length > MAX_EVENT_BYTES;
+  }
+
+  /** Drops the event that broke off; another target sends it whole. */
+  discardPartial(): void {
+    this.rest = Buffer.alloc(0);
+  }
+
+  /** Takes a chunk; answers the whole events in it, in their own bytes. */
+  push(chunk: Buffer): Buffer {
+    const all =
+      this.rest.length === 0 ? chunk : Buffer.concat([this.rest, chunk]);
+    let begin = 0;
+    let lineStart = 0;
+    for (let at = 0; at < all.length; at += 1) {
+      if (all[at] !== LINE_FEED) {
+        continue;
+      }
+      const length = at - lineStart;
+      const isBlank =
+        length === 0 || (length === 1 && all[lineStart] === CARRIAGE_RETURN);
+      if (isBlank) {
+        this.note(all.subarray(begin, at + 1));
+        begin = at + 1;
+      }
+      lineStart = at + 1;
+    }
+    this.rest = all.subarray(begin);
+    return all.subarray(0, begin);
+  }
+
+  private note(event: Buffer): void {
+    const id = /^id: ?([^\r\n]*)/m.exec(event.toString('latin1'))?.[1];
+    this.count += 1;
+    this.lastId = id ?? this.lastId;
+  }
+}
--- /dev/null
+++ b/src/forwarding/forwarder.ts
@@ -0,0 +1,176 @@
+/**
+ * Serves callers' requests: finds the route, checks the key, sends the
+ * request to a target, again where that is allowed, and answers once.
+ */
+import type * as http from 'node:http';
+import * as bodies from '../http/body';
+import {Log} from '../observability/log';
+import {Metrics} from '../observability/metrics';
+import * as random from '../random';
+import type {SiteSettings} from '../roles/site-settings';
+import {CurrentConfiguration} from '../routes/current';
+import * as tables from '../routes/table';
+import type {ClientAccount, Route} from '../routes/types';
+import {TargetConnections} from './agents';
+import {Call} from './call';
+import {TargetLoads} from './choose';
+import {PlainRelay} from './plain-relay';
+import {RetryBudget} from './retry-budget';
+import {StreamRelay} from './stream-relay';
+import {TargetList} from './target-list';
+import * as types from './types';
+
+/** What serving a request needs. */
+export interface ForwarderContext {
+  readonly cfg: SiteSettings;
+  readonly wire: types.Wire;
+  readonly configuration: CurrentConfiguration;
+  readonly targets: TargetList;
+  readonly loads: TargetLoads;
+  readonly connections: TargetConnections;
+  readonly log: Log;
+  readonly metrics: Metrics;
+}
+
+/**
+ * Part of the time that a revoked key may still work for which an entry
+ * trusts keys without hearing from the store. The rest covers the way to the
+ * target.
+ */
+const TRUSTED_SHARE = 0.85;
+/**
+ * Milliseconds without the store after which an unknown route or key may
+ * just be a new one, and the caller is asked to come back.
+ */
+const STALE_MS = 1_800;
+/** When to come back where there is no configuration to decide with. */
+const NO_CONFIGURATION_RETRY_MS = 500;
+const DEFAULT_TIME_LEFT_MS = 60_000;
+
+export class Forwarder {
+  private readonly budgets = new Map<string, RetryBudget>();
+  private readonly plain: PlainRelay;
+  private readonly streams: StreamRelay;
+  private open = 0;
+  private isStopping = false;
+
+  constructor(private readonly context: ForwarderContext) {
+    const budgetOf = (service: string) => this.budgetOf(service);
+    this.plain = new PlainRelay(context, budgetOf);
+    this.streams = new StreamRelay(context, budgetOf);
+  }
+
+  /** Requests that are being served. */
+  get openCount(): number {
+    return this.open;
+  }
+
+  /** From now on every answer asks the caller to leave the connection. */
+  stop(): void {
+    this.isStopping = true;
+  }
+
+  /** Serves one request. */
+  async answer(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+  ): Promise<void> {
+    this.open += 1;
+    const call = new Call(req, res, this.context, () => this.isStopping);
+    try {
+      await this.serve(call);
+    } finally {
+      this.open -= 1;
+      call.close();
+    }
+  }
+
+  private async serve(call: Call): Promise<void> {
+    const head = this.context.wire.readRequest(call.req);
+    if (head === undefined) {
+      call.refuse({kind: 'bad-request', detail: 'the request names no id'});
+      return;
+    }
+    call.head = head;
+    const route = this.route(call, head);
+    if (route === undefined) {
+      return;
+    }
+    const timeLeftMs = head.timeLeftMs ?? DEFAULT_TIME_LEFT_MS;
+    call.setRoute(route.route, Math.min(timeLeftMs, route.route.timeoutMs));
+    const limit = this.context.configuration.table!.snapshot.limits.bodyBytes;
+    const body = await bodies.readBody(call.req, limit);
+    if (!body.ok) {
+      if (body.error.kind === 'body-too-large') {
+        call.refuse({kind: 'too-large', limitBytes: limit});
+      }
+      return;
+    }
+    const service = tables.pickService(route.route, random.unit());
+    const request = {
+      head,
+      body: hasBody(call.req) ? body.value : undefined,
+      route: route.route,
+      service,
+      account: route.account,
+    };
+    this.budgetOf(service).noteRequest(performance.now());
+    const relay = route.route.kind === 'stream' ? this.streams : this.plain;
+    await relay.relay(call, request);
+  }
+
+  /** Undefined where the request was refused. */
+  private route(
+    call: Call,
+    head: types.RequestHead,
+  ): {route: Route; account: ClientAccount | undefined} | undefined {
+    const {configuration, cfg} = this.context;
+    const {table} = configuration;
+    const retryMs = NO_CONFIGURATION_RETRY_MS;
+    if (table === undefined) {
+      call.refuse({kind: 'not-run', why: 'no-configuration', retryMs});
+      return undefined;
+    }
+    const ageMs = configuration.ageMs(performance.now());
+    const stale: types.Refusal = {
+      kind: 'not-run',
+      why: 'stale-configuration',
+      retryMs,
+    };
+    const route = table.findRoute(head.host, head.path);
+    if (route === undefined) {
+      call.refuse(ageMs > STALE_MS ? stale : {kind: 'no-route'});
+      return undefined;
+    }
+    if (!table.needsKey(route)) {
+      return {route, account: undefined};
+    }
+    if (ageMs > cfg.revocationMs * TRUSTED_SHARE) {
+      call.refuse(stale);
+      return undefined;
+    }
+    const account =
+      head.key === undefined ? undefined : table.findAccount(head.key);
+    if (account === undefined) {
+      call.refuse(ageMs > STALE_MS ? stale : {kind: 'unknown-key'});
+      return undefined;
+    }
+    return {route, account};
+  }
+
+  private budgetOf(service: string): RetryBudget {
+    let budget = this.budgets.get(service);
+    if (budget === undefined) {
+      budget = new RetryBudget(() => this.context.cfg.retryBudget);
+      this.budgets.set(service, budget);
+    }
+    return budget;
+  }
+}
+
+function hasBody(req: http.IncomingMessage): boolean {
+  return (
+    req.headers['content-length'] !== undefined ||
+    req.headers['transfer-encoding'] !== undefined
+  );
+}
--- /dev/null
+++ b/src/forwarding/stream-relay.ts
@@ -0,0 +1,205 @@
+/**
+ * Streams of events. Only whole events are passed on, so that a stream that
+ * breaks off can go on at another target after the last of them, within the
+ * same answer.
+ */
+import type * as http from 'node:http';
+import type {Call} from './call';
+import {EventSplitter} from './event-splitter';
+import * as exchanges from './exchange';
+import {Relay, RelayedRequest} from './relay';
+import type {AnswerHead, Target} from './types';
+import {isRepeatable} from './types';
+
+/** How passing a target's events on ended. */
+type PumpEnd = 'done' | 'broken' | 'caller-left' | 'timed-out';
+
+export class StreamRelay extends Relay {
+  async relay(call: Call, request: RelayedRequest): Promise<void> {
+    const tried = new Set<string>();
+    const splitter = new EventSplitter();
+    let hasBegun = false;
+    for (;;) {
+      const target = this.choose(request, tried);
+      if (target === undefined) {
+        this.giveUp(call, hasBegun, () =>
+          call.refuse(this.noTarget(request.service)),
+        );
+        return;
+      }
+      tried.add(target.id);
+      splitter.discardPartial();
+      const outcome = await this.send(
+        call,
+        request,
+        target,
+        hasBegun ? splitter.lastId : undefined,
+      );
+      if (outcome.kind === 'streaming') {
+        const begin = () => {
+          if (!hasBegun) {
+            hasBegun = true;
+            call.beginStream(outcome.head);
+          }
+        };
+        const end = await this.pump(call, outcome, target, splitter, begin);
+        if (end === 'done') {
+          call.end('answered', outcome.head.status);
+          return;
+        }
+        if (end === 'caller-left' || call.hasLeft) {
+          call.end('caller-left');
+          return;
+        }
+        if (end === 'timed-out') {
+          this.giveUp(call, hasBegun, () => call.refuse({kind: 'timed-out'}));
+          return;
+        }
+        if (this.mayResume(call, request, target, hasBegun, splitter)) {
+          continue;
+        }
+        this.giveUp(call, hasBegun, () =>
+          call.refuse({kind: 'failed', why: 'broken-answer'}),
+        );
+        return;
+      }
+      if (call.hasLeft) {
+        call.end('caller-left');
+        return;
+      }
+      if (this.mayTryNext(call, request, target, outcome)) {
+        continue;
+      }
+      this.giveUp(call, hasBegun, () => this.finish(call, outcome));
+      return;
+    }
+  }
+
+  private finish(call: Call, outcome: exchanges.Outcome): void {
+    if (outcome.kind === 'answered') {
+      call.pass(outcome.head, outcome.body);
+    } else {
+      this.refuse(call, outcome);
+    }
+  }
+
+  private mayTryNext(
+    call: Call,
+    request: RelayedRequest,
+    target: Target,
+    outcome: exchanges.Outcome,
+  ): boolean {
+    const isHarmless =
+      outcome.kind === 'not-run' ||
+      (isRepeatable(request.route) &&
+        (outcome.kind === 'unknown' ||
+          (outcome.kind === 'answered' && outcome.head.status >= 500)));
+    return isHarmless && this.maySendAgain(call, request, target);
+  }
+
+  private mayResume(
+    call: Call,
+    request: RelayedRequest,
+    target: Target,
+    hasBegun: boolean,
+    splitter: EventSplitter,
+  ): boolean {
+    const canGoOn = !hasBegun || splitter.lastId !== undefined;
+    return (
+      canGoOn &&
+      isRepeatable(request.route) &&
+      this.maySendAgain(call, request, target)
+    );
+  }
+
+  /** A stream that has begun can only be cut; nothing else is honest. */
+  private giveUp(call: Call, hasBegun: boolean, refuse: () => void): void {
+    if (hasBegun) {
+      call.res.destroy();
+      call.end('stream-cut');
+    } else {
+      refuse();
+    }
+  }
+
+  private async pump(
+    call: Call,
+    from: {head: AnswerHead; res: http.IncomingMessage},
+    target: Target,
+    splitter: EventSplitter,
+    begin: () => void,
+  ): Promise<PumpEnd> {
+    let isLate = false;
+    const timer = setTimeout(() => {
+      isLate = true;
+      from.res.destroy();
+    }, call.leftMs);
+    const onLeft = () => from.res.destroy();
+    call.signal.addEventListener('abort', onLeft, {once: true});
+    let end: PumpEnd = 'broken';
+    try {
+      for await (const chunk of from.res) {
+        const events = splitter.push(chunk as Buffer);
+        if (splitter.isTooLong) {
+          break;
+        }
+        if (events.length > 0) {
+          begin();
+          await write(call.res, events);
+        }
+      }
+      if (from.res.complete && !call.hasLeft) {
+        end = this.finishStream(call, splitter, begin);
+      }
+    } catch (err) {
+      this.context.log.event('streamBroken', {
+        request: call.head?.id,
+        target: target.id,
+        events: splitter.count,
+        error: (err as Error).message,
+      });
+    } finally {
+      clearTimeout(timer);
+      call.signal.removeEventListener('abort', onLeft);
+      from.res.destroy();
+      this.context.loads.end(
+        target.id,
+        end === 'broken' && !isLate && !call.hasLeft,
+        performance.now(),
+      );
+    }
+    if (call.hasLeft) {
+      return 'caller-left';
+    }
+    return isLate ? 'timed-out' : end;
+  }
+
+  private finishStream(
+    call: Call,
+    splitter: EventSplitter,
+    begin: () => void,
+  ): PumpEnd {
+    begin();
+    if (splitter.partial.length > 0) {
+      call.res.write(splitter.partial);
+    }
+    call.res.end();
+    return 'done';
+  }
+}
+
+/** Resolves once the caller can take more, or has left. */
+async function write(res: http.ServerResponse, data: Buffer): Promise<void> {
+  if (res.destroyed || res.write(data)) {
+    return;
+  }
+  await new Promise<void>(resolve => {
+    const settle = () => {
+      res.removeListener('drain', settle);
+      res.removeListener('close', settle);
+      resolve();
+    };
+    res.once('drain', settle);
+    res.once('close', settle);
+  });
+}
--- /dev/null
+++ b/src/forwarding/types.ts
@@ -0,0 +1,118 @@
+/** What forwarding a request deals in, whatever is spoken on the wire. */
+import type * as http from 'node:http';
+import type {Route} from '../routes/types';
+
+/** A process that serves requests of a service. */
+export interface Target {
+  /** Names one life of the process; a restart has another. */
+  readonly id: string;
+  readonly service: string;
+  readonly address: string;
+  readonly hall: string;
+  /** Requests that it works on at once. */
+  readonly slots: number;
+  readonly isLeaving: boolean;
+}
+
+/** What a request says of its prompt. */
+export interface Prompt {
+  readonly promptTokens: number;
+  /** Most tokens that it wants. */
+  readonly answerTokens: number;
+  /** The caller's guess of how many it will be; 0: none. */
+  readonly guessedTokens: number;
+  /** The part that says what it is about; empty: unknown. */
+  readonly subject: string;
+}
+
+/** A request as the caller sent it, without its body. */
+export interface RequestHead {
+  /** Names this try of the caller; it comes back in the answer. */
+  readonly id: string;
+  readonly method: string;
+  /** With its query, as sent. */
+  readonly path: string;
+  readonly host: string;
+  readonly key: string | undefined;
+  /** Milliseconds that the caller waits; undefined: it did not say. */
+  readonly timeLeftMs: number | undefined;
+  readonly lastEventId: string | undefined;
+  readonly prompt: Prompt | undefined;
+  /** Headers as sent, names and values by turns. */
+  readonly rawHeaders: readonly string[];
+}
+
+/** What is told to a target beside the caller's own request. */
+export interface Addressee {
+  readonly targetId: string;
+  readonly timeLeftMs: number;
+  /** Client account that holds the key; undefined: none. */
+  readonly account: string | undefined;
+  /** Event after which a stream goes on; undefined: as the caller said. */
+  readonly resumeAfter: string | undefined;
+}
+
+/** What a target's answer says before its body. */
+export interface AnswerHead {
+  readonly status: number;
+  /** The id that the answer claims to be for. */
+  readonly requestId: string | undefined;
+  /** The target vouches for the body. */
+  readonly isSigned: boolean;
+  /** The target states that it did not run the request. */
+  readonly isNotRun: boolean;
+  /** The body is not the target's own bytes. */
+  readonly isEncoded: boolean;
+  /** Headers to pass on, names and values by turns. */
+  readonly passedHeaders: readonly string[];
+}
+
+/** Why a caller gets an answer of our own. */
+export type Refusal =
+  | {readonly kind: 'bad-request'; readonly detail: string}
+  | {readonly kind: 'no-route'}
+  | {readonly kind: 'unknown-key'}
+  | {readonly kind: 'too-large'; readonly limitBytes: number}
+  /** Nothing was run and nothing will be. */
+  | {readonly kind: 'not-run'; readonly why: NotRunReason; retryMs: number}
+  /** It may have run, or has run and its answer is of no use. */
+  | {readonly kind: 'failed'; readonly why: FailureReason}
+  /** Time ran out after it was sent. */
+  | {readonly kind: 'timed-out'};
+
+export type NotRunReason =
+  | 'no-configuration'
+  | 'stale-configuration'
+  | 'stopping'
+  | 'no-target'
+  | 'overloaded'
+  | 'target-full'
+  | 'timed-out';
+
+export type FailureReason =
+  | 'connection-lost'
+  | 'foreign-answer'
+  | 'unsigned-answer'
+  | 'broken-answer'
+  | 'unproven-refusal';
+
+/** Translates between a caller's or target's headers and these types. */
+export abstract class Wire {
+  /** Undefined where the request lacks what every request must carry. */
+  abstract readRequest(req: http.IncomingMessage): RequestHead | undefined;
+  /** Headers of the request to a target, names and values by turns. */
+  abstract targetHeaders(head: RequestHead, to: Addressee): string[];
+  abstract readAnswer(res: http.IncomingMessage): AnswerHead;
+  /** Status and headers of an answer of our own. */
+  abstract refusalHead(
+    refusal: Refusal,
+    requestId: string | undefined,
+  ): {status: number; headers: string[]};
+}
+
+/** True where sending a request twice does no harm. */
+export function isRepeatable(route: Route): boolean {
+  return (
+    route.kind === 'safe' || (route.kind === 'stream' && route.isResumable)
+  );
+}
--- a/src/http/client.ts
+++ b/src/http/client.ts
@@ -22,10 +22,13 @@
   readonly address: string;
   readonly method: string;
   readonly path: string;
-  readonly headers?: http.OutgoingHttpHeaders;
+  /** By name, or names and values by turns, which keeps their spelling. */
+  readonly headers?: http.OutgoingHttpHeaders | readonly string[];
   readonly body?: Buffer | string;
   /** Milliseconds until the head of the answer. */
   readonly timeoutMs: number;
+  /** Milliseconds until a new connection is up; one second by default. */
+  readonly connectMs?: number;
   readonly signal?: AbortSignal;
 }
 
@@ -64,7 +67,7 @@
       if (!connected) {
         stop({kind: 'no-connection', sent: false});
       }
-    }, CONNECT_TIMEOUT_MS);
+    }, call.connectMs ?? CONNECT_TIMEOUT_MS);
     const timer = setTimeout(
       () => stop({kind: 'timed-out', sent: connected}),
       Math.max(call.timeoutMs, 0),
@@ -107,13 +110,27 @@
 }
 
 function headersOf(call: Call): http.OutgoingHttpHeaders {
+  const length =
+    call.body === undefined ? undefined : Buffer.byteLength(call.body);
+  if (isRaw(call.headers)) {
+    const raw = [...call.headers];
+    if (length !== undefined) {
+      raw.push('Content-Length', String(length));
+    }
+    // Node takes a flat list too; its type does not say so.
+    return raw as unknown as http.OutgoingHttpHeaders;
+  }
   const headers: http.OutgoingHttpHeaders = {...call.headers};
-  if (call.body !== undefined) {
-    headers['content-length'] = Buffer.byteLength(call.body);
+  if (length !== undefined) {
+    headers['content-length'] = length;
   }
   return headers;
 }
 
+function isRaw(headers: Call['headers']): headers is readonly string[] {
+  return Array.isArray(headers);
+}
+
 /** A whole answer. */
 export interface Answer {
   readonly status: number;
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -56,18 +56,11 @@
   if (limits.maxConnections !== undefined) {
     server.maxConnections = limits.maxConnections;
   }
-  const {host, port} = splitAddress(address);
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, host, () => {
-      server.removeListener('error', reject);
-      resolve();
-    });
-  });
+  await bind(address, server);
   server.on('error', onFault);
   const bound = server.address() as net.AddressInfo;
   return {
-    address: joinAddress(host, bound.port),
+    address: joinAddress(splitAddress(address).host, bound.port),
     drain: () => {
       server.close();
       server.closeIdleConnections();
@@ -76,6 +69,22 @@
   };
 }
 
+/** Makes a server listen. Rejects with the system's error. */
+export async function bind(
+  address: string,
+  server: http.Server,
+): Promise<http.Server> {
+  const {host, port} = splitAddress(address);
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => {
+      server.removeListener('error', reject);
+      resolve();
+    });
+  });
+  return server;
+}
+
 function closeServer(server: http.Server): Promise<void> {
   return new Promise(resolve => {
     server.close(() => resolve());
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 /** Entry point of the one binary: only wires the commands. */
 import {Command, CommanderError} from 'commander';
+import * as site from '../platform/commands';
 import * as local from './commands/local';
 import * as operators from './commands/operators';
 import * as processes from './commands/processes';
@@ -21,6 +22,7 @@
   operators.addStatus(program);
   operators.addExplain(program);
   local.addLocal(program);
+  site.addSite(program);
   return program;
 }
 
--- a/src/observability/catalogue.ts
+++ b/src/observability/catalogue.ts
@@ -20,6 +20,7 @@
   requestFault: {id: 'FC1004', level: 'error', text: 'a handler failed'},
   settingRejected: {id: 'FC1005', level: 'error', text: 'bad setting'},
   stopForced: {id: 'FC1006', level: 'warn', text: 'second signal: forced stop'},
+  settingsReloaded: {id: 'FC1007', level: 'info', text: 'settings read anew'},
   requestRefused: {id: 'FC2001', level: 'info', text: 'request refused'},
   requestRetried: {id: 'FC2002', level: 'info', text: 'request retried'},
   streamResumed: {id: 'FC2003', level: 'warn', text: 'stream resumed'},
@@ -31,6 +32,9 @@
     text: 'answer to another request discarded',
   },
   callerGone: {id: 'FC2007', level: 'info', text: 'caller went away'},
+  requestSent: {id: 'FC2008', level: 'info', text: 'request sent to a target'},
+  requestEnded: {id: 'FC2009', level: 'info', text: 'request ended'},
+  noTarget: {id: 'FC2010', level: 'warn', text: 'no target for a service'},
   platformUnavailable: {
     id: 'FC3001',
     level: 'warn',
@@ -70,6 +74,13 @@
   targetLeaving: {id: 'FC6001', level: 'info', text: 'target is leaving'},
   targetEjected: {id: 'FC6002', level: 'warn', text: 'target ejected'},
   targetReadmitted: {id: 'FC6003', level: 'info', text: 'target let back in'},
+  targetJoined: {id: 'FC6005', level: 'info', text: 'target may get work'},
+  targetGone: {id: 'FC6006', level: 'info', text: 'target gets no more work'},
+  targetMissing: {
+    id: 'FC6007',
+    level: 'warn',
+    text: 'target off the list after an outage: kept for a while',
+  },
   targetUnreachable: {
     id: 'FC6004',
     level: 'warn',
--- /dev/null
+++ b/src/observability/line-writer.ts
@@ -0,0 +1,78 @@
+/**
+ * Writes log lines to a file descriptor without ever waiting for its reader:
+ * one write is under way at a time, lines queue behind it up to a cap, and
+ * what does not fit is dropped and counted.
+ */
+import * as fs from 'node:fs';
+
+/** Bytes that may wait for a slow reader. */
+const MAX_WAITING_BYTES = 256 * 1024;
+/** Pause before a full pipe is tried again, in milliseconds. */
+const FULL_PIPE_PAUSE_MS = 20;
+
+export class LineWriter {
+  /** Lines dropped since the start. */
+  dropped = 0;
+  private waiting: string[] = [];
+  private waitingBytes = 0;
+  private isWriting = false;
+
+  constructor(private readonly descriptor: number) {}
+
+  /** Queues a line; false where it was dropped. */
+  write(line: string): boolean {
+    if (this.waitingBytes + line.length > MAX_WAITING_BYTES) {
+      this.dropped += 1;
+      return false;
+    }
+    this.waiting.push(line);
+    this.waitingBytes += line.length + 1;
+    if (!this.isWriting) {
+      this.isWriting = true;
+      setImmediate(() => this.flush());
+    }
+    return true;
+  }
+
+  /** Writes what waits, as far as the reader takes it, before an exit. */
+  flushNow(): void {
+    const text = this.takeAll();
+    try {
+      fs.writeSync(this.descriptor, text);
+    } catch {
+      // A reader that is gone or slow must not hold up the exit.
+      this.dropped += 1;
+    }
+  }
+
+  private flush(): void {
+    const bytes = Buffer.from(this.takeAll());
+    if (bytes.length === 0) {
+      this.isWriting = false;
+      return;
+    }
+    this.put(bytes);
+  }
+
+  private put(bytes: Buffer): void {
+    fs.write(this.descriptor, bytes, (err, written) => {
+      if (err?.code === 'EAGAIN') {
+        setTimeout(() => this.put(bytes), FULL_PIPE_PAUSE_MS);
+      } else if (err !== null) {
+        this.dropped += 1;
+        this.isWriting = false;
+      } else if (written < bytes.length) {
+        this.put(bytes.subarray(written));
+      } else {
+        this.flush();
+      }
+    });
+  }
+
+  private takeAll(): string {
+    const text = this.waiting.map(line => line + '\n').join('');
+    this.waiting = [];
+    this.waitingBytes = 0;
+    return text;
+  }
+}
--- a/src/observability/log.ts
+++ b/src/observability/log.ts
@@ -2,6 +2,7 @@
 import {createConsola} from 'consola/basic';
 import type {ConsolaInstance, LogObject} from 'consola/basic';
 import {EVENTS, EventName, Level} from './catalogue';
+import {LineWriter} from './line-writer';
 
 /** Fields of an event. */
 export type Fields = Readonly<Record<string, unknown>>;
@@ -13,11 +14,30 @@
 
 const LEVELS: Readonly<Record<Level, number>> = {error: 0, warn: 1, info: 3};
 
+const STANDARD_OUTPUT = 1;
+
 /** Makes the log of a process; lines go to standard error. */
 export function makeLog(process_: string, level: Level): Log {
+  return makeLogTo(process_, level, line => process.stderr.write(line + '\n'));
+}
+
+/** Makes the log of a process of a site; lines go to standard output. */
+export function makeSiteLog(
+  process_: string,
+  level: Level,
+): {log: Log; lines: LineWriter} {
+  const lines = new LineWriter(STANDARD_OUTPUT);
+  return {log: makeLogTo(process_, level, line => lines.write(line)), lines};
+}
+
+function makeLogTo(
+  process_: string,
+  level: Level,
+  put: (line: string) => void,
+): Log {
   const consola = createConsola({
     level: LEVELS[level],
-    reporters: [{log: writeLine}],
+    reporters: [{log: line => put(printLine(line))}],
   });
   return {
     event: (name, fields = {}) => write(consola, process_, name, fields),
@@ -42,8 +62,8 @@
   });
 }
 
-function writeLine(line: LogObject): void {
+function printLine(line: LogObject): string {
   const fields = line.args[0] as Fields;
   const record = {time: line.date.toISOString(), level: line.type, ...fields};
-  process.stderr.write(JSON.stringify(record) + '\n');
+  return JSON.stringify(record);
 }
--- a/src/platform/memory-store.ts
+++ b/src/platform/memory-store.ts
@@ -96,7 +96,7 @@
     const items = [...this.objects.values()].filter(
       object => object.version > after && object.key.startsWith(prefix),
     );
-    return {revision: this.revision, items};
+    return {revision: this.revision, items, removed: []};
   }
 }
 
--- a/src/platform/types.ts
+++ b/src/platform/types.ts
@@ -14,6 +14,8 @@
 export const listingSchema = v.object({
   revision: v.pipe(v.number(), v.integer(), v.minValue(0)),
   items: v.array(objectSchema),
+  /** Keys that are gone since the revision that a watch started from. */
+  removed: v.optional(v.array(v.string()), []),
 });
 export type Listing = v.InferOutput<typeof listingSchema>;
 
