Expert maps follow demand: sidecars read counts, one entry plans

Cause: without placement the most loaded rank had 3.5 times the mean load. A change prepares all ranks, holds one, arms all, releases.

--- /dev/null
+++ b/src/experts/change.ts
@@ -0,0 +1,268 @@
+/**
+ * Changing the expert map of a group in lock-step, so that no pass begins
+ * with two maps:
+ *
+ * 1. every rank has copied the new map;
+ * 2. one rank holds the group before a pass;
+ * 3. every rank is armed to take the map at that pass;
+ * 4. the group is released.
+ *
+ * Nothing is armed before all have copied, and nothing is released before all
+ * are armed. An order that is carried out late says what was meant anyway, or
+ * names a pass that has begun, and is refused. Whoever takes over finishes
+ * what it finds, in the same direction.
+ */
+import {Log} from '../observability/log';
+import type {ExpertMap, Order, OrderResult, RankLink, RankState} from './types';
+
+/** How a change ended. */
+export type ChangeEnd =
+  /** Every rank takes the map as the held pass begins. */
+  | 'armed'
+  /** Nothing was armed; the map in force stays. */
+  | 'not-prepared'
+  | 'not-held'
+  /** The group has formed anew; nothing is left of the change. */
+  | 'regrouped'
+  /** Another planner goes on. */
+  | 'deposed'
+  /** Ranks that were armed were disarmed again. */
+  | 'backed-out'
+  /** The group is held and some ranks do not answer: somebody else must go on. */
+  | 'stuck';
+
+/** The change to be made. */
+export interface Change {
+  readonly epoch: number;
+  readonly version: number;
+  readonly map: ExpertMap;
+  /** Longest time for the copying, in milliseconds. */
+  readonly patienceMs: number;
+}
+
+/** Tries to hold the group before a pass that has not begun. */
+const HOLD_TRIES = 5;
+/** Rounds of orders to ranks that have not answered yet. */
+const ARM_ROUNDS = 4;
+
+/** All ranks of a group, by rank. */
+export type Links = readonly RankLink[];
+
+/** Makes a change; `holder` is the rank that holds the group meanwhile. */
+export async function changeMap(
+  links: Links,
+  change: Change,
+  holder: number,
+  log: Log,
+): Promise<ChangeEnd> {
+  const {epoch, version, map, patienceMs} = change;
+  const prepared = await orderAll(links, {
+    kind: 'prepare',
+    epoch,
+    version,
+    map,
+    patienceMs,
+  });
+  if (prepared.includes('deposed')) {
+    return 'deposed';
+  }
+  if (prepared.some(result => result !== 'done')) {
+    log.event('mapNotPrepared', {version, results: countOf(prepared)});
+    return 'not-prepared';
+  }
+  const step = await holdNextPass(links[holder]!, epoch);
+  if (step === undefined) {
+    return 'not-held';
+  }
+  return armAndRelease(links, {epoch, version, step}, [holder], log);
+}
+
+/** What has to be armed, and where. */
+interface Arming {
+  readonly epoch: number;
+  readonly version: number;
+  readonly step: number;
+}
+
+/** Arms every rank while the group is held, then releases it. */
+async function armAndRelease(
+  links: Links,
+  arming: Arming,
+  holders: readonly number[],
+  log: Log,
+): Promise<ChangeEnd> {
+  const {epoch, version, step} = arming;
+  const order: Order = {kind: 'arm', epoch, version, step};
+  const results: OrderResult[] = links.map(() => 'no-answer');
+  for (let round = 0; round < ARM_ROUNDS; round += 1) {
+    const open = links.flatMap((_, at) => (results[at] === 'done' ? [] : [at]));
+    await Promise.all(
+      open.map(async at => {
+        results[at] = await links[at]!.order(order);
+      }),
+    );
+    if (results.every(result => result === 'done')) {
+      await release(links, holders, epoch, step);
+      return 'armed';
+    }
+    if (results.includes('deposed')) {
+      return 'deposed';
+    }
+    if (results.includes('refused')) {
+      return backOut(links, arming, holders, log);
+    }
+  }
+  log.event('mapChangeStuck', {version, step, results: countOf(results)});
+  return 'stuck';
+}
+
+/**
+ * A rank has refused to be armed: the group has formed anew, or the rank has
+ * lost what it prepared. Only when no rank is armed may the group go on.
+ */
+async function backOut(
+  links: Links,
+  {epoch, version, step}: Arming,
+  holders: readonly number[],
+  log: Log,
+): Promise<ChangeEnd> {
+  const states = await readAll(links);
+  if (states.some(state => state !== undefined && state.epoch !== epoch)) {
+    return 'regrouped';
+  }
+  if (states.every(state => state?.mapVersion === version)) {
+    // The pass had begun: every rank took the map.
+    return 'armed';
+  }
+  const order: Order = {kind: 'disarm', epoch, version};
+  const results = await orderAll(links, order);
+  log.event('mapChangeAborted', {version, step, results: countOf(results)});
+  if (results.includes('deposed')) {
+    return 'deposed';
+  }
+  if (results.some(result => result !== 'done')) {
+    return 'stuck';
+  }
+  await release(links, holders, epoch, step);
+  return 'backed-out';
+}
+
+async function holdNextPass(
+  holder: RankLink,
+  epoch: number,
+): Promise<number | undefined> {
+  for (let tries = 0; tries < HOLD_TRIES; tries += 1) {
+    const reading = await holder.read({counts: false, held: false});
+    if (reading === undefined || reading === 'deposed') {
+      return undefined;
+    }
+    const step = reading.state.step + 1;
+    const result = await holder.order({kind: 'hold', epoch, step});
+    if (result === 'done') {
+      return step;
+    }
+    if (result !== 'refused') {
+      // It may be held all the same, or will be.
+      await holder.order({kind: 'release', epoch, step});
+      return undefined;
+    }
+  }
+  return undefined;
+}
+
+async function release(
+  links: Links,
+  holders: readonly number[],
+  epoch: number,
+  step: number,
+): Promise<void> {
+  await Promise.all(
+    holders.map(at => links[at]!.order({kind: 'release', epoch, step})),
+  );
+}
+
+/**
+ * Finishes what an earlier planner left: a held group whose ranks may be
+ * armed in part. States are by rank and were read under the new term.
+ */
+export async function finishChange(
+  links: Links,
+  states: readonly RankState[],
+  log: Log,
+): Promise<ChangeEnd | 'nothing-left'> {
+  const epoch = states[0]!.epoch;
+  const held = states.flatMap(state => state.held ?? []);
+  const armed = states.flatMap(state => state.armed ?? []);
+  const isArmedByAll = armed.length === states.length;
+  if (held.length === 0 && (armed.length === 0 || isArmedByAll)) {
+    return 'nothing-left';
+  }
+  const step = armed[0]?.step ?? Math.min(...held);
+  const version = armed[0]?.version ?? commonPrepared(states);
+  log.event('mapChangeRecovered', {version, step, armed: armed.length});
+  const holders = states.flatMap((state, at) =>
+    state.held === step ? [at] : [],
+  );
+  if (held.length === 0) {
+    // Armed in part and not held: hold it before anything else.
+    const result = await links[0]!.order({kind: 'hold', epoch, step});
+    if (result !== 'done') {
+      return result === 'deposed' ? 'deposed' : 'not-held';
+    }
+    holders.push(0);
+  }
+  if (version === undefined) {
+    await releaseAll(links, states);
+    return 'not-prepared';
+  }
+  const end = await armAndRelease(links, {epoch, version, step}, holders, log);
+  if (end === 'armed') {
+    await releaseAll(links, states);
+  }
+  return end;
+}
+
+/** The version that every rank has prepared; nothing is armed before that. */
+function commonPrepared(states: readonly RankState[]): number | undefined {
+  const version = states[0]!.prepared;
+  const isCommon = states.every(state => state.prepared === version);
+  return version !== null && isCommon ? version : undefined;
+}
+
+/** Releases every hold that the states show. */
+export async function releaseAll(
+  links: Links,
+  states: readonly RankState[],
+): Promise<void> {
+  await Promise.all(
+    states.map(async (state, at) => {
+      if (state.held !== null) {
+        const {epoch, held: step} = state;
+        await links[at]!.order({kind: 'release', epoch, step});
+      }
+    }),
+  );
+}
+
+function orderAll(links: Links, order: Order): Promise<OrderResult[]> {
+  return Promise.all(links.map(link => link.order(order)));
+}
+
+function readAll(links: Links): Promise<(RankState | undefined)[]> {
+  return Promise.all(
+    links.map(async link => {
+      const reading = await link.read({counts: false, held: false});
+      return reading === undefined || reading === 'deposed'
+        ? undefined
+        : reading.state;
+    }),
+  );
+}
+
+function countOf(results: readonly OrderResult[]): Record<string, number> {
+  const counts: Record<string, number> = {};
+  results.forEach(result => {
+    counts[result] = (counts[result] ?? 0) + 1;
+  });
+  return counts;
+}
--- /dev/null
+++ b/src/experts/plan.ts
@@ -0,0 +1,341 @@
+/**
+ * Planning an expert map for the demand of the moment: in steps, the one
+ * copy at a time that relieves the most loaded ranks most, under what one
+ * change may bring to a rank. Pure.
+ */
+import type {ExpertFigures} from '../routes/types';
+import type {ExpertMap} from './types';
+
+/** Tokens a second, or any one unit, by set and expert. */
+export type Demand = readonly Float64Array[];
+
+/** Bounds of one change. */
+export interface PlanLimits {
+  /** Experts that a rank holds in a set, at most. */
+  readonly places: number;
+  /** Experts new to a rank in a set, at most. */
+  readonly spare: number;
+  /** Experts new to a rank over all sets, at most: copies take turns. */
+  readonly copiesPerRank: number;
+  /** Least relief that a copy must bring, in shares of the mean load. */
+  readonly minRelief: number;
+}
+
+export interface MapPlan {
+  readonly map: ExpertMap;
+  /** Experts that ranks have to copy. */
+  readonly copies: number;
+  /** Most loaded rank over the mean, averaged over sets. */
+  readonly before: number;
+  readonly after: number;
+}
+
+/**
+ * Loads count by this power, so that the most loaded ranks weigh most and
+ * ranks just beneath them are not forgotten.
+ */
+const POWER = 8;
+/** Hot ranks of a set that are tried to be relieved. */
+const HOT_RANKS = 2;
+/** Lightly loaded ranks of a set that are tried as places. */
+const COLD_RANKS = 5;
+
+/** The map that a group starts with: experts dealt out in turn. */
+export function initialMap(
+  figures: ExpertFigures,
+  ranks: number,
+): number[][][] {
+  return Array.from({length: figures.sets}, () => {
+    const held: number[][] = Array.from({length: ranks}, () => []);
+    for (let expert = 0; expert < figures.experts; expert += 1) {
+      held[expert % ranks]!.push(expert);
+    }
+    return held;
+  });
+}
+
+/** Most loaded rank over the mean, averaged over sets; 1 is even. */
+export function imbalance(map: ExpertMap, demand: Demand): number {
+  const sets = map.map((held, at) => new SetBoard(held, demand[at]!));
+  return sets.reduce((sum, set) => sum + set.imbalance, 0) / sets.length;
+}
+
+/** Plans a map; undefined where no copy brings enough. */
+export function planMap(
+  map: ExpertMap,
+  demand: Demand,
+  limits: PlanLimits,
+): MapPlan | undefined {
+  const boards = map.map((held, at) => new SetBoard(held, demand[at]!));
+  const before = meanOf(boards.map(board => board.imbalance));
+  const copied = new Array<number>(map[0]?.length ?? 0).fill(0);
+  const best: (Action | undefined)[] = boards.map(() => undefined);
+  const isStale = boards.map(() => true);
+  let copies = 0;
+  for (;;) {
+    boards.forEach((board, at) => {
+      if (isStale[at] || !fits(best[at], copied, limits)) {
+        best[at] = board.bestAction(limits, copied);
+        isStale[at] = false;
+      }
+    });
+    const at = indexOfBest(best);
+    const action = at < 0 ? undefined : best[at];
+    if (action === undefined || action.relief < limits.minRelief) {
+      break;
+    }
+    boards[at]!.apply(action);
+    isStale[at] = true;
+    action.copiesTo.forEach(rank => {
+      copied[rank]! += 1;
+      copies += 1;
+    });
+  }
+  if (copies === 0) {
+    return undefined;
+  }
+  return {
+    map: boards.map(board => board.held),
+    copies,
+    before,
+    after: meanOf(boards.map(board => board.imbalance)),
+  };
+}
+
+function fits(
+  action: Action | undefined,
+  copied: readonly number[],
+  limits: PlanLimits,
+): boolean {
+  return (
+    action === undefined ||
+    action.copiesTo.every(rank => copied[rank]! < limits.copiesPerRank)
+  );
+}
+
+function indexOfBest(actions: readonly (Action | undefined)[]): number {
+  let best = -1;
+  actions.forEach((action, at) => {
+    if (action !== undefined && action.relief > (actions[best]?.relief ?? 0)) {
+      best = at;
+    }
+  });
+  return best;
+}
+
+function meanOf(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
+
+/** One change of places within a set. */
+interface Action {
+  readonly expert: number;
+  readonly from: number;
+  readonly to: number;
+  /** True: the expert stays on `from` too. */
+  readonly keeps: boolean;
+  /** Dropped by `to`, where it has other holders; -1: none. */
+  readonly drops: number;
+  /** Goes from `to` to `from`; -1: none. */
+  readonly back: number;
+  readonly copiesTo: readonly number[];
+  /** Fall of the weighted load per copy, in shares of the mean load. */
+  readonly relief: number;
+}
+
+/** One set's places and the loads that follow from them. */
+class SetBoard {
+  readonly held: number[][];
+  private readonly holders: number[][];
+  private readonly loads: Float64Array;
+  private readonly brought: number[];
+  private readonly mean: number;
+
+  constructor(
+    held: readonly (readonly number[])[],
+    private readonly demand: Float64Array,
+  ) {
+    this.held = held.map(experts => [...experts]);
+    this.holders = Array.from({length: demand.length}, () => []);
+    this.held.forEach((experts, rank) =>
+      experts.forEach(expert => this.holders[expert]!.push(rank)),
+    );
+    this.loads = new Float64Array(held.length);
+    this.brought = new Array<number>(held.length).fill(0);
+    let total = 0;
+    demand.forEach((asked, expert) => {
+      total += asked;
+      const ranks = this.holders[expert]!;
+      ranks.forEach(rank => (this.loads[rank]! += asked / ranks.length));
+    });
+    this.mean = total / held.length || 1;
+  }
+
+  get imbalance(): number {
+    return Math.max(...this.loads) / this.mean;
+  }
+
+  /** The action with the greatest relief per copy. */
+  bestAction(
+    limits: PlanLimits,
+    copied: readonly number[],
+  ): Action | undefined {
+    const order = [...this.loads.keys()].sort(
+      (a, b) => this.loads[b]! - this.loads[a]!,
+    );
+    const hot = order.slice(0, HOT_RANKS);
+    const cold = order
+      .filter(rank => this.mayBring(rank, limits, copied))
+      .slice(-COLD_RANKS);
+    const now = this.weightedLoad([]);
+    let best: Action | undefined;
+    for (const from of hot) {
+      for (const to of cold) {
+        if (to !== from) {
+          for (const action of this.actionsBetween(from, to, limits, copied)) {
+            const relief =
+              (now - this.weightedLoad(this.deltasOf(action))) /
+              action.copiesTo.length;
+            if (relief > (best?.relief ?? 0)) {
+              best = {...action, relief};
+            }
+          }
+        }
+      }
+    }
+    return best;
+  }
+
+  apply(action: Action): void {
+    for (const [rank, delta] of this.deltasOf(action)) {
+      this.loads[rank]! += delta;
+    }
+    const {expert, from, to, keeps, drops, back} = action;
+    this.add(expert, to);
+    if (!keeps) {
+      this.drop(expert, from);
+    }
+    if (drops >= 0) {
+      this.drop(drops, to);
+    }
+    if (back >= 0) {
+      this.drop(back, to);
+      this.add(back, from);
+    }
+  }
+
+  private *actionsBetween(
+    from: number,
+    to: number,
+    limits: PlanLimits,
+    copied: readonly number[],
+  ): Generator<Action> {
+    const ours = this.held[from]!;
+    const theirs = this.held[to]!;
+    const hasRoom = theirs.length < limits.places;
+    const dropped = hasRoom ? -1 : this.leastReplica(to);
+    const maySwap = this.mayBring(from, limits, copied);
+    const base = {from, to, relief: 0, drops: -1, back: -1};
+    for (const expert of ours) {
+      if (theirs.includes(expert)) {
+        continue;
+      }
+      const copiesTo = [to];
+      if (hasRoom || (dropped >= 0 && dropped !== expert)) {
+        yield {...base, expert, keeps: true, drops: dropped, copiesTo};
+        yield {...base, expert, keeps: false, drops: dropped, copiesTo};
+      }
+      if (!maySwap) {
+        continue;
+      }
+      for (const back of theirs) {
+        if (!ours.includes(back)) {
+          const both = [to, from];
+          yield {...base, expert, keeps: false, back, copiesTo: both};
+        }
+      }
+    }
+  }
+
+  private mayBring(
+    rank: number,
+    limits: PlanLimits,
+    copied: readonly number[],
+  ): boolean {
+    return (
+      this.brought[rank]! < limits.spare && copied[rank]! < limits.copiesPerRank
+    );
+  }
+
+  /** The expert of a rank with other holders and the least load; -1: none. */
+  private leastReplica(rank: number): number {
+    let best = -1;
+    let least = Infinity;
+    for (const expert of this.held[rank]!) {
+      const holders = this.holders[expert]!.length;
+      const share = this.demand[expert]! / holders;
+      if (holders > 1 && share < least) {
+        best = expert;
+        least = share;
+      }
+    }
+    return best;
+  }
+
+  /** How an action changes the loads of ranks. */
+  private deltasOf(action: Action): [number, number][] {
+    const {expert, from, to, keeps, drops, back} = action;
+    const deltas: [number, number][] = [];
+    const asked = this.demand[expert]!;
+    const holders = this.holders[expert]!;
+    if (keeps) {
+      const before = asked / holders.length;
+      const after = asked / (holders.length + 1);
+      holders.forEach(rank => deltas.push([rank, after - before]));
+      deltas.push([to, after]);
+    } else {
+      const share = asked / holders.length;
+      deltas.push([from, -share], [to, share]);
+    }
+    if (drops >= 0) {
+      const others = this.holders[drops]!;
+      const before = this.demand[drops]! / others.length;
+      const after = this.demand[drops]! / (others.length - 1);
+      for (const rank of others) {
+        deltas.push([rank, rank === to ? -before : after - before]);
+      }
+    }
+    if (back >= 0) {
+      const share = this.demand[back]! / this.holders[back]!.length;
+      deltas.push([to, -share], [from, share]);
+    }
+    return deltas;
+  }
+
+  /** A smooth stand-in for the most loaded rank, in shares of the mean. */
+  private weightedLoad(deltas: readonly [number, number][]): number {
+    const changed = new Map<number, number>();
+    for (const [rank, delta] of deltas) {
+      changed.set(rank, (changed.get(rank) ?? 0) + delta);
+    }
+    let sum = 0;
+    for (let rank = 0; rank < this.loads.length; rank += 1) {
+      const load = this.loads[rank]! + (changed.get(rank) ?? 0);
+      sum += (load / this.mean) ** POWER;
+    }
+    return sum ** (1 / POWER);
+  }
+
+  private add(expert: number, rank: number): void {
+    this.held[rank]!.push(expert);
+    this.holders[expert]!.push(rank);
+    this.brought[rank]! += 1;
+  }
+
+  private drop(expert: number, rank: number): void {
+    const held = this.held[rank]!;
+    held.splice(held.indexOf(expert), 1);
+    const holders = this.holders[expert]!;
+    holders.splice(holders.indexOf(rank), 1);
+  }
+}
--- a/src/forwarding/target-list.ts
+++ b/src/forwarding/target-list.ts
@@ -95,6 +95,11 @@
     return targets;
   }
 
+  /** All targets that may get work. */
+  all(): Target[] {
+    return [...this.held.values()].map(held => held.target);
+  }
+
   get size(): number {
     return this.held.size;
   }
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -12,6 +12,8 @@
   /** Requests that it works on at once. */
   readonly slots: number;
   readonly isLeaving: boolean;
+  /** Group of ranks in lock-step that it belongs to; undefined: none. */
+  readonly group: string | undefined;
 }
 
 /** What a request says of its prompt. */
--- a/src/observability/catalogue.ts
+++ b/src/observability/catalogue.ts
@@ -104,6 +104,20 @@
     text: 'order with an old fence refused',
   },
   orderFailed: {id: 'FC7006', level: 'warn', text: 'order to a target failed'},
+  mapNotPrepared: {id: 'FC7007', level: 'warn', text: 'map not prepared'},
+  mapChangeStuck: {
+    id: 'FC7008',
+    level: 'error',
+    text: 'ranks do not answer while their group is held',
+  },
+  mapChanged: {id: 'FC7009', level: 'info', text: 'map change ended'},
+  plannerObeyed: {id: 'FC7010', level: 'info', text: 'newer planner obeyed'},
+  plannerStarted: {id: 'FC7011', level: 'info', text: 'planning starts'},
+  plannerFault: {id: 'FC7012', level: 'error', text: 'planner failed'},
+  strayHold: {id: 'FC7013', level: 'warn', text: 'group held by nobody'},
+  seatTaken: {id: 'FC7014', level: 'info', text: 'planner seat taken'},
+  seatLost: {id: 'FC7015', level: 'warn', text: 'planner seat lost'},
+  seatReleased: {id: 'FC7016', level: 'info', text: 'planner seat given up'},
   rpcRejected: {id: 'FC8001', level: 'warn', text: 'RPC of the wrong shape'},
 } as const satisfies Record<string, EventEntry>;
 
--- a/src/roles/site-entry.ts
+++ b/src/roles/site-entry.ts
@@ -1,6 +1,9 @@
 /** The entry of a site: takes callers' requests to targets that it knows. */
 import * as http from 'node:http';
 import type {Subscription} from 'rxjs';
+import * as crypto from 'node:crypto';
+import {ExpertsService} from '../experts/service';
+import type {Engine} from '../experts/types';
 import {TargetConnections} from '../forwarding/agents';
 import {TargetLoads} from '../forwarding/choose';
 import {Forwarder} from '../forwarding/forwarder';
@@ -14,6 +17,8 @@
 import {WatchEvent, WatchLoop} from '../platform/watch-loop';
 import type {Result} from '../result';
 import {CurrentConfiguration} from '../routes/current';
+import {RpcClient} from '../rpc/client';
+import {RpcServer} from '../rpc/server';
 import type {CallerLimits, Snapshot} from '../routes/types';
 import {serveMetrics} from './metrics-face';
 import type {SiteSettings} from './site-settings';
@@ -40,7 +45,9 @@
   readonly configurationKind: string;
   readonly configurationKey: string;
   readonly targetsKind: string;
+  readonly seatKind: string;
   readonly readyPath: string;
+  makeEngine(address: string): Engine;
   readSnapshot(document: unknown): Result<Snapshot, {readonly detail: string}>;
   readTarget(id: string, document: unknown): Target | undefined;
 }
@@ -52,6 +59,9 @@
   private readonly connections = new TargetConnections();
   private readonly forwarder: Forwarder;
   private readonly metrics = new Metrics();
+  private readonly rpc = new RpcClient();
+  private readonly rpcServer: RpcServer;
+  private readonly experts: ExpertsService;
   private readonly configurationLoop: WatchLoop;
   private readonly targetsLoop: WatchLoop;
   private readonly subscriptions: Subscription[] = [];
@@ -80,6 +90,9 @@
       log,
       metrics: this.metrics,
     });
+    this.rpcServer = new RpcServer(log);
+    this.experts = this.makeExperts();
+    this.experts.serve(this.rpcServer);
     this.configurationLoop = new WatchLoop(
       store,
       documents.configurationKind,
@@ -125,6 +138,8 @@
     this.servers.push(
       await serveMetrics(`${cfg.host}:${cfg.metricsPort}`, this.metrics),
     );
+    const rpc = http.createServer((req, res) => this.answerRpc(req, res));
+    this.servers.push(await httpServer.bind(`${cfg.host}:${cfg.rpcPort}`, rpc));
     this.log.event('processReady', {id: cfg.id, hall: cfg.hall});
     void this.configurationLoop.run();
     void this.targetsLoop.run();
@@ -142,7 +157,9 @@
     this.forwarder.stop();
     const {openCount} = this.forwarder;
     this.log.event('processStopping', {inFlight: openCount});
+    const handover = this.experts.close();
     await sleep(CLOSE_CONNECTIONS_MS);
+    await handover;
     this.callers?.close();
     this.callers?.closeIdleConnections();
     while (this.forwarder.openCount > 0 && performance.now() < endsAt) {
@@ -160,9 +177,37 @@
     this.servers.forEach(server => server.close());
     this.callers?.closeAllConnections();
     this.connections.close();
+    this.rpc.close();
     this.store.close();
   }
 
+  private makeExperts(): ExpertsService {
+    const {cfg, documents, store, rpc, log, metrics} = this;
+    return new ExpertsService({
+      own: {
+        id: cfg.id,
+        address: `${cfg.host}:${cfg.rpcPort}`,
+        life: crypto.randomUUID(),
+      },
+      seatKind: documents.seatKind,
+      rpcPort: cfg.rpcPort,
+      store,
+      rpc,
+      log,
+      metrics,
+      figuresOf: service =>
+        this.configuration.table?.findService(service)?.engine?.experts,
+      makeEngine: address => documents.makeEngine(address),
+    });
+  }
+
+  private answerRpc(req: http.IncomingMessage, res: http.ServerResponse): void {
+    this.rpcServer.answer(req, res).catch(err => {
+      this.log.event('requestFault', {error: String((err as Error).stack)});
+      res.destroy();
+    });
+  }
+
   private answer(req: http.IncomingMessage, res: http.ServerResponse): void {
     this.forwarder.answer(req, res).catch(err => {
       this.log.event('requestFault', {error: String((err as Error).stack)});
@@ -256,6 +301,9 @@
     }
     this.hasTargets = this.hasTargets || this.targets.size > 0;
     this.loads.retain(id => this.targets.get(id) !== undefined);
+    if (!this.isStopping) {
+      this.experts.update(this.targets.all());
+    }
   }
 
   private onTarget(change: TargetChange): void {
