The planner moves from an entry into a sidecar

Ruled out: the hall's targets (the other halls' streams ran on the same group). Members now hear the planner by its readings; the store is asked only when it falls silent, and a member takes over only where most members are reached and none hears a planner.

--- a/src/experts/app.ts
+++ b/src/experts/app.ts
@@ -67,9 +67,9 @@
   }),
 );
 
-/** Asks a process whether it plans for a group. */
-export const ping = rpc.method(
-  'experts.ping',
-  v.object({seat: v.string()}),
-  v.object({holds: v.boolean(), term: whole}),
+/** Asks a sidecar for how long it has heard of no planner. */
+export const silence = rpc.method(
+  'experts.silence',
+  v.object({}),
+  v.object({silentMs: v.number()}),
 );
--- /dev/null
+++ b/src/experts/group-member.ts
@@ -0,0 +1,245 @@
+/**
+ * One rank's part in planning for its group. The member that holds the seat
+ * follows the list of targets and the configuration; the others ask the store
+ * for nothing.
+ */
+import {Log} from '../observability/log';
+import {Metrics} from '../observability/metrics';
+import type {ObjectApi} from '../platform/client';
+import {WatchEvent, WatchLoop} from '../platform/watch-loop';
+import type {ExpertFigures} from '../routes/types';
+import type {RpcClient} from '../rpc/client';
+import type {SiteDocuments} from '../roles/site-documents';
+import type {Target} from '../forwarding/types';
+import * as app from './app';
+import {SidecarLink} from './links';
+import {GroupPlanner} from './planner';
+import type {RankAgent} from './rank-agent';
+import {Seat, SeatContext} from './seat';
+import type {Engine} from './types';
+
+/** Milliseconds without a planner after which another may take over. */
+const PLANNER_SILENT_MS = 600;
+/** Longest wait for a member's word on that, in milliseconds. */
+const ASK_TIMEOUT_MS = 200;
+/** Milliseconds that the planner's watches wait for a change. */
+const WATCH_WAIT_MS = 25_000;
+/** Pause between questions to an engine that is no rank yet. */
+const NO_RANK_PAUSE_MS = 200;
+
+/** What a member needs of its process. */
+export interface MemberContext {
+  /** Name of the instance. */
+  readonly id: string;
+  /** Names this life of the process. */
+  readonly life: string;
+  readonly service: string;
+  readonly rpcPort: number;
+  readonly engine: Engine;
+  readonly agent: RankAgent;
+  readonly documents: SiteDocuments;
+  readonly store: ObjectApi;
+  readonly rpc: RpcClient;
+  readonly log: Log;
+  readonly metrics: Metrics;
+}
+
+export class GroupMember extends SeatContext {
+  private readonly links = new Map<string, SidecarLink>();
+  private readonly planner: GroupPlanner;
+  private seat: Seat | undefined;
+  private group = '';
+  private members: readonly Target[] = [];
+  private figures: ExpertFigures | undefined;
+  private loops: readonly WatchLoop[] = [];
+  private isClosed = false;
+
+  constructor(private readonly context: MemberContext) {
+    super();
+    this.planner = new GroupPlanner({
+      group: context.service,
+      figures: () => this.figures,
+      links: () => this.members.map(target => this.linkTo(target)),
+      term: () => this.seat?.term ?? 0,
+      onDeposed: () => this.seat?.lose(),
+      onTick: () => this.followWhileHolding(),
+      log: context.log,
+      metrics: context.metrics,
+    });
+  }
+
+  /** Takes part from when the engine is a rank of a group. */
+  async run(): Promise<void> {
+    const {context} = this;
+    while (!this.isClosed) {
+      const state = await context.engine.state();
+      if (state.ok && state.value !== undefined) {
+        this.group = state.value.group;
+        break;
+      }
+      await sleep(NO_RANK_PAUSE_MS);
+    }
+    if (this.isClosed) {
+      return;
+    }
+    const {documents, service, id, life, store, log} = context;
+    const key = `${documents.seatKind}/${service}.${this.group}`;
+    this.seat = new Seat(key, {holder: id, life}, this, store, log);
+    this.planner.start();
+    await this.seat.run();
+  }
+
+  isPlannerHeard(): boolean {
+    return this.context.agent.silentMs < PLANNER_SILENT_MS;
+  }
+
+  async mayTake(): Promise<boolean> {
+    const listing = await this.context.store.list(
+      `${this.context.documents.targetsKind}/`,
+    );
+    if (!listing.ok) {
+      return false;
+    }
+    this.takeMembers(
+      listing.value.items.flatMap(item => this.readTarget(item)),
+    );
+    const answers = await Promise.all(
+      this.members.map(target =>
+        this.context.rpc.call(
+          this.sidecarOf(target),
+          app.silence,
+          {},
+          ASK_TIMEOUT_MS,
+        ),
+      ),
+    );
+    const reached = answers.filter(answer => answer.ok).length;
+    const isHeard = answers.some(
+      answer => answer.ok && answer.value.silentMs < PLANNER_SILENT_MS,
+    );
+    return !isHeard && reached * 2 > this.members.length;
+  }
+
+  async close(): Promise<void> {
+    this.isClosed = true;
+    this.planner.close();
+    this.loops.forEach(loop => loop.close());
+    await this.seat?.close();
+    this.links.forEach(link => link.close());
+  }
+
+  /** Only the planner follows the store. */
+  private followWhileHolding(): void {
+    const isHolding = (this.seat?.term ?? 0) !== 0;
+    if (isHolding && this.loops.length === 0 && !this.isClosed) {
+      this.loops = this.openLoops();
+    } else if (!isHolding && this.loops.length > 0) {
+      this.loops.forEach(loop => loop.close());
+      this.loops = [];
+    }
+  }
+
+  private openLoops(): WatchLoop[] {
+    const {documents, store} = this.context;
+    const targets = new WatchLoop(store, documents.targetsKind, WATCH_WAIT_MS);
+    const configuration = new WatchLoop(
+      store,
+      documents.configurationKind,
+      WATCH_WAIT_MS,
+    );
+    targets.events.subscribe(event => this.onTargets(event));
+    configuration.events.subscribe(event => this.onConfiguration(event));
+    void targets.run();
+    void configuration.run();
+    return [targets, configuration];
+  }
+
+  private onTargets(event: WatchEvent): void {
+    if (event.kind !== 'listed' && event.kind !== 'changed') {
+      return;
+    }
+    const {items, removed} = event.listing;
+    const found = items.flatMap(item => this.readTarget(item));
+    if (event.kind === 'listed') {
+      this.takeMembers(found);
+      return;
+    }
+    const changed = new Set([
+      ...found.map(target => target.id),
+      ...removed.map(nameOf),
+    ]);
+    const kept = this.members.filter(target => !changed.has(target.id));
+    this.takeMembers([...kept, ...found]);
+  }
+
+  private onConfiguration(event: WatchEvent): void {
+    if (event.kind !== 'listed' && event.kind !== 'changed') {
+      return;
+    }
+    const {documents, service} = this.context;
+    const object = event.listing.items.find(
+      item => item.key === documents.configurationKey,
+    );
+    const read = documents.readSnapshot(object?.value);
+    if (read.ok) {
+      const found = read.value.services.find(one => one.name === service);
+      this.figures = found?.engine?.experts;
+    }
+  }
+
+  private readTarget(item: {key: string; value: unknown}): Target[] {
+    const target = this.context.documents.readTarget(
+      nameOf(item.key),
+      item.value,
+    );
+    return target === undefined ? [] : [target];
+  }
+
+  /** A rank's newest life is the one that counts at its address. */
+  private takeMembers(targets: readonly Target[]): void {
+    const byAddress = new Map<string, Target>();
+    for (const target of targets) {
+      const isMember =
+        target.service === this.context.service && target.group === this.group;
+      if (isMember) {
+        byAddress.set(target.address, target);
+      }
+    }
+    this.members = [...byAddress.values()];
+    for (const [address, link] of this.links) {
+      if (!byAddress.has(address)) {
+        link.close();
+        this.links.delete(address);
+      }
+    }
+  }
+
+  private linkTo(target: Target): SidecarLink {
+    let link = this.links.get(target.address);
+    if (link === undefined) {
+      const {rpc, documents} = this.context;
+      link = new SidecarLink(
+        rpc,
+        this.sidecarOf(target),
+        documents.makeEngine(target.address),
+        () => this.seat?.term ?? 0,
+      );
+      this.links.set(target.address, link);
+    }
+    return link;
+  }
+
+  /** Every sidecar stands on its target's instance, at the same port. */
+  private sidecarOf(target: Target): string {
+    const [host] = target.address.split(':', 1);
+    return `${host}:${this.context.rpcPort}`;
+  }
+}
+
+function nameOf(key: string): string {
+  return key.slice(key.indexOf('/') + 1);
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
--- a/src/experts/planner.ts
+++ b/src/experts/planner.ts
@@ -37,6 +37,23 @@
   readonly links: readonly SidecarLink[];
 }
 
+/** What a planner needs of the member that runs it. */
+export interface PlannerContext {
+  /** Name for logs. */
+  readonly group: string;
+  /** Undefined until the configuration is known. */
+  figures(): ExpertFigures | undefined;
+  /** Every member of the group. */
+  links(): readonly SidecarLink[];
+  /** 0 while another process plans. */
+  term(): number;
+  onDeposed(): void;
+  /** Called before each look. */
+  onTick(): void;
+  readonly log: Log;
+  readonly metrics: Metrics;
+}
+
 export class GroupPlanner {
   private demand: RecentDemand | undefined;
   private map: {version: number; epoch: number; experts: ExpertMap} | undefined;
@@ -47,15 +64,7 @@
   private isClosed = false;
   private timer: NodeJS.Timeout | undefined;
 
-  constructor(
-    private readonly group: string,
-    private readonly figures: () => ExpertFigures | undefined,
-    private readonly links: () => readonly SidecarLink[],
-    private readonly term: () => number,
-    private readonly onDeposed: () => void,
-    private readonly log: Log,
-    private readonly metrics: Metrics,
-  ) {}
+  constructor(private readonly context: PlannerContext) {}
 
   start(): void {
     this.timer = setTimeout(() => void this.tick(), PERIOD_MS);
@@ -70,7 +79,9 @@
     try {
       await this.look();
     } catch (err) {
-      this.log.event('plannerFault', {error: String((err as Error).stack)});
+      this.context.log.event('plannerFault', {
+        error: String((err as Error).stack),
+      });
     }
     if (!this.isClosed) {
       this.start();
@@ -79,8 +90,9 @@
 
   /** Reads the ranks, and plans where nothing is under way. */
   private async look(): Promise<void> {
-    const figures = this.figures();
-    if (this.term() === 0 || figures === undefined) {
+    this.context.onTick();
+    const figures = this.context.figures();
+    if (this.context.term() === 0 || figures === undefined) {
       this.forget();
       return;
     }
@@ -107,7 +119,7 @@
   }
 
   private async readRanks(figures: ExpertFigures): Promise<Round | undefined> {
-    const links = this.links();
+    const links = this.context.links();
     const wantsHeld = this.map === undefined;
     const wish = {counts: true, held: wantsHeld};
     const readings = await Promise.all(
@@ -119,7 +131,7 @@
       }),
     );
     if (readings.includes('deposed')) {
-      this.onDeposed();
+      this.context.onDeposed();
       return undefined;
     }
     const known = readings.flatMap((reading, at) =>
@@ -181,11 +193,11 @@
     const end = await mapChange.finishChange(
       round.links,
       round.states,
-      this.log,
+      this.context.log,
     );
-    this.log.event('plannerStarted', {
-      group: this.group,
-      term: this.term(),
+    this.context.log.event('plannerStarted', {
+      group: this.context.group,
+      term: this.context.term(),
       left: end,
     });
     this.afterChange(end);
@@ -197,7 +209,7 @@
     const demand = this.demand?.demand;
     const stray = round.states.some(state => state.held !== null);
     if (stray) {
-      this.log.event('strayHold', {group: this.group});
+      this.context.log.event('strayHold', {group: this.context.group});
       await this.takeOver(round);
       return;
     }
@@ -256,12 +268,12 @@
           patienceMs: most * COPY_SLACK + COPY_SLACK_MS,
         },
         holder,
-        this.log,
+        this.context.log,
       );
       const ms = Math.round(performance.now() - begunAt);
-      this.metrics.count('map_changes_total', {end});
-      this.log.event('mapChanged', {
-        group: this.group,
+      this.context.metrics.count('map_changes_total', {end});
+      this.context.log.event('mapChanged', {
+        group: this.context.group,
         version,
         end,
         copies: plan.copies,
@@ -274,7 +286,9 @@
       }
       this.afterChange(end);
     } catch (err) {
-      this.log.event('plannerFault', {error: String((err as Error).stack)});
+      this.context.log.event('plannerFault', {
+        error: String((err as Error).stack),
+      });
       this.forget();
     }
     this.isChanging = false;
@@ -301,7 +315,7 @@
       case 'stuck':
       case 'deposed':
         this.forget();
-        this.onDeposed();
+        this.context.onDeposed();
     }
   }
 }
--- a/src/experts/rank-agent.ts
+++ b/src/experts/rank-agent.ts
@@ -12,12 +12,18 @@
 
 export class RankAgent {
   private term = 0;
+  private heardAt = performance.now();
 
   constructor(
     private readonly engine: Engine,
     private readonly log: Log,
   ) {}
 
+  /** Milliseconds since a planner was last heard. */
+  get silentMs(): number {
+    return performance.now() - this.heardAt;
+  }
+
   /** Reads the rank for the planner of a term. */
   async read(
     term: number,
@@ -56,7 +62,11 @@
       this.log.event('plannerObeyed', {term, before: this.term});
       this.term = term;
     }
-    return term === this.term;
+    const isNewest = term === this.term;
+    if (isNewest) {
+      this.heardAt = performance.now();
+    }
+    return isNewest;
   }
 }
 
--- a/src/experts/seat.ts
+++ b/src/experts/seat.ts
@@ -1,56 +1,49 @@
 /**
  * Who plans for a group: one object in the store, changed by conditional
  * writes. Its revision is the planner's term, so that a later planner always
- * has a higher one. The others ask the holder whether it lives, not the store.
+ * has a higher one. A planner reads every rank several times a second, which
+ * tells the others that it lives; the store is asked only when it is silent.
  */
+import * as v from 'valibot';
 import {Log} from '../observability/log';
 import type {ObjectApi} from '../platform/client';
 import * as random from '../random';
-import type {RpcClient} from '../rpc/client';
-import * as v from 'valibot';
-import * as app from './app';
 
-/** Milliseconds between questions to the holder. */
-const PING_MS = 250;
-/** Longest wait for its answer. */
-const PING_TIMEOUT_MS = 250;
-/** Answers in a row that must fail to come before the seat is taken. */
-const MISSES = 3;
+/** Milliseconds between looks whether a planner is heard. */
+const LOOK_MS = 150;
+/** Pause after the store or the other members did not answer. */
+const FAILED_PAUSE_MS = 500;
 /** Head start of the others for a seat that was just lost. */
-const AFTER_LOSS_PAUSE_MS = 700;
-/** Pause after the store did not answer. */
-const STORE_PAUSE_MS = 400;
+const AFTER_LOSS_PAUSE_MS = 900;
 
 const seatSchema = v.object({
   holder: v.string(),
-  address: v.string(),
   /** Names one life of the holder. */
   life: v.string(),
 });
 type SeatValue = v.InferOutput<typeof seatSchema>;
 
-/** Who takes part in planning. */
-export interface Candidate {
-  readonly id: string;
-  readonly address: string;
-  readonly life: string;
+/** What a seat asks of the member of the group that wants it. */
+export abstract class SeatContext {
+  /** True while a planner has been heard lately. */
+  abstract isPlannerHeard(): boolean;
+  /** True where most members are reached and none hears a planner. */
+  abstract mayTake(): Promise<boolean>;
 }
 
 export class Seat {
   /** The term while this process holds the seat; 0: it does not. */
   term = 0;
-  private known: {value: SeatValue; version: number} | undefined;
   /** A term that was lost is not taken up again. */
   private lostTerm = 0;
-  private isFirstLook = false;
-  private misses = 0;
+  private pausesUntil = 0;
   private isClosed = false;
 
   constructor(
     readonly key: string,
-    private readonly own: Candidate,
+    private readonly own: SeatValue,
+    private readonly context: SeatContext,
     private readonly store: ObjectApi,
-    private readonly rpc: RpcClient,
     private readonly log: Log,
   ) {}
 
@@ -62,109 +55,63 @@
     }
   }
 
-  /** A rank has heard of a newer planner. */
+  /** A rank has heard of a newer planner, or this one can't go on. */
   lose(): void {
     if (this.term !== 0) {
       this.log.event('seatLost', {seat: this.key, term: this.term});
       this.lostTerm = this.term;
-      this.isFirstLook = true;
       this.term = 0;
-      this.known = undefined;
-      this.misses = MISSES;
+      this.pausesUntil = performance.now() + AFTER_LOSS_PAUSE_MS;
     }
   }
 
-  /** Gives the seat up, so that another takes it at once. */
+  /** Gives the seat up, so that another need not wait. */
   async close(): Promise<void> {
     this.isClosed = true;
     const {term} = this;
     this.term = 0;
     if (term !== 0) {
-      const empty: SeatValue = {holder: '', address: '', life: ''};
+      const empty: SeatValue = {holder: '', life: ''};
       const put = await this.store.put(this.key, empty, term);
       this.log.event('seatReleased', {seat: this.key, term, ok: put.ok});
     }
   }
 
   private async step(): Promise<number> {
-    if (this.term !== 0) {
-      return PING_MS;
+    const isPausing = performance.now() < this.pausesUntil;
+    if (this.term !== 0 || isPausing || this.context.isPlannerHeard()) {
+      return random.jitter(LOOK_MS);
     }
-    if (this.known !== undefined && this.known.value.address !== '') {
-      if (await this.hearsHolder(this.known.value.address)) {
-        this.misses = 0;
-        return random.jitter(PING_MS);
-      }
-      this.misses += 1;
-      if (this.misses < MISSES) {
-        return PING_MS / 2;
-      }
-    }
-    return this.look();
-  }
-
-  private async hearsHolder(address: string): Promise<boolean> {
-    const answer = await this.rpc.call(
-      address,
-      app.ping,
-      {seat: this.key},
-      PING_TIMEOUT_MS,
-    );
-    // A holder that says that it isn't one is as good as dead.
-    if (answer.ok && !answer.value.holds) {
-      this.misses = MISSES;
+    if (!(await this.context.mayTake())) {
+      return random.jitter(FAILED_PAUSE_MS);
     }
-    return answer.ok && answer.value.holds;
+    return this.take();
   }
 
-  private async look(): Promise<number> {
+  private async take(): Promise<number> {
     const got = await this.store.get(this.key);
-    if (this.isClosed) {
-      return 0;
-    }
     if (!got.ok) {
-      return random.jitter(STORE_PAUSE_MS);
+      return random.jitter(FAILED_PAUSE_MS);
     }
     const version = got.value?.version ?? 0;
     const parsed = v.safeParse(seatSchema, got.value?.value);
-    const value = parsed.success ? parsed.output : undefined;
-    if (value?.life === this.own.life && version > this.lostTerm) {
+    const isOwn = parsed.success && parsed.output.life === this.own.life;
+    if (isOwn && version > this.lostTerm) {
       // A write whose answer was lost has taken effect.
-      this.take(version);
-      return PING_MS;
-    }
-    const isNews =
-      value !== undefined &&
-      value.address !== '' &&
-      value.life !== this.known?.value.life;
-    if (isNews) {
-      this.known = {value, version};
-      this.misses = 0;
-      return 0;
+      this.hold(version);
+      return LOOK_MS;
     }
-    if (version === this.lostTerm && this.isFirstLook) {
-      // Somebody else goes first: this process could not finish.
-      this.isFirstLook = false;
-      return AFTER_LOSS_PAUSE_MS;
+    const put = await this.store.put(this.key, this.own, version);
+    if (put.ok) {
+      this.hold(put.value);
     }
-    return this.write(version);
+    return random.jitter(put.ok ? LOOK_MS : FAILED_PAUSE_MS);
   }
 
-  private async write(expected: number): Promise<number> {
-    const {id, address, life} = this.own;
-    const value: SeatValue = {holder: id, address, life};
-    const put = await this.store.put(this.key, value, expected);
-    if (put.ok && !this.isClosed) {
-      this.take(put.value);
-    } else if (!put.ok && put.error.kind === 'conflict') {
-      return 0;
+  private hold(term: number): void {
+    if (!this.isClosed) {
+      this.term = term;
+      this.log.event('seatTaken', {seat: this.key, term});
     }
-    return random.jitter(PING_MS);
-  }
-
-  private take(term: number): void {
-    this.term = term;
-    this.misses = 0;
-    this.log.event('seatTaken', {seat: this.key, term});
   }
 }
--- /dev/null
+++ b/src/roles/site-documents.ts
@@ -0,0 +1,18 @@
+/** What a site's store holds and means; decoded outside the core. */
+import type {Engine} from '../experts/types';
+import type {Target} from '../forwarding/types';
+import type {Result} from '../result';
+import type {Snapshot} from '../routes/types';
+
+export interface SiteDocuments {
+  readonly configurationKind: string;
+  readonly configurationKey: string;
+  readonly targetsKind: string;
+  /** Kind of the objects that hold planners' seats. */
+  readonly seatKind: string;
+  /** Path at which an entry is asked whether it is ready. */
+  readonly readyPath: string;
+  makeEngine(address: string): Engine;
+  readSnapshot(document: unknown): Result<Snapshot, {readonly detail: string}>;
+  readTarget(id: string, document: unknown): Target | undefined;
+}
--- a/src/roles/site-entry.ts
+++ b/src/roles/site-entry.ts
@@ -1,9 +1,6 @@
 /** The entry of a site: takes callers' requests to targets that it knows. */
 import * as http from 'node:http';
 import type {Subscription} from 'rxjs';
-import * as crypto from 'node:crypto';
-import {ExpertsService} from '../experts/service';
-import type {Engine} from '../experts/types';
 import {TargetConnections} from '../forwarding/agents';
 import {TargetLoads} from '../forwarding/choose';
 import {Forwarder} from '../forwarding/forwarder';
@@ -15,12 +12,10 @@
 import type {ObjectApi} from '../platform/client';
 import type {Listing, StoredObject} from '../platform/types';
 import {WatchEvent, WatchLoop} from '../platform/watch-loop';
-import type {Result} from '../result';
 import {CurrentConfiguration} from '../routes/current';
-import {RpcClient} from '../rpc/client';
-import {RpcServer} from '../rpc/server';
-import type {CallerLimits, Snapshot} from '../routes/types';
+import type {CallerLimits} from '../routes/types';
 import {serveMetrics} from './metrics-face';
+import type {SiteDocuments} from './site-documents';
 import type {SiteSettings} from './site-settings';
 
 /**
@@ -40,18 +35,6 @@
 /** Part of the grace period after which the process ends anyway. */
 const GRACE_SHARE = 0.95;
 
-/** What the platform's documents mean; decoded outside the core. */
-export interface SiteDocuments {
-  readonly configurationKind: string;
-  readonly configurationKey: string;
-  readonly targetsKind: string;
-  readonly seatKind: string;
-  readonly readyPath: string;
-  makeEngine(address: string): Engine;
-  readSnapshot(document: unknown): Result<Snapshot, {readonly detail: string}>;
-  readTarget(id: string, document: unknown): Target | undefined;
-}
-
 export class SiteEntry {
   private readonly configuration = new CurrentConfiguration();
   private readonly targets: TargetList;
@@ -59,9 +42,6 @@
   private readonly connections = new TargetConnections();
   private readonly forwarder: Forwarder;
   private readonly metrics = new Metrics();
-  private readonly rpc = new RpcClient();
-  private readonly rpcServer: RpcServer;
-  private readonly experts: ExpertsService;
   private readonly configurationLoop: WatchLoop;
   private readonly targetsLoop: WatchLoop;
   private readonly subscriptions: Subscription[] = [];
@@ -90,9 +70,6 @@
       log,
       metrics: this.metrics,
     });
-    this.rpcServer = new RpcServer(log);
-    this.experts = this.makeExperts();
-    this.experts.serve(this.rpcServer);
     this.configurationLoop = new WatchLoop(
       store,
       documents.configurationKind,
@@ -138,8 +115,6 @@
     this.servers.push(
       await serveMetrics(`${cfg.host}:${cfg.metricsPort}`, this.metrics),
     );
-    const rpc = http.createServer((req, res) => this.answerRpc(req, res));
-    this.servers.push(await httpServer.bind(`${cfg.host}:${cfg.rpcPort}`, rpc));
     this.log.event('processReady', {id: cfg.id, hall: cfg.hall});
     void this.configurationLoop.run();
     void this.targetsLoop.run();
@@ -157,9 +132,7 @@
     this.forwarder.stop();
     const {openCount} = this.forwarder;
     this.log.event('processStopping', {inFlight: openCount});
-    const handover = this.experts.close();
     await sleep(CLOSE_CONNECTIONS_MS);
-    await handover;
     this.callers?.close();
     this.callers?.closeIdleConnections();
     while (this.forwarder.openCount > 0 && performance.now() < endsAt) {
@@ -177,37 +150,9 @@
     this.servers.forEach(server => server.close());
     this.callers?.closeAllConnections();
     this.connections.close();
-    this.rpc.close();
     this.store.close();
   }
 
-  private makeExperts(): ExpertsService {
-    const {cfg, documents, store, rpc, log, metrics} = this;
-    return new ExpertsService({
-      own: {
-        id: cfg.id,
-        address: `${cfg.host}:${cfg.rpcPort}`,
-        life: crypto.randomUUID(),
-      },
-      seatKind: documents.seatKind,
-      rpcPort: cfg.rpcPort,
-      store,
-      rpc,
-      log,
-      metrics,
-      figuresOf: service =>
-        this.configuration.table?.findService(service)?.engine?.experts,
-      makeEngine: address => documents.makeEngine(address),
-    });
-  }
-
-  private answerRpc(req: http.IncomingMessage, res: http.ServerResponse): void {
-    this.rpcServer.answer(req, res).catch(err => {
-      this.log.event('requestFault', {error: String((err as Error).stack)});
-      res.destroy();
-    });
-  }
-
   private answer(req: http.IncomingMessage, res: http.ServerResponse): void {
     this.forwarder.answer(req, res).catch(err => {
       this.log.event('requestFault', {error: String((err as Error).stack)});
@@ -301,9 +246,6 @@
     }
     this.hasTargets = this.hasTargets || this.targets.size > 0;
     this.loads.retain(id => this.targets.get(id) !== undefined);
-    if (!this.isStopping) {
-      this.experts.update(this.targets.all());
-    }
   }
 
   private onTarget(change: TargetChange): void {
--- a/src/roles/site-sidecar.ts
+++ b/src/roles/site-sidecar.ts
@@ -1,25 +1,53 @@
 /** The sidecar of a site: speaks for the rank beside it. */
+import * as crypto from 'node:crypto';
 import * as http from 'node:http';
 import * as experts from '../experts/app';
+import {GroupMember} from '../experts/group-member';
 import {RankAgent} from '../experts/rank-agent';
 import type {Engine, RankReading} from '../experts/types';
 import * as httpServer from '../http/server';
 import type {Log} from '../observability/log';
+import {Metrics} from '../observability/metrics';
+import type {ObjectApi} from '../platform/client';
+import {RpcClient} from '../rpc/client';
 import {RpcServer} from '../rpc/server';
+import {serveMetrics} from './metrics-face';
+import type {SiteDocuments} from './site-documents';
 import type {SiteSettings} from './site-settings';
 
 export class SiteSidecar {
   private readonly rpc: RpcServer;
   private readonly agent: RankAgent;
-  private server: http.Server | undefined;
+  private readonly engine: Engine;
+  private readonly client = new RpcClient();
+  private readonly metrics = new Metrics();
+  private readonly member: GroupMember | undefined;
+  private readonly servers: http.Server[] = [];
 
   constructor(
     private readonly cfg: SiteSettings,
-    private readonly engine: Engine,
+    documents: SiteDocuments,
+    private readonly store: ObjectApi,
     private readonly log: Log,
   ) {
     this.rpc = new RpcServer(log);
-    this.agent = new RankAgent(engine, log);
+    this.engine = documents.makeEngine(cfg.targetAddress ?? '');
+    this.agent = new RankAgent(this.engine, log);
+    if (cfg.targetService !== undefined) {
+      this.member = new GroupMember({
+        id: cfg.id,
+        life: crypto.randomUUID(),
+        service: cfg.targetService,
+        rpcPort: cfg.rpcPort,
+        engine: this.engine,
+        agent: this.agent,
+        documents,
+        store,
+        rpc: this.client,
+        log,
+        metrics: this.metrics,
+      });
+    }
   }
 
   async open(): Promise<void> {
@@ -35,16 +63,19 @@
     this.rpc.handle(experts.order, async ({term, order}) => ({
       result: await this.agent.order(term, order),
     }));
+    this.rpc.handle(experts.silence, () => ({silentMs: this.agent.silentMs}));
     const server = http.createServer((req, res) => {
       this.rpc.answer(req, res).catch(err => {
         this.log.event('requestFault', {error: String((err as Error).stack)});
         res.destroy();
       });
     });
-    this.server = await httpServer.bind(
-      `${this.cfg.host}:${this.cfg.rpcPort}`,
-      server,
+    const {host, rpcPort, metricsPort} = this.cfg;
+    this.servers.push(
+      await httpServer.bind(`${host}:${rpcPort}`, server),
+      await serveMetrics(`${host}:${metricsPort}`, this.metrics),
     );
+    void this.member?.run();
     this.log.event('processReady', {id: this.cfg.id, hall: this.cfg.hall});
   }
 
@@ -56,9 +87,14 @@
   /** Nothing is in flight here that a planner would not ask for again. */
   async stop(): Promise<void> {
     this.log.event('processStopping', {inFlight: 0});
-    this.server?.close();
-    this.server?.closeAllConnections();
+    await this.member?.close();
+    for (const server of this.servers) {
+      server.close();
+      server.closeAllConnections();
+    }
+    this.client.close();
     this.engine.close();
+    this.store.close();
   }
 }
 
