--- a/src/experts/change.test.ts
+++ b/src/experts/change.test.ts
@@ -381,7 +381,7 @@
 
 /** What a new planner does: reads all, finishes, and changes the map. */
 async function takeOver(links: FakeLink[]): Promise<string> {
-  let end: string = 'nothing-left';
+  let end = 'nothing-left' as changes.ChangeEnd | 'nothing-left';
   for (let tries = 0; tries < 5; tries += 1) {
     const states = await readStates(links);
     end = await changes.finishChange(links, states, 2, SILENT_LOG);
--- /dev/null
+++ b/src/experts/plan.test.ts
@@ -0,0 +1,107 @@
+import * as fc from 'fast-check';
+import * as plans from './plan';
+
+const LIMITS = {places: 8, spare: 3, copiesPerRank: 2, minRelief: 0.03};
+const FIGURES = {
+  sets: 2,
+  experts: 24,
+  places: 8,
+  spare: 3,
+  share: 1,
+  copyMs: 1,
+};
+const RANKS = 6;
+
+const demand = fc.array(
+  fc
+    .array(fc.double({min: 0, max: 900, noNaN: true}), {
+      minLength: FIGURES.experts,
+      maxLength: FIGURES.experts,
+    })
+    .map(values => Float64Array.from(values)),
+  {minLength: FIGURES.sets, maxLength: FIGURES.sets},
+);
+
+/** Plans several changes in a row, each from the one before. */
+function planInRow(demands: readonly (readonly Float64Array[])[]) {
+  const first = plans.initialMap(FIGURES, RANKS);
+  const steps: {from: plans.MapPlan['map']; plan: plans.MapPlan}[] = [];
+  let map: plans.MapPlan['map'] = first;
+  for (const one of demands) {
+    const plan = plans.planMap(map, one, LIMITS);
+    if (plan !== undefined) {
+      steps.push({from: map, plan});
+      map = plan.map;
+    }
+  }
+  return steps;
+}
+
+describe('planning an expert map', () => {
+  it('holds every expert, and none twice at a rank', () => {
+    fc.assert(
+      fc.property(fc.array(demand, {minLength: 1, maxLength: 5}), demands => {
+        for (const {plan} of planInRow(demands)) {
+          for (const held of plan.map) {
+            expect(new Set(held.flat()).size).toBe(FIGURES.experts);
+            for (const experts of held) {
+              expect(new Set(experts).size).toBe(experts.length);
+              expect(experts.length).toBeLessThanOrEqual(LIMITS.places);
+            }
+          }
+        }
+      }),
+      {numRuns: 150, seed: 21},
+    );
+  });
+
+  it('brings a rank no more than a change may', () => {
+    fc.assert(
+      fc.property(fc.array(demand, {minLength: 1, maxLength: 5}), demands => {
+        for (const {from, plan} of planInRow(demands)) {
+          const total = new Array<number>(RANKS).fill(0);
+          plan.map.forEach((held, set) =>
+            held.forEach((experts, rank) => {
+              const before = from[set]![rank]!;
+              const brought = experts.filter(e => !before.includes(e)).length;
+              expect(brought).toBeLessThanOrEqual(LIMITS.spare);
+              total[rank]! += brought;
+            }),
+          );
+          expect(Math.max(...total)).toBeLessThanOrEqual(LIMITS.copiesPerRank);
+        }
+      }),
+      {numRuns: 150, seed: 22},
+    );
+  });
+
+  it('predicts what the map does', () => {
+    fc.assert(
+      fc.property(demand, one => {
+        for (const {from, plan} of planInRow([one])) {
+          expect(plan.before).toBeCloseTo(plans.imbalance(from, one), 9);
+          expect(plan.after).toBeCloseTo(plans.imbalance(plan.map, one), 9);
+        }
+      }),
+      {numRuns: 150, seed: 23},
+    );
+  });
+
+  it('spreads one expert that is asked for most of the time', () => {
+    const hot = Float64Array.from({length: FIGURES.experts}, () => 1);
+    hot[7] = 200;
+    const [first, second] = planInRow([
+      [hot, hot],
+      [hot, hot],
+    ]);
+    expect(first!.plan.before).toBeGreaterThan(5);
+    const last = second ?? first!;
+    expect(last.plan.after).toBeLessThan(1.3);
+  });
+
+  it('plans nothing where demand is even', () => {
+    const even = Float64Array.from({length: FIGURES.experts}, () => 5);
+    const map = plans.initialMap(FIGURES, RANKS);
+    expect(plans.planMap(map, [even, even], LIMITS)).toBeUndefined();
+  });
+});
--- a/src/experts/plan.ts
+++ b/src/experts/plan.ts
@@ -31,10 +31,15 @@
 }
 
 /**
- * Loads count by this power, so that the most loaded ranks weigh most and
- * ranks just beneath them are not forgotten.
+ * Loads count by their eighth power, so that the most loaded ranks weigh most
+ * and ranks just beneath them are not forgotten.
  */
-const POWER = 8;
+function weigh(load: number): number {
+  const square = load * load;
+  const fourth = square * square;
+  return fourth * fourth;
+}
+const ROOT = 1 / 8;
 /** Hot ranks of a set that are tried to be relieved. */
 const HOT_RANKS = 2;
 /** Lightly loaded ranks of a set that are tried as places. */
@@ -150,6 +155,13 @@
   private readonly loads: Float64Array;
   private readonly brought: number[];
   private readonly mean: number;
+  /** Sum of weighed loads, a smooth stand-in for the most loaded rank. */
+  private weighted: number;
+  /** What an action would change, for the ranks that it touches. */
+  private readonly delta: Float64Array;
+  private readonly touched: number[] = [];
+  private best: Action | undefined;
+  private bestRelief = 0;
 
   constructor(
     held: readonly (readonly number[])[],
@@ -169,6 +181,8 @@
       ranks.forEach(rank => (this.loads[rank]! += asked / ranks.length));
     });
     this.mean = total / held.length || 1;
+    this.delta = new Float64Array(held.length);
+    this.weighted = this.weighAll();
   }
 
   get imbalance(): number {
@@ -187,30 +201,26 @@
     const cold = order
       .filter(rank => this.mayBring(rank, limits, copied))
       .slice(-COLD_RANKS);
-    const now = this.weightedLoad([]);
-    let best: Action | undefined;
+    this.best = undefined;
+    this.bestRelief = 0;
     for (const from of hot) {
       for (const to of cold) {
         if (to !== from) {
-          for (const action of this.actionsBetween(from, to, limits, copied)) {
-            const relief =
-              (now - this.weightedLoad(this.deltasOf(action))) /
-              action.copiesTo.length;
-            if (relief > (best?.relief ?? 0)) {
-              best = {...action, relief};
-            }
-          }
+          this.searchBetween(from, to, limits, copied);
         }
       }
     }
-    return best;
+    return this.best;
   }
 
   apply(action: Action): void {
-    for (const [rank, delta] of this.deltasOf(action)) {
-      this.loads[rank]! += delta;
-    }
     const {expert, from, to, keeps, drops, back} = action;
+    this.changeLoads(expert, from, to, keeps, drops, back);
+    for (const rank of this.touched) {
+      this.loads[rank]! += this.delta[rank]!;
+    }
+    this.resetChange();
+    this.weighted = this.weighAll();
     this.add(expert, to);
     if (!keeps) {
       this.drop(expert, from);
@@ -224,39 +234,58 @@
     }
   }
 
-  private *actionsBetween(
+  private searchBetween(
     from: number,
     to: number,
     limits: PlanLimits,
     copied: readonly number[],
-  ): Generator<Action> {
+  ): void {
     const ours = this.held[from]!;
     const theirs = this.held[to]!;
     const hasRoom = theirs.length < limits.places;
     const dropped = hasRoom ? -1 : this.leastReplica(to);
     const maySwap = this.mayBring(from, limits, copied);
-    const base = {from, to, relief: 0, drops: -1, back: -1};
+    const leastShare = limits.minRelief * this.mean;
     for (const expert of ours) {
-      if (theirs.includes(expert)) {
+      const share = this.shareOf(expert);
+      if (share < leastShare || theirs.includes(expert)) {
         continue;
       }
-      const copiesTo = [to];
       if (hasRoom || (dropped >= 0 && dropped !== expert)) {
-        yield {...base, expert, keeps: true, drops: dropped, copiesTo};
-        yield {...base, expert, keeps: false, drops: dropped, copiesTo};
+        this.rate(expert, from, to, true, dropped, -1);
+        this.rate(expert, from, to, false, dropped, -1);
       }
-      if (!maySwap) {
-        continue;
-      }
-      for (const back of theirs) {
-        if (!ours.includes(back)) {
-          const both = [to, from];
-          yield {...base, expert, keeps: false, back, copiesTo: both};
+      for (const back of maySwap ? theirs : []) {
+        if (this.shareOf(back) < share && !ours.includes(back)) {
+          this.rate(expert, from, to, false, -1, back);
         }
       }
     }
   }
 
+  /** Keeps an action where it relieves more than the best so far. */
+  private rate(
+    expert: number,
+    from: number,
+    to: number,
+    keeps: boolean,
+    drops: number,
+    back: number,
+  ): void {
+    this.changeLoads(expert, from, to, keeps, drops, back);
+    const copies = back >= 0 ? 2 : 1;
+    const relief = this.takeRelief() / copies;
+    if (relief > this.bestRelief) {
+      const copiesTo = back >= 0 ? [to, from] : [to];
+      this.bestRelief = relief;
+      this.best = {expert, from, to, keeps, drops, back, copiesTo, relief};
+    }
+  }
+
+  private shareOf(expert: number): number {
+    return this.demand[expert]! / this.holders[expert]!.length;
+  }
+
   private mayBring(
     rank: number,
     limits: PlanLimits,
@@ -272,9 +301,8 @@
     let best = -1;
     let least = Infinity;
     for (const expert of this.held[rank]!) {
-      const holders = this.holders[expert]!.length;
-      const share = this.demand[expert]! / holders;
-      if (holders > 1 && share < least) {
+      const share = this.shareOf(expert);
+      if (this.holders[expert]!.length > 1 && share < least) {
         best = expert;
         least = share;
       }
@@ -282,48 +310,76 @@
     return best;
   }
 
-  /** How an action changes the loads of ranks. */
-  private deltasOf(action: Action): [number, number][] {
-    const {expert, from, to, keeps, drops, back} = action;
-    const deltas: [number, number][] = [];
+  /** What the change in `delta` relieves, in shares of the mean load. */
+  private takeRelief(): number {
+    let sum = this.weighted;
+    for (const rank of this.touched) {
+      const now = this.loads[rank]!;
+      const then = now + this.delta[rank]!;
+      sum += weigh(then / this.mean) - weigh(now / this.mean);
+    }
+    this.resetChange();
+    return this.weighted ** ROOT - Math.max(sum, 0) ** ROOT;
+  }
+
+  /** Puts into `delta` how an action changes the loads of `touched` ranks. */
+  private changeLoads(
+    expert: number,
+    from: number,
+    to: number,
+    keeps: boolean,
+    drops: number,
+    back: number,
+  ): void {
     const asked = this.demand[expert]!;
     const holders = this.holders[expert]!;
+    const share = asked / holders.length;
     if (keeps) {
-      const before = asked / holders.length;
       const after = asked / (holders.length + 1);
-      holders.forEach(rank => deltas.push([rank, after - before]));
-      deltas.push([to, after]);
+      for (const rank of holders) {
+        this.touch(rank, after - share);
+      }
+      this.touch(to, after);
     } else {
-      const share = asked / holders.length;
-      deltas.push([from, -share], [to, share]);
+      this.touch(from, -share);
+      this.touch(to, share);
     }
     if (drops >= 0) {
       const others = this.holders[drops]!;
       const before = this.demand[drops]! / others.length;
       const after = this.demand[drops]! / (others.length - 1);
       for (const rank of others) {
-        deltas.push([rank, rank === to ? -before : after - before]);
+        this.touch(rank, rank === to ? -before : after - before);
       }
     }
     if (back >= 0) {
-      const share = this.demand[back]! / this.holders[back]!.length;
-      deltas.push([to, -share], [from, share]);
+      const shared = this.demand[back]! / this.holders[back]!.length;
+      this.touch(to, -shared);
+      this.touch(from, shared);
+    }
+  }
+
+  private touch(rank: number, change: number): void {
+    if (this.delta[rank] === 0) {
+      this.touched.push(rank);
     }
-    return deltas;
+    // Never exactly zero again, so that a rank is listed once.
+    this.delta[rank] = this.delta[rank]! + change || Number.MIN_VALUE;
   }
 
-  /** A smooth stand-in for the most loaded rank, in shares of the mean. */
-  private weightedLoad(deltas: readonly [number, number][]): number {
-    const changed = new Map<number, number>();
-    for (const [rank, delta] of deltas) {
-      changed.set(rank, (changed.get(rank) ?? 0) + delta);
+  private resetChange(): void {
+    for (const rank of this.touched) {
+      this.delta[rank] = 0;
     }
+    this.touched.length = 0;
+  }
+
+  private weighAll(): number {
     let sum = 0;
-    for (let rank = 0; rank < this.loads.length; rank += 1) {
-      const load = this.loads[rank]! + (changed.get(rank) ?? 0);
-      sum += (load / this.mean) ** POWER;
+    for (const load of this.loads) {
+      sum += weigh(load / this.mean);
     }
-    return sum ** (1 / POWER);
+    return sum;
   }
 
   private add(expert: number, rank: number): void {
--- a/src/experts/planner.ts
+++ b/src/experts/planner.ts
@@ -16,7 +16,7 @@
 /** Milliseconds between readings of the ranks. */
 const PERIOD_MS = 100;
 /** Age at which demand counts for half. */
-const HALF_LIFE_MS = 200;
+const HALF_LIFE_MS = 300;
 /** Tokens to be seen before a first plan, per expert. */
 const MIN_TOKENS_PER_EXPERT = 40;
 /** Copies of a rank in one change: each takes the link for some 100 ms. */
@@ -24,7 +24,7 @@
 /** Least relief of a copy, in shares of the mean load of a set. */
 const MIN_RELIEF = 0.03;
 /** Least gain of a whole change, in shares of the mean load. */
-const MIN_GAIN = 0.06;
+const MIN_GAIN = 0.12;
 /** Copies may take this much longer than computed. */
 const COPY_SLACK = 2;
 const COPY_SLACK_MS = 400;
