--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -1,9 +1,13 @@
 /** One caller's request while it is served; it is answered at most once. */
 import type * as http from 'node:http';
+import type {Timing} from '../observability/metrics';
 import type {Route} from '../routes/types';
 import type {ForwarderContext} from './forwarder';
 import type {AnswerHead, Refusal, RequestHead} from './types';
 
+/** Stands for requests without a client account. */
+const OPEN_ACCOUNT = 'none';
+
 export class Call {
   head: RequestHead | undefined;
   /** Monotonic time at which the caller must have its answer. */
@@ -15,6 +19,7 @@
   private route: Route | undefined;
   private readonly left = new AbortController();
   private isAnswered = false;
+  private account = OPEN_ACCOUNT;
 
   constructor(
     readonly req: http.IncomingMessage,
@@ -43,8 +48,9 @@
   }
 
   /** Sets the route and the time that the request may take. */
-  setRoute(route: Route, timeMs: number): void {
+  setRoute(route: Route, account: string | undefined, timeMs: number): void {
     this.route = route;
+    this.account = account ?? OPEN_ACCOUNT;
     this.endsAt = this.startedAt + timeMs;
   }
 
@@ -89,6 +95,7 @@
   /** Begins to pass a stream on. */
   beginStream(head: AnswerHead): void {
     this.isAnswered = true;
+    this.time('first_token');
     this.res.writeHead(head.status, [
       ...withoutLength(head.passedHeaders),
       ...this.connectionHeaders(false),
@@ -100,6 +107,7 @@
     const {log, metrics} = this.context;
     const ms = Math.round(performance.now() - this.startedAt);
     metrics.count('requests_total', {outcome});
+    this.time('whole');
     log.event('requestEnded', {
       request: this.head?.id,
       route: this.route?.name,
@@ -118,6 +126,13 @@
     }
   }
 
+  /** Notes the time since the start, by client account and kind of route. */
+  private time(timing: Timing): void {
+    const ms = performance.now() - this.startedAt;
+    const kind = this.route?.kind ?? 'no-route';
+    this.context.metrics.time(timing, this.account, kind, ms);
+  }
+
   private connectionHeaders(mustClose: boolean): string[] {
     return mustClose || this.isStopping() ? ['Connection', 'close'] : [];
   }
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -97,7 +97,11 @@
       return;
     }
     const timeLeftMs = head.timeLeftMs ?? DEFAULT_TIME_LEFT_MS;
-    call.setRoute(route.route, Math.min(timeLeftMs, route.route.timeoutMs));
+    call.setRoute(
+      route.route,
+      route.account?.name,
+      Math.min(timeLeftMs, route.route.timeoutMs),
+    );
     const limit = this.context.configuration.table!.snapshot.limits.bodyBytes;
     const body = await bodies.readBody(call.req, limit);
     if (!body.ok) {
--- a/src/observability/log.ts
+++ b/src/observability/log.ts
@@ -2,6 +2,7 @@
 import {createConsola} from 'consola/basic';
 import type {ConsolaInstance, LogObject} from 'consola/basic';
 import {EVENTS, EventName, Level} from './catalogue';
+import {LineBudget} from './line-budget';
 import {LineWriter} from './line-writer';
 
 /** Fields of an event. */
@@ -27,7 +28,29 @@
   level: Level,
 ): {log: Log; lines: LineWriter} {
   const lines = new LineWriter(STANDARD_OUTPUT);
-  return {log: makeLogTo(process_, level, line => lines.write(line)), lines};
+  const whole = makeLogTo(process_, level, line => lines.write(line));
+  return {log: boundLog(whole, new LineBudget(), lines), lines};
+}
+
+/** Leaves lines out over the budget, and tells how many. */
+function boundLog(whole: Log, budget: LineBudget, lines: LineWriter): Log {
+  let droppedBefore = 0;
+  return {
+    event: (name, fields = {}) => {
+      const isOrdinary = EVENTS[name].level === 'info';
+      const request =
+        typeof fields.request === 'string' ? fields.request : undefined;
+      if (!budget.admit({isOrdinary, request}, performance.now())) {
+        return;
+      }
+      const count = budget.takeLeftOut() + lines.dropped - droppedBefore;
+      droppedBefore = lines.dropped;
+      if (count > 0) {
+        whole.event('linesDropped', {count});
+      }
+      whole.event(name, fields);
+    },
+  };
 }
 
 function makeLogTo(
