Entries out of touch step aside; a refusal names a time when it may work

An entry that has not heard from the store for 2 s now says not ready and asks callers to leave their connections; a refusal names a quarter of the time left, at most one second. Ruled out: relaying proof of freshness between entries (such requests are not owed).

--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -25,7 +25,7 @@
     readonly req: http.IncomingMessage,
     readonly res: http.ServerResponse,
     private readonly context: ForwarderContext,
-    private readonly isStopping: () => boolean,
+    private readonly wantsCallerGone: () => boolean,
   ) {
     res.once('close', () => {
       if (!res.writableFinished) {
@@ -134,7 +134,7 @@
   }
 
   private connectionHeaders(mustClose: boolean): string[] {
-    return mustClose || this.isStopping() ? ['Connection', 'close'] : [];
+    return mustClose || this.wantsCallerGone() ? ['Connection', 'close'] : [];
   }
 }
 
--- /dev/null
+++ b/src/forwarding/event-splitter.test.ts
@@ -0,0 +1,40 @@
+import * as fc from 'fast-check';
+import {EventSplitter} from './event-splitter';
+
+const WHOLE = 'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\nid: 3\n\n';
+
+describe('cutting a stream into events', () => {
+  it('changes no byte, however the stream is cut', () => {
+    const bytes = Buffer.from(WHOLE + 'id: 4\ndata: half');
+    fc.assert(
+      fc.property(
+        fc.array(fc.integer({min: 0, max: bytes.length}), {maxLength: 8}),
+        cuts => {
+          const splitter = new EventSplitter();
+          const ends = [...cuts.sort((a, b) => a - b), bytes.length];
+          let from = 0;
+          let passed = '';
+          for (const end of ends) {
+            passed += splitter.push(bytes.subarray(from, end)).toString();
+            from = end;
+          }
+          expect(passed).toBe(WHOLE);
+          expect(splitter.lastId).toBe('3');
+          expect(splitter.count).toBe(3);
+          expect(splitter.partial.toString()).toBe('id: 4\ndata: half');
+        },
+      ),
+      {numRuns: 200, seed: 31},
+    );
+  });
+
+  it('goes on whole after what broke off was dropped', () => {
+    const splitter = new EventSplitter();
+    splitter.push(Buffer.from('id: 1\n\nid: 2\nda'));
+    splitter.discardPartial();
+    expect(splitter.lastId).toBe('1');
+    expect(splitter.push(Buffer.from('id: 2\ndata\n\n')).toString()).toBe(
+      'id: 2\ndata\n\n',
+    );
+  });
+});
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -76,7 +76,9 @@
     res: http.ServerResponse,
   ): Promise<void> {
     this.open += 1;
-    const call = new Call(req, res, this.context, () => this.isStopping);
+    const call = new Call(req, res, this.context, () =>
+      this.wantsCallersGone(),
+    );
     try {
       await this.serve(call);
     } finally {
@@ -162,6 +164,12 @@
     return {route, account};
   }
 
+  /** Callers that hold a connection here are better served elsewhere. */
+  private wantsCallersGone(): boolean {
+    const {configuration} = this.context;
+    return this.isStopping || configuration.isLagging(performance.now());
+  }
+
   private budgetOf(service: string): RetryBudget {
     let budget = this.budgets.get(service);
     if (budget === undefined) {
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -17,8 +17,12 @@
 
 /** When to come back where no target of the service is known. */
 const NO_TARGET_RETRY_MS = 300;
-/** When to come back where a target was full. */
-const FULL_RETRY_MS = 150;
+/**
+ * When to come back where a target was full: a part of the time left, since
+ * callers heed no more than a third, and no longer than a group takes to form.
+ */
+const RETRY_SHARE = 0.25;
+const LONGEST_RETRY_MS = 1_000;
 /** Least time left that makes another send worth while, in milliseconds. */
 const MIN_SEND_MS = 20;
 
@@ -116,7 +120,7 @@
         call.refuse({
           kind: 'not-run',
           why: 'target-full',
-          retryMs: FULL_RETRY_MS,
+          retryMs: retryMsOf(call),
         });
         return;
       case 'unknown':
@@ -126,7 +130,7 @@
         call.refuse(
           outcome.sent
             ? {kind: 'timed-out'}
-            : {kind: 'not-run', why: 'timed-out', retryMs: FULL_RETRY_MS},
+            : {kind: 'not-run', why: 'timed-out', retryMs: retryMsOf(call)},
         );
         return;
       case 'answered':
@@ -137,6 +141,10 @@
   }
 }
 
+function retryMsOf(call: Call): number {
+  return Math.min(Math.max(call.leftMs, 0) * RETRY_SHARE, LONGEST_RETRY_MS);
+}
+
 const FIRST_SERVER_ERROR = 500;
 
 /** True where the outcome speaks against the target. */
--- a/src/roles/site-entry.ts
+++ b/src/roles/site-entry.ts
@@ -87,6 +87,7 @@
     return (
       !this.isStopping &&
       this.configuration.table !== undefined &&
+      !this.configuration.isLagging(performance.now()) &&
       this.hasTargets
     );
   }
--- a/src/routes/current.ts
+++ b/src/routes/current.ts
@@ -7,6 +7,12 @@
 import {RouteTable} from './table';
 import type * as types from './types';
 
+/**
+ * Milliseconds without the store. The store is asked once a second and may
+ * take some hundred milliseconds when it is slow.
+ */
+const LAGGING_MS = 2_000;
+
 export class CurrentConfiguration {
   /** Undefined until the first version is known. */
   readonly tables = new BehaviorSubject<RouteTable | undefined>(undefined);
@@ -34,6 +40,14 @@
     this.confirmedAt = Math.max(this.confirmedAt, at);
   }
 
+  /**
+   * True where the store was silent for so long that callers are better
+   * served by another entry.
+   */
+  isLagging(now: number): boolean {
+    return this.ageMs(now) > LAGGING_MS;
+  }
+
   /** Milliseconds since the store last confirmed the version held. */
   ageMs(now: number): number {
     return now - this.confirmedAt;
