Requests go to the newest life at an address; a 421 drops a target

Where several entries name an address, the one that the store wrote last counts, also where it is another service's. A target that answers 421 is dropped. Ruled out: the group still forming (the servers ran requests of other entries at that second).

--- a/src/experts/group-member.ts
+++ b/src/experts/group-member.ts
@@ -6,6 +6,7 @@
 import {Log} from '../observability/log';
 import {Metrics} from '../observability/metrics';
 import type {ObjectApi} from '../platform/client';
+import type {StoredObject} from '../platform/types';
 import {WatchEvent, WatchLoop} from '../platform/watch-loop';
 import type {ExpertFigures} from '../routes/types';
 import type {RpcClient} from '../rpc/client';
@@ -201,9 +202,10 @@
     }
   }
 
-  private readTarget(item: {key: string; value: unknown}): Target[] {
+  private readTarget(item: StoredObject): Target[] {
     const target = this.context.documents.readTarget(
       nameOf(item.key),
+      item.version,
       item.value,
     );
     return target === undefined ? [] : [target];
@@ -215,7 +217,8 @@
     for (const target of targets) {
       const isMember =
         target.service === this.context.service && target.group === this.group;
-      if (isMember) {
+      const held = byAddress.get(target.address);
+      if (isMember && (held?.revision ?? 0) < target.revision) {
         byAddress.set(target.address, target);
       }
     }
--- a/src/forwarding/exchange.test.ts
+++ b/src/forwarding/exchange.test.ts
@@ -29,6 +29,7 @@
       hall: 'h',
       slots: 1,
       isLeaving: false,
+      revision: 1,
       group: undefined,
     },
     close: () => {
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -56,7 +56,7 @@
     target: types.Target,
     resumeAfter?: string,
   ): Promise<exchanges.Outcome> {
-    const {loads, connections, wire} = this.context;
+    const {loads, connections, targets, wire} = this.context;
     const mayRepeat = types.isRepeatable(request.route);
     call.sends += 1;
     call.target = target.id;
@@ -76,6 +76,10 @@
       endsAt: call.endsAt,
       signal: call.signal,
     });
+    if (outcome.kind === 'not-run' && outcome.status === MISDIRECTED) {
+      // Another life, or another service, has the address by now.
+      targets.drop(target.id);
+    }
     if (outcome.kind !== 'streaming') {
       loads.end(target.id, isFailure(outcome), performance.now());
     }
@@ -141,6 +145,9 @@
   }
 }
 
+/** The status of a target that another was meant. Source: RFC 9110. */
+const MISDIRECTED = 421;
+
 function retryMsOf(call: Call): number {
   return Math.min(Math.max(call.leftMs, 0) * RETRY_SHARE, LONGEST_RETRY_MS);
 }
--- a/src/forwarding/target-list.test.ts
+++ b/src/forwarding/target-list.test.ts
@@ -5,10 +5,11 @@
   return {
     id,
     service: 's',
-    address: '127.0.0.1:1',
+    address: `127.0.0.1:${id.charCodeAt(0)}`,
     hall: 'h',
     slots: 1,
     isLeaving,
+    revision: 1,
     group: undefined,
   };
 }
@@ -44,6 +45,22 @@
     expect(ids(list, 100 + LAPSE_GRACE_MS)).toEqual(['b']);
   });
 
+  it('uses the newest life at an address, whatever its service', () => {
+    const list = new TargetList();
+    list.add({...target('old'), address: 'x:1'});
+    list.add({...target('new'), address: 'x:1', revision: 9});
+    expect(ids(list, 0)).toEqual(['new']);
+    list.add({
+      ...target('other'),
+      address: 'x:1',
+      revision: 12,
+      service: 't',
+    });
+    expect(ids(list, 0)).toEqual([]);
+    list.drop('other');
+    expect(ids(list, 0)).toEqual(['new']);
+  });
+
   it('forgets the grace of a target that is back', () => {
     const list = new TargetList();
     list.replaceAll([target('a')], 0, false);
--- a/src/forwarding/target-list.ts
+++ b/src/forwarding/target-list.ts
@@ -82,17 +82,23 @@
     return this.held.get(id)?.target;
   }
 
-  /** Targets of a service that may get work. */
+  /**
+   * Targets of a service that may get work. Where a process died, its entry
+   * stays for a while beside that of its next life at the same address.
+   */
   ofService(service: string, now: number): Target[] {
-    const targets: Target[] = [];
-    for (const held of [...this.held.values()]) {
-      if (held.goneAt <= now) {
-        this.drop(held.target.id);
-      } else if (held.target.service === service) {
-        targets.push(held.target);
+    const newest = new Map<string, Target>();
+    for (const {target, goneAt} of [...this.held.values()]) {
+      if (goneAt <= now) {
+        this.drop(target.id);
+      } else {
+        const other = newest.get(target.address);
+        if (other === undefined || other.revision < target.revision) {
+          newest.set(target.address, target);
+        }
       }
     }
-    return targets;
+    return [...newest.values()].filter(target => target.service === service);
   }
 
   /** All targets that may get work. */
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -12,6 +12,8 @@
   /** Requests that it works on at once. */
   readonly slots: number;
   readonly isLeaving: boolean;
+  /** The store's revision of its entry; a later life has a higher one. */
+  readonly revision: number;
   /** Group of ranks in lock-step that it belongs to; undefined: none. */
   readonly group: string | undefined;
 }
--- a/src/roles/site-documents.ts
+++ b/src/roles/site-documents.ts
@@ -14,5 +14,9 @@
   readonly readyPath: string;
   makeEngine(address: string): Engine;
   readSnapshot(document: unknown): Result<Snapshot, {readonly detail: string}>;
-  readTarget(id: string, document: unknown): Target | undefined;
+  readTarget(
+    id: string,
+    revision: number,
+    document: unknown,
+  ): Target | undefined;
 }
--- a/src/roles/site-entry.ts
+++ b/src/roles/site-entry.ts
@@ -236,7 +236,11 @@
   }
 
   private read(item: StoredObject): Target[] {
-    const target = this.documents.readTarget(nameOf(item.key), item.value);
+    const target = this.documents.readTarget(
+      nameOf(item.key),
+      item.version,
+      item.value,
+    );
     return target === undefined ? [] : [target];
   }
 
