Tests of an entry over sockets, with a stand-in of the users' store

The entry's close left its callers' server listening, so that the test run never ended; it closes it now. No behaviour of a running entry changes.

--- a/src/roles/site-entry.ts
+++ b/src/roles/site-entry.ts
@@ -149,6 +149,7 @@
     this.targetsLoop.close();
     this.subscriptions.forEach(one => one.unsubscribe());
     this.servers.forEach(server => server.close());
+    this.callers?.close();
     this.callers?.closeAllConnections();
     this.connections.close();
     this.store.close();
--- /dev/null
+++ b/standins/objects.ts
@@ -0,0 +1,196 @@
+/**
+ * A stand-in of the users' object store, by their published protocol: objects
+ * by kind and name, conditional writes, lists and watches. It can be away,
+ * forget its history, and lose the answers of writes.
+ */
+import * as http from 'node:http';
+import type * as net from 'node:net';
+
+interface StoredObject {
+  metadata: {name: string; revision: number};
+  specification: unknown;
+  status: unknown;
+}
+
+interface Change {
+  readonly kind: string;
+  readonly revision: number;
+  readonly object: StoredObject;
+  readonly gone: boolean;
+}
+
+const ROOT = '/api/objects/';
+const WATCH_POLL_MS = 5;
+
+export class ObjectStoreStandin {
+  isAway = false;
+  answersToLose = 0;
+  calls = 0;
+  private readonly kinds = new Map<string, Map<string, StoredObject>>();
+  private readonly changes: Change[] = [];
+  private oldest = 0;
+  private revision = 0;
+  /** Rises at each close, which ends the watches of before. */
+  private opened = 0;
+  private readonly server = http.createServer((req, res) => {
+    void this.answer(req, res);
+  });
+
+  /** Listens on loopback; answers the address. */
+  async open(): Promise<string> {
+    await new Promise<void>(resolve =>
+      this.server.listen(0, '127.0.0.1', () => resolve()),
+    );
+    const {port} = this.server.address() as net.AddressInfo;
+    return `127.0.0.1:${port}`;
+  }
+
+  close(): void {
+    this.opened += 1;
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  /** What an operator or a target writes. */
+  write(kind: string, name: string, specification: unknown): number {
+    this.revision += 1;
+    const metadata = {name, revision: this.revision};
+    const object = {metadata, specification, status: null};
+    this.objectsOf(kind).set(name, object);
+    this.note(kind, object, false);
+    return this.revision;
+  }
+
+  remove(kind: string, name: string): void {
+    const object = this.objectsOf(kind).get(name);
+    if (object !== undefined) {
+      this.revision += 1;
+      this.objectsOf(kind).delete(name);
+      this.note(kind, object, true);
+    }
+  }
+
+  /** Watches from before now get 410. */
+  forgetHistory(): void {
+    this.oldest = this.revision;
+  }
+
+  private objectsOf(kind: string): Map<string, StoredObject> {
+    let objects = this.kinds.get(kind);
+    if (objects === undefined) {
+      objects = new Map();
+      this.kinds.set(kind, objects);
+    }
+    return objects;
+  }
+
+  private note(kind: string, object: StoredObject, gone: boolean): void {
+    this.changes.push({kind, revision: this.revision, object, gone});
+  }
+
+  private async answer(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+  ): Promise<void> {
+    this.calls += 1;
+    const url = new URL(req.url ?? '/', 'http://store');
+    const chunks: Buffer[] = [];
+    for await (const chunk of req) {
+      chunks.push(chunk as Buffer);
+    }
+    const [kind, name] = url.pathname
+      .slice(ROOT.length)
+      .split('/')
+      .map(decodeURIComponent);
+    if (this.isAway) {
+      send(res, 503, {});
+    } else if (req.method === 'GET' && url.searchParams.has('watch')) {
+      await this.watch(kind!, url.searchParams, res);
+    } else if (req.method === 'GET') {
+      this.read(kind!, name, res);
+    } else {
+      this.change(
+        kind!,
+        name,
+        JSON.parse(Buffer.concat(chunks).toString()),
+        res,
+      );
+    }
+  }
+
+  private read(
+    kind: string,
+    name: string | undefined,
+    res: http.ServerResponse,
+  ): void {
+    if (name === undefined) {
+      const items = [...this.objectsOf(kind).values()];
+      send(res, 200, {items, more: false, at: this.revision});
+      return;
+    }
+    const object = this.objectsOf(kind).get(name);
+    send(res, object === undefined ? 404 : 200, object ?? {});
+  }
+
+  private async watch(
+    kind: string,
+    query: URLSearchParams,
+    res: http.ServerResponse,
+  ): Promise<void> {
+    const after = Number(query.get('watch'));
+    const endsAt = Date.now() + Number(query.get('wait-ms'));
+    if (after < this.oldest) {
+      send(res, 410, {});
+      return;
+    }
+    const news = () =>
+      this.changes.filter(one => one.kind === kind && one.revision > after);
+    const life = this.opened;
+    const mayWait = () =>
+      Date.now() < endsAt && !this.isAway && life === this.opened;
+    while (news().length === 0 && mayWait()) {
+      await new Promise(resolve => setTimeout(resolve, WATCH_POLL_MS));
+    }
+    if (this.isAway) {
+      res.destroy();
+      return;
+    }
+    const events = news().map(({object, gone}) => ({object, gone}));
+    send(res, 200, {events, at: this.revision});
+  }
+
+  private change(
+    kind: string,
+    name: string | undefined,
+    body: {metadata: {name: string; revision?: number}; specification: unknown},
+    res: http.ServerResponse,
+  ): void {
+    const key = name ?? body.metadata.name;
+    const held = this.objectsOf(kind).get(key);
+    if (name !== undefined && held === undefined) {
+      send(res, 404, {});
+      return;
+    }
+    const expected = body.metadata.revision;
+    const isStale =
+      name === undefined
+        ? held !== undefined
+        : expected !== undefined && expected !== held!.metadata.revision;
+    if (isStale) {
+      send(res, 409, held!);
+      return;
+    }
+    this.write(kind, key, body.specification);
+    if (this.answersToLose > 0) {
+      this.answersToLose -= 1;
+      res.destroy();
+      return;
+    }
+    send(res, 200, this.objectsOf(kind).get(key)!);
+  }
+}
+
+function send(res: http.ServerResponse, status: number, body: object): void {
+  res.writeHead(status, {'content-type': 'application/json'});
+  res.end(JSON.stringify(body));
+}
