Relays share what they decide alike; one patient write, one name of a key

Read again: plain requests and streams each had their own copy of whether an outcome may be followed by another send and of how one is finished; the wait for a slow caller stood in two files, the name in a store key too. One piece each now.

--- a/src/experts/group-member.ts
+++ b/src/experts/group-member.ts
@@ -6,7 +6,7 @@
 import {Log} from '../observability/log';
 import {Metrics} from '../observability/metrics';
 import type {ObjectApi} from '../platform/client';
-import type {StoredObject} from '../platform/types';
+import * as objects from '../platform/types';
 import {WatchEvent, WatchLoop} from '../platform/watch-loop';
 import type {ExpertFigures} from '../routes/types';
 import type {RpcClient} from '../rpc/client';
@@ -181,7 +181,7 @@
     }
     const changed = new Set([
       ...found.map(target => target.id),
-      ...removed.map(nameOf),
+      ...removed.map(objects.nameOf),
     ]);
     const kept = this.members.filter(target => !changed.has(target.id));
     this.takeMembers([...kept, ...found]);
@@ -202,9 +202,9 @@
     }
   }
 
-  private readTarget(item: StoredObject): Target[] {
+  private readTarget(item: objects.StoredObject): Target[] {
     const target = this.context.documents.readTarget(
-      nameOf(item.key),
+      objects.nameOf(item.key),
       item.version,
       item.value,
     );
@@ -253,10 +253,6 @@
   }
 }
 
-function nameOf(key: string): string {
-  return key.slice(key.indexOf('/') + 1);
-}
-
 function sleep(ms: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, ms));
 }
--- a/src/forwarding/plain-relay.ts
+++ b/src/forwarding/plain-relay.ts
@@ -1,11 +1,6 @@
 /** Requests whose answer is read whole before it is passed on. */
-import * as exchanges from './exchange';
 import type {Call} from './call';
 import {Relay, RelayedRequest} from './relay';
-import type {Target} from './types';
-import {isRepeatable} from './types';
-
-const FIRST_SERVER_ERROR = 500;
 
 export class PlainRelay extends Relay {
   async relay(call: Call, request: RelayedRequest): Promise<void> {
@@ -22,45 +17,10 @@
         call.end('caller-left');
         return;
       }
-      if (!this.mayGoOn(call, request, target, outcome)) {
+      if (!this.mayTryNext(call, request, target, outcome)) {
         this.finish(call, outcome);
         return;
       }
     }
   }
-
-  private mayGoOn(
-    call: Call,
-    request: RelayedRequest,
-    target: Target,
-    outcome: exchanges.Outcome,
-  ): boolean {
-    switch (outcome.kind) {
-      case 'answered':
-        return (
-          outcome.head.status >= FIRST_SERVER_ERROR &&
-          isRepeatable(request.route) &&
-          this.maySendAgain(call, request, target)
-        );
-      case 'unknown':
-        return (
-          isRepeatable(request.route) &&
-          this.maySendAgain(call, request, target)
-        );
-      case 'not-run':
-        return this.maySendAgain(call, request, target);
-      case 'streaming':
-      case 'timed-out':
-      case 'cancelled':
-        return false;
-    }
-  }
-
-  private finish(call: Call, outcome: exchanges.Outcome): void {
-    if (outcome.kind === 'answered') {
-      call.pass(outcome.head, outcome.body);
-    } else {
-      this.refuse(call, outcome);
-    }
-  }
 }
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -94,6 +94,32 @@
     return outcome;
   }
 
+  /** True where an outcome harms nobody who sends the request once more. */
+  protected mayTryNext(
+    call: Call,
+    request: RelayedRequest,
+    target: types.Target,
+    outcome: exchanges.Outcome,
+  ): boolean {
+    const hasFailed =
+      outcome.kind === 'unknown' ||
+      (outcome.kind === 'answered' &&
+        outcome.head.status >= FIRST_SERVER_ERROR);
+    const isHarmless =
+      outcome.kind === 'not-run' ||
+      (hasFailed && types.isRepeatable(request.route));
+    return isHarmless && this.maySendAgain(call, request, target);
+  }
+
+  /** Passes a whole answer on, or answers ourselves. */
+  protected finish(call: Call, outcome: exchanges.Outcome): void {
+    if (outcome.kind === 'answered') {
+      call.pass(outcome.head, outcome.body);
+    } else {
+      this.refuse(call, outcome);
+    }
+  }
+
   /** True where the request may be sent to one more target. */
   protected maySendAgain(
     call: Call,
@@ -118,7 +144,7 @@
   }
 
   /** Answers for an outcome that gave nothing to pass on. */
-  protected refuse(call: Call, outcome: exchanges.Outcome): void {
+  private refuse(call: Call, outcome: exchanges.Outcome): void {
     switch (outcome.kind) {
       case 'not-run':
         call.refuse({
--- a/src/forwarding/stream-relay.ts
+++ b/src/forwarding/stream-relay.ts
@@ -3,7 +3,7 @@
  * breaks off can go on at another target after the last of them, within the
  * same answer.
  */
-import type * as http from 'node:http';
+import * as bodies from '../http/body';
 import type {Call} from './call';
 import {EventSplitter} from './event-splitter';
 import * as exchanges from './exchange';
@@ -75,28 +75,6 @@
     }
   }
 
-  private finish(call: Call, outcome: exchanges.Outcome): void {
-    if (outcome.kind === 'answered') {
-      call.pass(outcome.head, outcome.body);
-    } else {
-      this.refuse(call, outcome);
-    }
-  }
-
-  private mayTryNext(
-    call: Call,
-    request: RelayedRequest,
-    target: Target,
-    outcome: exchanges.Outcome,
-  ): boolean {
-    const isHarmless =
-      outcome.kind === 'not-run' ||
-      (isRepeatable(request.route) &&
-        (outcome.kind === 'unknown' ||
-          (outcome.kind === 'answered' && outcome.head.status >= 500)));
-    return isHarmless && this.maySendAgain(call, request, target);
-  }
-
   private mayResume(
     call: Call,
     request: RelayedRequest,
@@ -145,7 +123,7 @@
         }
         if (events.length > 0) {
           begin();
-          await write(call.res, events);
+          await bodies.writePatiently(call.res, events);
         }
       }
       if (from.res.complete && !from.wasReset() && !call.hasLeft) {
@@ -187,19 +165,3 @@
     return 'done';
   }
 }
-
-/** Resolves once the caller can take more, or has left. */
-async function write(res: http.ServerResponse, data: Buffer): Promise<void> {
-  if (res.destroyed || res.write(data)) {
-    return;
-  }
-  await new Promise<void>(resolve => {
-    const settle = () => {
-      res.removeListener('drain', settle);
-      res.removeListener('close', settle);
-      resolve();
-    };
-    res.once('drain', settle);
-    res.once('close', settle);
-  });
-}
--- a/src/http/body.ts
+++ b/src/http/body.ts
@@ -128,3 +128,22 @@
     return false;
   }
 }
+
+/** Writes; resolves when the peer can take more, or is gone. */
+export async function writePatiently(
+  res: http.ServerResponse,
+  data: string | Buffer,
+): Promise<void> {
+  if (res.destroyed || res.write(data)) {
+    return;
+  }
+  await new Promise<void>(resolve => {
+    const settle = () => {
+      res.removeListener('drain', settle);
+      res.removeListener('close', settle);
+      resolve();
+    };
+    res.once('drain', settle);
+    res.once('close', settle);
+  });
+}
--- a/src/platform/types.ts
+++ b/src/platform/types.ts
@@ -10,6 +10,11 @@
 });
 export type StoredObject = v.InferOutput<typeof objectSchema>;
 
+/** The name in a key of the form `<kind>/<name>`. */
+export function nameOf(key: string): string {
+  return key.slice(key.indexOf('/') + 1);
+}
+
 /** Objects under a prefix as of a revision of the whole store. */
 export const listingSchema = v.object({
   revision: v.pipe(v.number(), v.integer(), v.minValue(0)),
--- a/src/requests/event-stream.ts
+++ b/src/requests/event-stream.ts
@@ -5,6 +5,7 @@
  */
 import type * as http from 'node:http';
 import {createParser} from 'eventsource-parser';
+import * as body from '../http/body';
 import * as sequence from './sequence';
 
 /** The data of the event that ends a whole stream. */
@@ -126,7 +127,7 @@
   id: string,
   data: string,
 ): Promise<void> {
-  await writeText(
+  await body.writePatiently(
     res,
     `id: ${id}\ndata: ${data.replaceAll('\n', '\ndata: ')}\n\n`,
   );
@@ -137,23 +138,8 @@
   res: http.ServerResponse,
   document: unknown,
 ): Promise<void> {
-  await writeText(res, `event: error\ndata: ${JSON.stringify(document)}\n\n`);
-}
-
-async function writeText(
-  res: http.ServerResponse,
-  text: string,
-): Promise<void> {
-  if (res.destroyed || res.write(text)) {
-    return;
-  }
-  await new Promise<void>(resolve => {
-    const settle = () => {
-      res.removeListener('drain', settle);
-      res.removeListener('close', settle);
-      resolve();
-    };
-    res.once('drain', settle);
-    res.once('close', settle);
-  });
+  await body.writePatiently(
+    res,
+    `event: error\ndata: ${JSON.stringify(document)}\n\n`,
+  );
 }
--- a/src/roles/site-entry.ts
+++ b/src/roles/site-entry.ts
@@ -10,7 +10,7 @@
 import type {Log} from '../observability/log';
 import {Metrics} from '../observability/metrics';
 import type {ObjectApi} from '../platform/client';
-import type {Listing, StoredObject} from '../platform/types';
+import * as objects from '../platform/types';
 import {WatchEvent, WatchLoop} from '../platform/watch-loop';
 import {CurrentConfiguration} from '../routes/current';
 import type {CallerLimits} from '../routes/types';
@@ -179,7 +179,7 @@
     }
   }
 
-  private takeConfiguration(listing: Listing): void {
+  private takeConfiguration(listing: objects.Listing): void {
     const {documents} = this;
     const object = listing.items.find(
       item => item.key === documents.configurationKey,
@@ -220,7 +220,7 @@
           .flatMap(item => this.read(item))
           .forEach(target => this.targets.add(target));
         event.listing.removed.forEach(key =>
-          this.targets.remove(nameOf(key), now, inGrace),
+          this.targets.remove(objects.nameOf(key), now, inGrace),
         );
         this.afterTargets();
         return;
@@ -236,9 +236,9 @@
     }
   }
 
-  private read(item: StoredObject): Target[] {
+  private read(item: objects.StoredObject): Target[] {
     const target = this.documents.readTarget(
-      nameOf(item.key),
+      objects.nameOf(item.key),
       item.version,
       item.value,
     );
@@ -276,10 +276,6 @@
 /** Time after an outage in which entries may still be coming back. */
 const OUTAGE_GRACE_MS = 1_000;
 
-function nameOf(key: string): string {
-  return key.slice(key.indexOf('/') + 1);
-}
-
 function sleep(ms: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, ms));
 }
