--- a/src/experts/app.ts
+++ b/src/experts/app.ts
@@ -1,39 +1,21 @@
 /** Calls between planners and the sidecars beside the ranks. */
 import * as v from 'valibot';
 import * as rpc from '../rpc/types';
+import * as packing from './packing';
+import * as types from './types';
 
 const whole = v.pipe(v.number(), v.integer());
-const mapSchema = v.array(v.array(v.array(whole)));
 
-const stateSchema = v.object({
-  group: v.string(),
-  epoch: whole,
-  rank: whole,
-  size: whole,
-  isOpen: v.boolean(),
-  step: whole,
-  running: v.number(),
-  waiting: v.number(),
-  mapVersion: whole,
-  prepared: v.nullable(whole),
-  armed: v.nullable(v.object({version: whole, step: whole})),
-  held: v.nullable(whole),
-});
-
-const readingSchema = v.object({
-  state: stateSchema,
-  counts: v.optional(v.array(v.number())),
-  held: v.optional(
-    v.object({version: whole, experts: v.array(v.array(whole))}),
-  ),
-});
+const growthSchema = v.object({unit: v.number(), bytes: v.string()});
 
 const orderSchema = v.variant('kind', [
   v.object({
     kind: v.literal('prepare'),
     epoch: whole,
     version: whole,
-    map: mapSchema,
+    /** Packed: see `packing`. */
+    map: v.string(),
+    expectedMs: v.number(),
     patienceMs: v.number(),
   }),
   v.object({
@@ -46,30 +28,60 @@
   v.object({kind: v.literal('hold'), epoch: whole, step: whole}),
   v.object({kind: v.literal('release'), epoch: whole, step: whole}),
 ]);
+export type WireOrder = v.InferOutput<typeof orderSchema>;
+
+/** Sidecars that the called one passes the call on to. */
+const membersSchema = v.array(v.string());
 
-/** Reads a rank; the term makes older planners' orders refused from then. */
+/**
+ * Reads the called sidecar's rank and those of the members behind it, in that
+ * order; the growth of their counters is summed. The term makes older
+ * planners' orders refused from then on.
+ */
 export const read = rpc.method(
   'experts.read',
-  v.object({term: whole, counts: v.boolean(), held: v.boolean()}),
-  v.variant('kind', [
-    v.object({kind: v.literal('reading'), reading: readingSchema}),
-    v.object({kind: v.literal('deposed')}),
-    v.object({kind: v.literal('no-rank')}),
-  ]),
+  v.object({
+    term: whole,
+    periodMs: v.number(),
+    growth: v.boolean(),
+    held: v.boolean(),
+    members: membersSchema,
+  }),
+  v.object({
+    ranks: v.array(types.readAnswerSchema),
+    growth: v.optional(growthSchema),
+  }),
 );
 
-/** Gives a rank an order under a planner's term. */
+/** Gives the ranks of the called sidecar and of its members an order. */
 export const order = rpc.method(
   'experts.order',
-  v.object({term: whole, order: orderSchema}),
+  v.object({term: whole, order: orderSchema, members: membersSchema}),
   v.object({
-    result: v.picklist(['done', 'refused', 'no-answer', 'deposed']),
+    results: v.array(
+      v.picklist(['done', 'refused', 'no-answer', 'deposed', 'silent']),
+    ),
   }),
 );
 
-/** Asks a sidecar for how long it has heard of no planner. */
-export const silence = rpc.method(
-  'experts.silence',
+/** Asks a sidecar whether it hears a planner. */
+export const hearing = rpc.method(
+  'experts.hearing',
   v.object({}),
-  v.object({silentMs: v.number()}),
+  v.object({isPlannerHeard: v.boolean()}),
 );
+
+export function orderToWire(value: types.Order): WireOrder {
+  return value.kind === 'prepare'
+    ? {...value, map: packing.packMap(value.map)}
+    : value;
+}
+
+/** Undefined where a map is not well packed. */
+export function orderFromWire(wire: WireOrder): types.Order | undefined {
+  if (wire.kind !== 'prepare') {
+    return wire;
+  }
+  const map = packing.unpackMap(wire.map);
+  return map === undefined ? undefined : {...wire, map};
+}
--- a/src/experts/change.test.ts
+++ b/src/experts/change.test.ts
@@ -176,12 +176,13 @@
   readonly lost: number;
 }
 
-/** A planner's way to a rank; its sidecar obeys the highest term. */
-class FakeLink extends types.RankLink {
+/** A planner's way to the ranks; their sidecars obey the highest term. */
+class FakeRanks extends types.Ranks {
+  readonly size = RANKS;
+
   constructor(
     private readonly sim: Simulation,
     private readonly group: FakeGroup,
-    private readonly at: number,
     private readonly term: number,
     private readonly trouble: Trouble,
     private readonly thawsAt: () => number,
@@ -189,21 +190,32 @@
     super();
   }
 
-  read(): Promise<types.RankReading | 'deposed' | undefined> {
-    return this.travel(() =>
-      this.obeys()
-        ? {
-            state: this.group.stateOf(this.at),
-            counts: undefined,
-            held: undefined,
-          }
-        : 'deposed',
+  /** Undefined for a rank whose sidecar obeys another planner. */
+  readStates(
+    places: readonly number[],
+  ): Promise<(types.RankState | undefined)[]> {
+    return Promise.all(
+      places.map(at =>
+        this.travel(() =>
+          this.obeys(at) ? this.group.stateOf(at) : undefined,
+        ),
+      ),
     );
   }
 
-  async order(order: types.Order): Promise<types.OrderResult> {
+  order(
+    places: readonly number[],
+    order: types.Order,
+  ): Promise<types.OrderResult[]> {
+    return Promise.all(places.map(at => this.orderRank(at, order)));
+  }
+
+  private async orderRank(
+    at: number,
+    order: types.Order,
+  ): Promise<types.OrderResult> {
     for (let tries = 0; tries < 4; tries += 1) {
-      const result = await this.orderOnce(order);
+      const result = await this.orderOnce(at, order);
       if (result !== 'no-answer') {
         return result;
       }
@@ -211,23 +223,26 @@
     return 'no-answer';
   }
 
-  private orderOnce(order: types.Order): Promise<types.OrderResult> {
+  private orderOnce(
+    at: number,
+    order: types.Order,
+  ): Promise<types.OrderResult> {
     return this.travel<types.OrderResult>(() => {
-      if (!this.obeys()) {
+      if (!this.obeys(at)) {
         return 'deposed';
       }
       if (this.sim.unit() < this.trouble.late) {
         const lateMs = 50 + this.sim.unit() * 3_000;
-        this.sim.after(lateMs, () => this.group.carryOut(this.at, order));
+        this.sim.after(lateMs, () => this.group.carryOut(at, order));
         return 'no-answer';
       }
-      const result = this.group.carryOut(this.at, order);
+      const result = this.group.carryOut(at, order);
       return this.sim.unit() < this.trouble.lost ? 'no-answer' : result;
     });
   }
 
-  private obeys(): boolean {
-    const rank = this.group.ranks[this.at]!;
+  private obeys(at: number): boolean {
+    const rank = this.group.ranks[at]!;
     rank.term = Math.max(rank.term, this.term);
     return this.term === rank.term;
   }
@@ -252,21 +267,26 @@
 interface World {
   readonly sim: Simulation;
   readonly group: FakeGroup;
-  linksOf(term: number, thawsAt?: () => number): FakeLink[];
+  ranksOf(term: number, thawsAt?: () => number): FakeRanks;
 }
 
 function makeWorld(seed: number, trouble: Trouble): World {
   const sim = new Simulation(seed);
   const group = new FakeGroup(sim);
-  const linksOf = (term: number, thawsAt = () => 0) =>
-    group.ranks.map(
-      (_, at) => new FakeLink(sim, group, at, term, trouble, thawsAt),
-    );
-  return {sim, group, linksOf};
+  const ranksOf = (term: number, thawsAt = () => 0) =>
+    new FakeRanks(sim, group, term, trouble, thawsAt);
+  return {sim, group, ranksOf};
 }
 
 function change(version: number): changes.Change {
-  return {epoch: 1, version, map: mapOf(version), patienceMs: 100};
+  return {
+    epoch: 1,
+    version,
+    map: mapOf(version),
+    expectedMs: 10,
+    patienceMs: 100,
+    passesAhead: version % 4,
+  };
 }
 
 const SEEDS = Array.from({length: 150}, (_, seed) => seed + 1);
@@ -275,9 +295,9 @@
 
 describe('changing the map of a group in lock-step', () => {
   it('puts the map in force at every rank, and leaves nothing held', async () => {
-    const {sim, group, linksOf} = makeWorld(7, CALM);
+    const {sim, group, ranksOf} = makeWorld(7, CALM);
     const work = changes.changeMap(
-      linksOf(1),
+      ranksOf(1),
       change(5),
       {own: 0, holder: 1},
       SILENT_LOG,
@@ -295,12 +315,12 @@
     ['orders that come late and answers that are lost', LATE],
   ])('never begins a pass with two maps: %s', async (_, trouble) => {
     for (const seed of SEEDS) {
-      const {sim, group, linksOf} = makeWorld(seed, trouble);
-      const links = linksOf(1);
+      const {sim, group, ranksOf} = makeWorld(seed, trouble);
+      const ranks = ranksOf(1);
       const work = (async () => {
         for (let version = 1; version <= 4; version += 1) {
           const parts = {own: 0, holder: 1 + (version % 3)};
-          await changes.changeMap(links, change(version), parts, SILENT_LOG);
+          await changes.changeMap(ranks, change(version), parts, SILENT_LOG);
         }
       })();
       await sim.until(work, 60_000);
@@ -314,11 +334,11 @@
     ['orders that come late and answers that are lost', LATE],
   ])('survives a planner that freezes and wakes: %s', async (_, trouble) => {
     for (const seed of SEEDS) {
-      const {sim, group, linksOf} = makeWorld(seed, trouble);
+      const {sim, group, ranksOf} = makeWorld(seed, trouble);
       const freezesAt = sim.unit() * 300;
       const thawsAt = freezesAt + 500 + sim.unit() * 2_000;
-      const first = linksOf(1, () => (sim.now > freezesAt ? thawsAt : 0));
-      const second = linksOf(2);
+      const first = ranksOf(1, () => (sim.now > freezesAt ? thawsAt : 0));
+      const second = ranksOf(2);
       const old = changes.changeMap(
         first,
         change(1),
@@ -337,17 +357,14 @@
   });
 
   it('goes back where the planner and its rank are silent', async () => {
-    const {sim, group, linksOf} = makeWorld(3, CALM);
-    const links = linksOf(2);
+    const {sim, group, ranksOf} = makeWorld(3, CALM);
+    const ranks = ranksOf(2);
     group.ranks.forEach((_, at) => group.carryOut(at, prepare(9)));
     const step = group.step + 40;
     group.carryOut(1, {kind: 'hold', epoch: 1, step});
     group.carryOut(2, {kind: 'arm', epoch: 1, version: 9, step});
-    const others = [1, 2, 3].map(at => ({
-      link: links[at]!,
-      state: group.stateOf(at),
-    }));
-    const work = changes.undoWithoutPlanner(others, SILENT_LOG);
+    const others = [1, 2, 3].map(at => group.stateOf(at));
+    const work = changes.undoWithoutPlanner(ranks, others, SILENT_LOG);
     await sim.until(work, 10_000);
     expect(await work).toBe(true);
     expect(group.ranks.map(rank => rank.armed)).toEqual(Array(4).fill(null));
@@ -355,19 +372,16 @@
   });
 
   it('waits where the silent rank may be armed', async () => {
-    const {sim, group, linksOf} = makeWorld(3, CALM);
-    const links = linksOf(2);
+    const {sim, group, ranksOf} = makeWorld(3, CALM);
+    const ranks = ranksOf(2);
     group.ranks.forEach((_, at) => group.carryOut(at, prepare(9)));
     const step = group.step + 40;
     group.carryOut(1, {kind: 'hold', epoch: 1, step});
     [1, 2, 3].forEach(at =>
       group.carryOut(at, {kind: 'arm', epoch: 1, version: 9, step}),
     );
-    const others = [1, 2, 3].map(at => ({
-      link: links[at]!,
-      state: group.stateOf(at),
-    }));
-    const work = changes.undoWithoutPlanner(others, SILENT_LOG);
+    const others = [1, 2, 3].map(at => group.stateOf(at));
+    const work = changes.undoWithoutPlanner(ranks, others, SILENT_LOG);
     await sim.until(work, 10_000);
     expect(await work).toBe(false);
     expect(group.ranks[1]!.held).toBe(step);
@@ -376,15 +390,22 @@
 
 function prepare(version: number): types.Order {
   const map = mapOf(version);
-  return {kind: 'prepare', epoch: 1, version, map, patienceMs: 1};
+  return {
+    kind: 'prepare',
+    epoch: 1,
+    version,
+    map,
+    expectedMs: 1,
+    patienceMs: 1,
+  };
 }
 
 /** What a new planner does: reads all, finishes, and changes the map. */
-async function takeOver(links: FakeLink[]): Promise<string> {
+async function takeOver(ranks: FakeRanks): Promise<string> {
   let end = 'nothing-left' as changes.ChangeEnd | 'nothing-left';
   for (let tries = 0; tries < 5; tries += 1) {
-    const states = await readStates(links);
-    end = await changes.finishChange(links, states, 2, SILENT_LOG);
+    const states = await readStates(ranks);
+    end = await changes.finishChange(ranks, states, 2, SILENT_LOG);
     if (end !== 'stuck' && end !== 'deposed') {
       break;
     }
@@ -397,7 +418,7 @@
   for (let tries = 0; tries < 4 && result !== 'armed'; tries += 1) {
     version += 1;
     result = await changes.changeMap(
-      links,
+      ranks,
       change(version),
       {own: 2, holder: 3},
       SILENT_LOG,
@@ -406,9 +427,7 @@
   return result;
 }
 
-async function readStates(links: FakeLink[]): Promise<types.RankState[]> {
-  const readings = await Promise.all(links.map(link => link.read()));
-  return readings.flatMap(reading =>
-    reading === undefined || reading === 'deposed' ? [] : [reading.state],
-  );
+async function readStates(ranks: FakeRanks): Promise<types.RankState[]> {
+  const states = await ranks.readStates(ranks.all);
+  return states.flatMap(state => state ?? []);
 }
--- a/src/experts/change.ts
+++ b/src/experts/change.ts
@@ -18,7 +18,7 @@
  * freezes, another can still release it.
  */
 import {Log} from '../observability/log';
-import type {ExpertMap, Order, OrderResult, RankLink, RankState} from './types';
+import type {ExpertMap, Order, OrderResult, RankState, Ranks} from './types';
 
 /** How a change ended. */
 export type ChangeEnd =
@@ -41,8 +41,12 @@
   readonly epoch: number;
   readonly version: number;
   readonly map: ExpertMap;
-  /** Longest time for the copying, in milliseconds. */
+  /** Time that the copying should take, in milliseconds. */
+  readonly expectedMs: number;
+  /** Longest time for it. */
   readonly patienceMs: number;
+  /** Passes that will begin while the ranks are being armed. */
+  readonly passesAhead: number;
 }
 
 /** Tries to hold the group before a pass that has not begun. */
@@ -50,30 +54,30 @@
 /** Rounds of orders to ranks that have not answered yet. */
 const ARM_ROUNDS = 4;
 
-/** All ranks of a group, by rank. */
-export type Links = readonly RankLink[];
-
 /** Who takes part in a change beside the ranks. */
 export interface Parts {
   /** The planner's own rank. */
   readonly own: number;
   /** The rank that holds the group meanwhile; not the planner's. */
   readonly holder: number;
+  /** Told how long arming took, in milliseconds. */
+  readonly onArmed?: (ms: number) => void;
 }
 
 /** Makes a change. */
 export async function changeMap(
-  links: Links,
+  ranks: Ranks,
   change: Change,
-  {own, holder}: Parts,
+  {own, holder, onArmed}: Parts,
   log: Log,
 ): Promise<ChangeEnd> {
-  const {epoch, version, map, patienceMs} = change;
-  const prepared = await orderAll(links, {
+  const {epoch, version, map, expectedMs, patienceMs} = change;
+  const prepared = await ranks.order(ranks.all, {
     kind: 'prepare',
     epoch,
     version,
     map,
+    expectedMs,
     patienceMs,
   });
   if (prepared.includes('deposed')) {
@@ -83,12 +87,17 @@
     log.event('mapNotPrepared', {version, results: countOf(prepared)});
     return 'not-prepared';
   }
-  const step = await holdNextPass(links[holder]!, epoch);
+  const begunAt = performance.now();
+  const step = await holdPass(ranks, holder, epoch, change.passesAhead);
   if (step === undefined) {
     return 'not-held';
   }
   const arming = {epoch, version, step, own};
-  return armAndRelease(links, arming, [holder], log);
+  const end = await armAndRelease(ranks, arming, [holder], log);
+  if (end === 'armed') {
+    onArmed?.(performance.now() - begunAt);
+  }
+  return end;
 }
 
 /** What has to be armed, and where. */
@@ -102,35 +111,33 @@
 
 /** Arms every rank while the group is held, then releases it. */
 async function armAndRelease(
-  links: Links,
+  ranks: Ranks,
   arming: Arming,
   holders: readonly number[],
   log: Log,
 ): Promise<ChangeEnd> {
-  const {epoch, version, step} = arming;
+  const {epoch, version, step, own} = arming;
   const order: Order = {kind: 'arm', epoch, version, step};
-  const results: OrderResult[] = links.map(() => 'no-answer');
+  const results: OrderResult[] = ranks.all.map(() => 'no-answer');
+  const arm = async (places: readonly number[]) => {
+    const ends = await ranks.order(places, order);
+    places.forEach((place, at) => (results[place] = ends[at]!));
+  };
   for (let round = 0; round < ARM_ROUNDS; round += 1) {
-    const open = links.flatMap((_, at) => (results[at] === 'done' ? [] : [at]));
-    await Promise.all(
-      open
-        .filter(at => at !== arming.own)
-        .map(async at => {
-          results[at] = await links[at]!.order(order);
-        }),
-    );
-    if (results.every((result, at) => result === 'done' || at === arming.own)) {
-      results[arming.own] = await links[arming.own]!.order(order);
+    const open = ranks.all.filter(place => results[place] !== 'done');
+    await arm(open.filter(place => place !== own));
+    if (results.every((result, place) => result === 'done' || place === own)) {
+      await arm([own]);
     }
     if (results.every(result => result === 'done')) {
-      await release(links, holders, epoch, step);
+      await ranks.order(holders, {kind: 'release', epoch, step});
       return 'armed';
     }
     if (results.includes('deposed')) {
       return 'deposed';
     }
     if (results.includes('refused')) {
-      return backOut(links, arming, holders, log);
+      return backOut(ranks, arming, holders, log);
     }
   }
   log.event('mapChangeStuck', {version, step, results: countOf(results)});
@@ -142,12 +149,12 @@
  * lost what it prepared. Only when no rank is armed may the group go on.
  */
 async function backOut(
-  links: Links,
+  ranks: Ranks,
   {epoch, version, step}: Arming,
   holders: readonly number[],
   log: Log,
 ): Promise<ChangeEnd> {
-  const states = await readAll(links);
+  const states = await ranks.readStates(ranks.all);
   if (states.some(state => state !== undefined && state.epoch !== epoch)) {
     return 'regrouped';
   }
@@ -156,7 +163,7 @@
     return 'armed';
   }
   const order: Order = {kind: 'disarm', epoch, version};
-  const results = await orderAll(links, order);
+  const results = await ranks.order(ranks.all, order);
   log.event('mapChangeAborted', {version, step, results: countOf(results)});
   if (results.includes('deposed')) {
     return 'deposed';
@@ -164,50 +171,45 @@
   if (results.some(result => result !== 'done')) {
     return 'stuck';
   }
-  await release(links, holders, epoch, step);
+  await ranks.order(holders, {kind: 'release', epoch, step});
   return 'backed-out';
 }
 
-async function holdNextPass(
-  holder: RankLink,
+/**
+ * Holds the group before a pass that lies so far ahead that the ranks should
+ * be armed by then, and the group need not wait.
+ */
+async function holdPass(
+  ranks: Ranks,
+  holder: number,
   epoch: number,
+  passesAhead: number,
 ): Promise<number | undefined> {
   for (let tries = 0; tries < HOLD_TRIES; tries += 1) {
-    const reading = await holder.read({counts: false, held: false});
-    if (reading === undefined || reading === 'deposed') {
+    const [state] = await ranks.readStates([holder]);
+    if (state === undefined) {
       return undefined;
     }
-    const step = reading.state.step + 1;
-    const result = await holder.order({kind: 'hold', epoch, step});
+    const step = state.step + 1 + passesAhead;
+    const [result] = await ranks.order([holder], {kind: 'hold', epoch, step});
     if (result === 'done') {
       return step;
     }
     if (result !== 'refused') {
       // It may be held all the same, or will be.
-      await holder.order({kind: 'release', epoch, step});
+      await ranks.order([holder], {kind: 'release', epoch, step});
       return undefined;
     }
   }
   return undefined;
 }
 
-async function release(
-  links: Links,
-  holders: readonly number[],
-  epoch: number,
-  step: number,
-): Promise<void> {
-  await Promise.all(
-    holders.map(at => links[at]!.order({kind: 'release', epoch, step})),
-  );
-}
-
 /**
  * Finishes what an earlier planner left: a held group whose ranks may be
  * armed in part. States are by rank and were read under the new term.
  */
 export async function finishChange(
-  links: Links,
+  ranks: Ranks,
   states: readonly RankState[],
   own: number,
   log: Log,
@@ -228,63 +230,58 @@
   if (held.length === 0) {
     // Armed in part and not held: hold it before anything else.
     const holder = own === 0 ? states.length - 1 : 0;
-    const order: Order = {kind: 'hold', epoch, step};
-    if ((await links[holder]!.order(order)) !== 'done') {
+    const [result] = await ranks.order([holder], {kind: 'hold', epoch, step});
+    if (result !== 'done') {
       return 'not-held';
     }
     holders.push(holder);
   }
   if (version === undefined) {
-    await releaseAll(links, states);
+    await releaseAll(ranks, states);
     return 'not-prepared';
   }
   const arming = {epoch, version, step, own};
-  const end = await armAndRelease(links, arming, holders, log);
+  const end = await armAndRelease(ranks, arming, holders, log);
   if (end === 'armed') {
-    await releaseAll(links, states);
+    await releaseAll(ranks, states);
   }
   return end;
 }
 
-/** One rank that was read, and the way to it. */
-export interface ReadRank {
-  readonly link: RankLink;
-  readonly state: RankState;
-}
-
 /**
  * Goes back from a change whose planner is silent together with its own rank,
- * the only one that is not among `ranks`. That rank is armed last: where
+ * the only one that is not among the states. That rank is armed last: where
  * another is not armed, it isn't either. False where that can't be told.
  */
 export async function undoWithoutPlanner(
-  ranks: readonly ReadRank[],
+  ranks: Ranks,
+  states: readonly RankState[],
   log: Log,
 ): Promise<boolean> {
-  const held = ranks.flatMap(({state}) => state.held ?? []);
+  const held = states.flatMap(state => state.held ?? []);
   if (held.length === 0) {
     return true;
   }
-  const armed = ranks.flatMap(({state}) => state.armed ?? []);
-  if (armed.length === ranks.length) {
+  const armed = states.flatMap(state => state.armed ?? []);
+  if (armed.length === states.length) {
     return false;
   }
+  const places = states.map(state => state.rank);
+  const {epoch} = states[0]!;
   const versions = new Set(armed.map(one => one.version));
   const results = await Promise.all(
-    [...versions].flatMap(version =>
-      ranks.map(({link, state}) =>
-        link.order({kind: 'disarm', epoch: state.epoch, version}),
-      ),
+    [...versions].map(version =>
+      ranks.order(places, {kind: 'disarm', epoch, version}),
     ),
   );
-  log.event('mapChangeAborted', {held: held[0], results: countOf(results)});
-  if (results.some(result => result !== 'done')) {
+  log.event('mapChangeAborted', {
+    held: held[0],
+    results: countOf(results.flat()),
+  });
+  if (results.flat().some(result => result !== 'done')) {
     return false;
   }
-  await releaseAll(
-    ranks.map(one => one.link),
-    ranks.map(one => one.state),
-  );
+  await releaseAll(ranks, states);
   return true;
 }
 
@@ -296,35 +293,19 @@
 }
 
 /** Releases every hold that the states show. */
-export async function releaseAll(
-  links: Links,
+async function releaseAll(
+  ranks: Ranks,
   states: readonly RankState[],
 ): Promise<void> {
   await Promise.all(
-    states.map(async (state, at) => {
-      if (state.held !== null) {
-        const {epoch, held: step} = state;
-        await links[at]!.order({kind: 'release', epoch, step});
+    states.map(async ({epoch, rank, held: step}) => {
+      if (step !== null) {
+        await ranks.order([rank], {kind: 'release', epoch, step});
       }
     }),
   );
 }
 
-function orderAll(links: Links, order: Order): Promise<OrderResult[]> {
-  return Promise.all(links.map(link => link.order(order)));
-}
-
-function readAll(links: Links): Promise<(RankState | undefined)[]> {
-  return Promise.all(
-    links.map(async link => {
-      const reading = await link.read({counts: false, held: false});
-      return reading === undefined || reading === 'deposed'
-        ? undefined
-        : reading.state;
-    }),
-  );
-}
-
 function countOf(results: readonly OrderResult[]): Record<string, number> {
   const counts: Record<string, number> = {};
   results.forEach(result => {
--- a/src/experts/group-member.ts
+++ b/src/experts/group-member.ts
@@ -8,23 +8,26 @@
 import type {ObjectApi} from '../platform/client';
 import * as objects from '../platform/types';
 import {WatchEvent, WatchLoop} from '../platform/watch-loop';
+import * as random from '../random';
 import type {ExpertFigures} from '../routes/types';
 import type {RpcClient} from '../rpc/client';
 import type {SiteDocuments} from '../roles/site-documents';
 import type {Target} from '../forwarding/types';
 import * as app from './app';
-import {SidecarLink} from './links';
+import {GroupLinks} from './group-links';
 import {GroupPlanner} from './planner';
 import type {RankAgent} from './rank-agent';
 import {Seat, SeatContext} from './seat';
-import type {Engine} from './types';
+import type {Engine, RankState} from './types';
 
-/** Milliseconds without a planner after which another may take over. */
-const PLANNER_SILENT_MS = 450;
 /** Longest wait for a member's word on that, in milliseconds. */
 const ASK_TIMEOUT_MS = 80;
 /** Milliseconds that the planner's watches wait for a change. */
 const WATCH_WAIT_MS = 25_000;
+/** Members that are asked for their word; more would tell no more. */
+const MOST_ASKED = 12;
+/** Time between members' turns at a seat that is free, in milliseconds. */
+const TURN_MS = 50;
 /** Pause between questions to an engine that is no rank yet. */
 const NO_RANK_PAUSE_MS = 200;
 
@@ -46,7 +49,7 @@
 }
 
 export class GroupMember extends SeatContext {
-  private readonly links = new Map<string, SidecarLink>();
+  private readonly links: GroupLinks;
   private readonly planner: GroupPlanner;
   private seat: Seat | undefined;
   private group = '';
@@ -58,12 +61,19 @@
 
   constructor(private readonly context: MemberContext) {
     super();
+    this.links = new GroupLinks({
+      rpc: context.rpc,
+      term: () => this.seat?.term ?? 0,
+      periodMs: () => this.planner.periodMs,
+      makeEngine: target => context.documents.makeEngine(target),
+    });
     this.planner = new GroupPlanner({
       group: context.service,
       figures: () => this.figures,
-      links: () => this.members.map(target => this.linkTo(target)),
+      links: this.links,
       term: () => this.seat?.term ?? 0,
       ownRank: () => this.rank,
+      ownState: () => this.readOwnState(),
       formerRank: () => this.seat?.formerRank,
       onDeposed: () => this.seat?.lose(),
       onTick: () => this.followWhileHolding(),
@@ -105,7 +115,11 @@
   }
 
   isPlannerHeard(): boolean {
-    return this.context.agent.silentMs < PLANNER_SILENT_MS;
+    return this.context.agent.isPlannerHeard;
+  }
+
+  turnMs(): number {
+    return this.rank * TURN_MS;
   }
 
   async mayTake(): Promise<boolean> {
@@ -118,11 +132,12 @@
     this.takeMembers(
       listing.value.items.flatMap(item => this.readTarget(item)),
     );
+    const asked = random.sample(this.members, MOST_ASKED);
     const answers = await Promise.all(
-      this.members.map(target =>
+      asked.map(target =>
         this.context.rpc.call(
           this.sidecarOf(target),
-          app.silence,
+          app.hearing,
           {},
           ASK_TIMEOUT_MS,
         ),
@@ -130,9 +145,9 @@
     );
     const reached = answers.filter(answer => answer.ok).length;
     const isHeard = answers.some(
-      answer => answer.ok && answer.value.silentMs < PLANNER_SILENT_MS,
+      answer => answer.ok && answer.value.isPlannerHeard,
     );
-    return !isHeard && reached * 2 > this.members.length;
+    return !isHeard && reached * 2 > asked.length;
   }
 
   async close(): Promise<void> {
@@ -140,7 +155,7 @@
     this.planner.close();
     this.loops.forEach(loop => loop.close());
     await this.seat?.close();
-    this.links.forEach(link => link.close());
+    this.links.close();
   }
 
   /** Only the planner follows the store. */
@@ -223,27 +238,18 @@
       }
     }
     this.members = [...byAddress.values()];
-    for (const [address, link] of this.links) {
-      if (!byAddress.has(address)) {
-        link.close();
-        this.links.delete(address);
-      }
-    }
+    this.links.setMembers(
+      this.members.map(target => ({
+        target: target.address,
+        sidecar: this.sidecarOf(target),
+        hall: target.hall,
+      })),
+    );
   }
 
-  private linkTo(target: Target): SidecarLink {
-    let link = this.links.get(target.address);
-    if (link === undefined) {
-      const {rpc, documents} = this.context;
-      link = new SidecarLink(
-        rpc,
-        this.sidecarOf(target),
-        documents.makeEngine(target.address),
-        () => this.seat?.term ?? 0,
-      );
-      this.links.set(target.address, link);
-    }
-    return link;
+  private async readOwnState(): Promise<RankState | undefined> {
+    const state = await this.context.engine.state();
+    return state.ok ? state.value : undefined;
   }
 
   /** Every sidecar stands on its target's instance, at the same port. */
--- /dev/null
+++ b/src/experts/pass-clock.ts
@@ -0,0 +1,38 @@
+/** How long the passes of a group take, from what its step counter shows. */
+
+/** Weight of the newest time in the mean. */
+const NEW_WEIGHT = 0.3;
+/** Taken until two readings tell, in milliseconds. */
+const FIRST_PASS_MS = 80;
+/** An idle group's step stands still; longer times tell nothing. */
+const LONGEST_PASS_MS = 1_000;
+/** More is never needed, and would delay the change of a fast group. */
+const MOST_PASSES = 8;
+
+export class PassClock {
+  private last: {readonly step: number; readonly at: number} | undefined;
+  private meanMs = FIRST_PASS_MS;
+
+  /** Takes the pass that began last; `now` is monotonic. */
+  note(step: number, now: number): void {
+    const {last} = this;
+    if (last !== undefined && step > last.step) {
+      const ms = (now - last.at) / (step - last.step);
+      if (ms < LONGEST_PASS_MS) {
+        this.meanMs += NEW_WEIGHT * (ms - this.meanMs);
+      }
+    }
+    if (last === undefined || step !== last.step) {
+      this.last = {step, at: now};
+    }
+  }
+
+  get passMs(): number {
+    return this.meanMs;
+  }
+
+  /** Whole passes that begin within a time. */
+  passesIn(ms: number): number {
+    return Math.min(Math.ceil(ms / this.meanMs), MOST_PASSES);
+  }
+}
--- a/src/experts/plan.ts
+++ b/src/experts/plan.ts
@@ -25,6 +25,8 @@
   readonly map: ExpertMap;
   /** Experts that ranks have to copy. */
   readonly copies: number;
+  /** Of them, at the rank with the most. */
+  readonly mostCopies: number;
   /** Most loaded rank over the mean, averaged over sets. */
   readonly before: number;
   readonly after: number;
@@ -102,6 +104,7 @@
   return {
     map: boards.map(board => board.held),
     copies,
+    mostCopies: Math.max(...copied),
     before,
     after: meanOf(boards.map(board => board.imbalance)),
   };
--- a/src/experts/planner.ts
+++ b/src/experts/planner.ts
@@ -9,18 +9,22 @@
 import type {ExpertFigures} from '../routes/types';
 import * as mapChange from './change';
 import {RecentDemand} from './demand';
-import type {SidecarLink} from './links';
+import type {GroupLinks, GroupRanks, GroupReading} from './group-links';
+import {PassClock} from './pass-clock';
 import * as plans from './plan';
-import type {ExpertMap, RankReading, RankState} from './types';
+import type {ExpertMap, RankState} from './types';
 
-/** Milliseconds between readings of the ranks. */
+/** Milliseconds between readings of the ranks of a small group. */
 const PERIOD_MS = 100;
-/** Age at which demand counts for half. */
-const HALF_LIFE_MS = 300;
+/** And of a large one, whose counters are many. */
+const LARGE_PERIOD_MS = 200;
 /** Tokens to be seen before a first plan, per expert. */
 const MIN_TOKENS_PER_EXPERT = 40;
-/** Copies of a rank in one change: each takes the link for some 100 ms. */
-const COPIES_PER_RANK = 2;
+/**
+ * Time that the copies of one change may take at a rank, in milliseconds:
+ * copies slow passes down, and the worst should be relieved first.
+ */
+const COPY_TIME_MS = 200;
 /** Least relief of a copy, in shares of the mean load of a set. */
 const MIN_RELIEF = 0.03;
 /** Least gain of a whole change, in shares of the mean load. */
@@ -28,27 +32,26 @@
 /** Copies may take this much longer than computed. */
 const COPY_SLACK = 2;
 const COPY_SLACK_MS = 400;
+/** Time that arming takes before it was measured, in milliseconds. */
+const FIRST_ARM_MS = 30;
+/** Weight of the newest time in that. */
+const ARM_WEIGHT = 0.3;
 /** Low part of a version that tells planners' maps apart. */
 const VERSION_UNIT = 2 ** 20;
 
-/** One round of readings that covers every rank. */
-interface Round {
-  readonly states: readonly RankState[];
-  readonly links: readonly SidecarLink[];
-}
-
 /** What a planner needs of the member that runs it. */
 export interface PlannerContext {
   /** Name for logs. */
   readonly group: string;
   /** Undefined until the configuration is known. */
   figures(): ExpertFigures | undefined;
-  /** Every member of the group. */
-  links(): readonly SidecarLink[];
+  readonly links: GroupLinks;
   /** 0 while another process plans. */
   term(): number;
   /** The rank beside this process. */
   ownRank(): number;
+  /** Its state, read on this instance. */
+  ownState(): Promise<RankState | undefined>;
   /** Rank of the planner before this one; undefined: not known. */
   formerRank(): number | undefined;
   onDeposed(): void;
@@ -58,20 +61,34 @@
   readonly metrics: Metrics;
 }
 
+/** What a planner that may change the map knows of its group. */
+interface KnownGroup {
+  readonly epoch: number;
+  readonly ranks: GroupRanks;
+  version: number;
+  map: ExpertMap;
+}
+
 export class GroupPlanner {
   private demand: RecentDemand | undefined;
-  private map: {version: number; epoch: number; experts: ExpertMap} | undefined;
+  private known: KnownGroup | undefined;
   private isChanging = false;
-  private isFresh = true;
-  /** Changes that have ended; tells readings from before an end. */
-  private changes = 0;
+  private hasStarted = false;
+  private highestTried = 0;
+  private readonly passes = new PassClock();
+  private armMs = FIRST_ARM_MS;
   private isClosed = false;
   private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly context: PlannerContext) {}
 
+  /** Milliseconds between readings of the ranks. */
+  get periodMs(): number {
+    return this.context.links.isLarge ? LARGE_PERIOD_MS : PERIOD_MS;
+  }
+
   start(): void {
-    this.timer = setTimeout(() => void this.tick(), PERIOD_MS);
+    this.startIn(PERIOD_MS);
   }
 
   close(): void {
@@ -79,7 +96,12 @@
     clearTimeout(this.timer);
   }
 
+  private startIn(ms: number): void {
+    this.timer = setTimeout(() => void this.tick(), ms);
+  }
+
   private async tick(): Promise<void> {
+    const begunAt = performance.now();
     try {
       await this.look();
     } catch (err) {
@@ -88,11 +110,11 @@
       });
     }
     if (!this.isClosed) {
-      this.start();
+      const tookMs = performance.now() - begunAt;
+      this.startIn(Math.max(this.periodMs - tookMs, 0));
     }
   }
 
-  /** Reads the ranks, and plans where nothing is under way. */
   private async look(): Promise<void> {
     this.context.onTick();
     const figures = this.context.figures();
@@ -100,207 +122,192 @@
       this.forget();
       return;
     }
-    const {changes: before} = this;
-    const round = await this.readRanks(figures);
-    // What was read while a change ended may be from before its end.
-    const isOld = this.isChanging || this.changes !== before;
-    if (round === undefined || isOld) {
+    if (this.known === undefined && !this.isChanging) {
+      await this.learn();
       return;
     }
-    if (this.isFresh) {
-      this.isFresh = false;
-      await this.takeOver(round);
+    const reading = await this.context.links.read({growth: true, held: false});
+    if (reading.isDeposed) {
+      this.context.onDeposed();
       return;
     }
-    await this.plan(figures, round);
+    this.noteDemand(figures, reading);
+    if (!this.isChanging && this.known !== undefined) {
+      await this.plan(figures, this.known, reading);
+    }
   }
 
   /** What was known before the seat was lost may be wrong by now. */
   private forget(): void {
-    this.isFresh = true;
-    this.map = undefined;
+    this.known = undefined;
     this.demand = undefined;
+    this.hasStarted = false;
   }
 
-  private async readRanks(figures: ExpertFigures): Promise<Round | undefined> {
-    const links = this.context.links();
-    const wantsHeld = this.map === undefined;
-    const wish = {counts: true, held: wantsHeld};
-    const readings = await Promise.all(
-      links.map(async link => {
-        const read = await link.read(wish);
-        const isSilent = read === undefined && !link.isHeard;
-        // Past a silent sidecar only where the round can't do without.
-        return isSilent && !this.isChanging ? link.readDirect(wish) : read;
-      }),
-    );
-    if (readings.includes('deposed')) {
+  /** Learns the map in force, and finishes what another planner left. */
+  private async learn(): Promise<void> {
+    const {links, log, group, ownRank, term} = this.contextParts();
+    const reading = await links.readAll();
+    if (reading.isDeposed) {
       this.context.onDeposed();
-      return undefined;
+      return;
     }
-    const known = readings.flatMap((reading, at) =>
-      reading === undefined || reading === 'deposed'
-        ? []
-        : [{reading, link: links[at]!}],
-    );
-    await this.undoFormer(known);
-    const byRank = known.sort(
-      (a, b) => a.reading.state.rank - b.reading.state.rank,
-    );
-    this.noteDemand(
-      figures,
-      byRank.map(one => one.reading),
-    );
-    if (!isWhole(byRank.map(one => one.reading.state))) {
-      return undefined;
+    const ranks = links.ranksOf(reading);
+    if (ranks === undefined) {
+      await this.undoFormer(reading);
+      return;
+    }
+    const states = byRank(reading);
+    const end = await mapChange.finishChange(ranks, states, ownRank, log);
+    if (!this.hasStarted) {
+      this.hasStarted = true;
+      log.event('plannerStarted', {group, term, left: end});
+    }
+    if (end === 'nothing-left') {
+      this.known = knownOf(ranks, reading);
+    } else if (end === 'stuck' || end === 'deposed') {
+      this.giveUp();
     }
-    this.noteMap(byRank.map(one => one.reading));
-    return {
-      states: byRank.map(one => one.reading.state),
-      links: byRank.map(one => one.link),
-    };
+  }
+
+  private contextParts() {
+    const {links, log, group} = this.context;
+    const ownRank = this.context.ownRank();
+    return {links, log, group, ownRank, term: this.context.term()};
   }
 
   /**
    * A new planner that can read all ranks but its predecessor's must not wait
    * for that one: the group may be held.
    */
-  private async undoFormer(
-    known: readonly {reading: RankReading; link: SidecarLink}[],
-  ): Promise<void> {
+  private async undoFormer(reading: GroupReading): Promise<void> {
+    const {links, log} = this.context;
     const former = this.context.formerRank();
-    const [first] = known;
+    const states = byRank(reading);
+    const [first] = states;
     const isMissing =
-      this.isFresh &&
+      !this.hasStarted &&
       first !== undefined &&
       former !== undefined &&
-      known.length === first.reading.state.size - 1 &&
-      known.every(one => one.reading.state.rank !== former);
-    if (isMissing) {
-      await mapChange.undoWithoutPlanner(
-        known.map(one => ({link: one.link, state: one.reading.state})),
-        this.context.log,
-      );
-    }
-  }
-
-  private noteDemand(
-    figures: ExpertFigures,
-    readings: readonly RankReading[],
-  ): void {
-    this.demand ??= new RecentDemand(figures.sets, HALF_LIFE_MS);
-    const counts = new Map<number, readonly number[]>();
-    for (const {state, counts: counters} of readings) {
-      if (counters !== undefined) {
-        counts.set(state.rank, counters);
-      }
+      states.length === first.size - 1 &&
+      states.every(state => state.rank !== former);
+    const ranks = isMissing ? links.someRanksOf(reading) : undefined;
+    if (ranks !== undefined) {
+      await mapChange.undoWithoutPlanner(ranks, states, log);
     }
-    this.demand.note(counts, performance.now());
   }
 
-  /** Learns the map in force where it isn't known. */
-  private noteMap(readings: readonly RankReading[]): void {
-    const [{state}] = readings as [RankReading];
-    if (this.map !== undefined && this.map.epoch !== state.epoch) {
-      this.map = undefined;
+  private noteDemand(figures: ExpertFigures, reading: GroupReading): void {
+    this.demand ??= new RecentDemand(figures.sets);
+    if (reading.growth === undefined) {
+      return;
     }
-    const versions = new Set(readings.map(one => one.held?.version));
-    if (this.map === undefined && versions.size === 1) {
-      const [version] = versions;
-      if (version !== undefined) {
-        const sets = readings[0]!.held!.experts.length;
-        const experts = Array.from({length: sets}, (_, set) =>
-          readings.map(one => one.held!.experts[set]!),
-        );
-        this.map = {version, epoch: state.epoch, experts};
-      }
+    const note = this.demand.note(reading.growth, performance.now());
+    if (note.hasDrifted) {
+      this.context.metrics.count('demand_drifts_total');
+      this.context.log.event('demandDrifted', {
+        group: this.context.group,
+        distance: Number(note.distance.toFixed(3)),
+      });
     }
   }
 
-  private async takeOver(round: Round): Promise<void> {
-    const end = await mapChange.finishChange(
-      round.links,
-      round.states,
-      this.context.ownRank(),
-      this.context.log,
-    );
-    this.context.log.event('plannerStarted', {
-      group: this.context.group,
-      term: this.context.term(),
-      left: end,
-    });
-    this.afterChange(end);
-  }
-
-  private async plan(figures: ExpertFigures, round: Round): Promise<void> {
-    const [first] = round.states as [RankState];
-    const {map} = this;
+  private async plan(
+    figures: ExpertFigures,
+    known: KnownGroup,
+    reading: GroupReading,
+  ): Promise<void> {
     const demand = this.demand?.demand;
-    const stray = round.states.some(state => state.held !== null);
-    if (stray) {
-      this.context.log.event('strayHold', {group: this.context.group});
-      await this.takeOver(round);
+    const minTokens = figures.sets * figures.experts * MIN_TOKENS_PER_EXPERT;
+    if (demand === undefined || this.demand!.total < minTokens) {
       return;
     }
-    const isSettled = round.states.every(
-      state => state.armed === null && state.mapVersion === map?.version,
-    );
-    const minTokens = figures.sets * figures.experts * MIN_TOKENS_PER_EXPERT;
-    if (
-      map === undefined ||
-      demand === undefined ||
-      !isSettled ||
-      this.demand!.total < minTokens
-    ) {
+    const own = await this.context.ownState();
+    if (own === undefined || !this.isSettled(known, own, reading)) {
       return;
     }
-    const plan = plans.planMap(map.experts, demand, {
+    this.passes.note(own.step, performance.now());
+    const copiesPerRank = Math.max(
+      1,
+      Math.floor(COPY_TIME_MS / Math.max(figures.copyMs, 1)),
+    );
+    const plan = plans.planMap(known.map, demand, {
       places: figures.places,
       spare: figures.spare,
-      copiesPerRank: COPIES_PER_RANK,
+      copiesPerRank,
       minRelief: MIN_RELIEF,
     });
     if (plan === undefined || plan.before - plan.after < MIN_GAIN) {
       return;
     }
-    const highest = Math.max(
-      ...round.states.map(state =>
-        Math.max(state.mapVersion, state.prepared ?? 0),
-      ),
-      this.highestTried,
+    const version = nextVersion(
+      Math.max(own.mapVersion, own.prepared ?? 0, this.highestTried),
     );
-    const version = nextVersion(highest);
     this.highestTried = version;
     this.isChanging = true;
-    void this.change(figures, round, first.epoch, version, plan);
+    void this.change(figures, known, version, plan);
   }
 
-  private highestTried = 0;
+  /** False where the group isn't as this planner left it. */
+  private isSettled(
+    known: KnownGroup,
+    own: RankState,
+    reading: GroupReading,
+  ): boolean {
+    if (!own.isOpen || own.epoch !== known.epoch) {
+      this.known = undefined;
+      return false;
+    }
+    if (own.armed !== null) {
+      // The pass that takes the map has not begun yet.
+      return false;
+    }
+    const isStray = [...reading.ranks.values()].some(
+      ({state}) => state.held !== null,
+    );
+    if (isStray || own.mapVersion !== known.version) {
+      this.context.log.event('strayHold', {
+        group: this.context.group,
+        isHeld: isStray,
+        version: own.mapVersion,
+      });
+      this.known = undefined;
+      return false;
+    }
+    return true;
+  }
 
   private async change(
     figures: ExpertFigures,
-    round: Round,
-    epoch: number,
+    known: KnownGroup,
     version: number,
     plan: plans.MapPlan,
   ): Promise<void> {
     const begunAt = performance.now();
-    const most = COPIES_PER_RANK * figures.copyMs;
+    const expectedMs = plan.mostCopies * figures.copyMs;
     try {
-      const holder = this.pickHolder(round);
+      const own = this.context.ownRank();
+      const passesAhead = this.passes.passesIn(this.armMs);
       const end = await mapChange.changeMap(
-        round.links,
+        known.ranks,
         {
-          epoch,
+          epoch: known.epoch,
           version,
           map: plan.map,
-          patienceMs: most * COPY_SLACK + COPY_SLACK_MS,
+          expectedMs,
+          patienceMs: expectedMs * COPY_SLACK + COPY_SLACK_MS,
+          passesAhead,
+        },
+        {
+          own,
+          holder: pickHolder(known.ranks, own),
+          onArmed: ms => this.noteArming(ms),
         },
-        {own: this.context.ownRank(), holder},
         this.context.log,
       );
       const ms = Math.round(performance.now() - begunAt);
       this.context.metrics.count('map_changes_total', {end});
+      this.context.metrics.time('map_change', this.context.group, 'all', ms);
       this.context.log.event('mapChanged', {
         group: this.context.group,
         version,
@@ -308,12 +315,11 @@
         copies: plan.copies,
         before: Number(plan.before.toFixed(3)),
         after: Number(plan.after.toFixed(3)),
+        passesAhead,
+        armMs: Math.round(this.armMs),
         ms,
       });
-      if (end === 'armed') {
-        this.map = {version, epoch, experts: plan.map};
-      }
-      this.afterChange(end);
+      this.afterChange(known, end, version, plan.map);
     } catch (err) {
       this.context.log.event('plannerFault', {
         error: String((err as Error).stack),
@@ -321,48 +327,78 @@
       this.forget();
     }
     this.isChanging = false;
-    this.changes += 1;
   }
 
-  /** A rank on another instance whose sidecar answers. */
-  private pickHolder(round: Round): number {
-    const own = this.context.ownRank();
-    const heard = round.links.flatMap((link, at) =>
-      link.isHeard && at !== own ? [at] : [],
-    );
-    return heard.length > 0 ? random.pick(heard) : 0;
+  private noteArming(ms: number): void {
+    this.armMs += ARM_WEIGHT * (ms - this.armMs);
   }
 
-  private afterChange(end: mapChange.ChangeEnd | 'nothing-left'): void {
+  private afterChange(
+    known: KnownGroup,
+    end: mapChange.ChangeEnd,
+    version: number,
+    map: ExpertMap,
+  ): void {
     switch (end) {
       case 'armed':
-      case 'nothing-left':
+        known.version = version;
+        known.map = map;
+        return;
       case 'not-prepared':
       case 'not-held':
         return;
       case 'backed-out':
       case 'regrouped':
-        this.map = undefined;
+        this.known = undefined;
         return;
       case 'stuck':
       case 'deposed':
-        this.forget();
-        this.context.onDeposed();
+        this.giveUp();
     }
   }
+
+  private giveUp(): void {
+    this.forget();
+    this.context.onDeposed();
+  }
+}
+
+/** A rank on another instance whose sidecar answers. */
+function pickHolder(ranks: GroupRanks, own: number): number {
+  const heard = ranks.heard.filter(place => place !== own);
+  return heard.length > 0 ? random.pick(heard) : 0;
+}
+
+/** The states of a reading, in the order of their ranks. */
+function byRank(reading: GroupReading): RankState[] {
+  return [...reading.ranks.values()]
+    .map(one => one.state)
+    .sort((a, b) => a.rank - b.rank);
 }
 
-/** True where the states are those of one open group, each rank once. */
-function isWhole(states: readonly RankState[]): boolean {
-  const [first] = states;
-  return (
-    first !== undefined &&
-    states.length === first.size &&
-    states.every(
-      (state, at) =>
-        state.rank === at && state.isOpen && state.epoch === first.epoch,
-    )
+/** The map in force, where all ranks tell the same version of it. */
+function knownOf(
+  ranks: GroupRanks,
+  reading: GroupReading,
+): KnownGroup | undefined {
+  const readings = [...reading.ranks.values()].sort(
+    (a, b) => a.state.rank - b.state.rank,
+  );
+  const [first] = readings;
+  const isSame = readings.every(
+    one =>
+      one.held !== undefined &&
+      one.held.version === first?.held?.version &&
+      one.state.armed === null,
+  );
+  if (first?.held === undefined || !isSame) {
+    return undefined;
+  }
+  const map = first.held.experts.map((_, set) =>
+    readings.map(one => one.held!.experts[set]!),
   );
+  const {epoch} = first.state;
+  return {epoch, ranks, version: first.held.version, map};
 }
 
 /** Higher than all before, and never the same as another planner's. */
--- a/src/experts/rank-agent.ts
+++ b/src/experts/rank-agent.ts
@@ -3,37 +3,70 @@
  * of the planner with the highest term that it has heard of.
  */
 import {Log} from '../observability/log';
-import {Engine, Order, OrderResult, RankReading, ReadWish} from './types';
+import {
+  Engine,
+  Growth,
+  Order,
+  OrderResult,
+  RankReading,
+  ReadAnswer,
+  ReadWish,
+} from './types';
 
 /** Tries of an order whose answer does not come. */
 const ORDER_TRIES = 6;
 /** Pause between looks at a copy under way, in milliseconds. */
 const COPY_POLL_MS = 8;
+/** Periods of a planner's readings that it may miss and still be heard. */
+const MISSED_PERIODS = 4.5;
+/** Longest time between readings that a planner may name, in milliseconds. */
+const LONGEST_PERIOD_MS = 2_000;
+const FIRST_PERIOD_MS = 100;
+
+/** One reading of a rank for a planner. */
+export interface AgentReading {
+  readonly answer: ReadAnswer;
+  /** Growth of the counters since the reading before. */
+  readonly growth: Growth | undefined;
+}
 
 export class RankAgent {
   /** Highest term of a planner that was heard. */
   term = 0;
   private heardAt = performance.now();
+  private periodMs = FIRST_PERIOD_MS;
+  private counters: readonly number[] | undefined;
 
   constructor(
     private readonly engine: Engine,
     private readonly log: Log,
   ) {}
 
-  /** Milliseconds since a planner was last heard. */
-  get silentMs(): number {
-    return performance.now() - this.heardAt;
+  /** True while a planner has been heard lately. */
+  get isPlannerHeard(): boolean {
+    const silentMs = performance.now() - this.heardAt;
+    return silentMs < this.periodMs * MISSED_PERIODS;
   }
 
-  /** Reads the rank for the planner of a term. */
+  /** Reads the rank for the planner of a term, which comes again in a while. */
   async read(
     term: number,
+    periodMs: number,
     wish: ReadWish,
-  ): Promise<RankReading | 'deposed' | undefined> {
+  ): Promise<AgentReading> {
     if (!this.obeys(term)) {
-      return 'deposed';
+      return {answer: {kind: 'deposed'}, growth: undefined};
     }
-    return readRank(this.engine, wish);
+    this.periodMs = Math.min(periodMs, LONGEST_PERIOD_MS);
+    const [reading, counters] = await Promise.all([
+      readRank(this.engine, wish.held),
+      wish.growth ? this.engine.counts() : undefined,
+    ]);
+    if (reading === undefined) {
+      return {answer: {kind: 'no-rank'}, growth: undefined};
+    }
+    const growth = counters?.ok ? this.takeGrowth(counters.value) : undefined;
+    return {answer: {kind: 'read', reading}, growth};
   }
 
   /** Carries an order out for the planner of a term. */
@@ -58,6 +91,23 @@
     return result;
   }
 
+  /** Undefined for a first reading, and after the engine started again. */
+  private takeGrowth(counters: readonly number[]): Growth | undefined {
+    const before = this.counters;
+    this.counters = counters;
+    if (before === undefined || before.length !== counters.length) {
+      return undefined;
+    }
+    const growth = new Float64Array(counters.length);
+    for (let at = 0; at < counters.length; at += 1) {
+      growth[at] = counters[at]! - before[at]!;
+      if (growth[at]! < 0) {
+        return undefined;
+      }
+    }
+    return growth;
+  }
+
   private obeys(term: number): boolean {
     if (term > this.term) {
       this.log.event('plannerObeyed', {term, before: this.term});
@@ -71,24 +121,19 @@
   }
 }
 
-/** Reads a rank's engine. */
+/** Reads a rank's engine; undefined where it is silent or in no group. */
 export async function readRank(
   engine: Engine,
-  wish: ReadWish,
+  wantsHeld: boolean,
 ): Promise<RankReading | undefined> {
-  const [state, counts, held] = await Promise.all([
+  const [state, held] = await Promise.all([
     engine.state(),
-    wish.counts ? engine.counts() : undefined,
-    wish.held ? engine.held() : undefined,
+    wantsHeld ? engine.held() : undefined,
   ]);
   if (!state.ok || state.value === undefined) {
     return undefined;
   }
-  return {
-    state: state.value,
-    counts: counts?.ok ? counts.value : undefined,
-    held: held?.ok ? held.value : undefined,
-  };
+  return {state: state.value, held: held?.ok ? held.value : undefined};
 }
 
 /**
@@ -121,6 +166,7 @@
   mayGoOn: () => boolean,
 ): Promise<OrderResult> {
   const endsAt = performance.now() + order.patienceMs;
+  await pause(order.expectedMs);
   while (performance.now() < endsAt && mayGoOn()) {
     const state = await engine.state();
     if (state.ok && state.value?.prepared === order.version) {
@@ -129,7 +175,11 @@
     if (state.ok && state.value?.epoch !== order.epoch) {
       return 'refused';
     }
-    await new Promise(resolve => setTimeout(resolve, COPY_POLL_MS));
+    await pause(COPY_POLL_MS);
   }
   return 'no-answer';
 }
+
+function pause(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
--- a/src/experts/seat.ts
+++ b/src/experts/seat.ts
@@ -2,7 +2,8 @@
  * Who plans for a group: one object in the store, changed by conditional
  * writes. Its revision is the planner's term, so that a later planner always
  * has a higher one. A planner reads every rank several times a second, which
- * tells the others that it lives; the store is asked only when it is silent.
+ * tells the others that it lives; the store is asked only when it is silent,
+ * and by one member after the other.
  */
 import * as v from 'valibot';
 import {Log} from '../observability/log';
@@ -13,6 +14,8 @@
 const LOOK_MS = 80;
 /** Pause after the store or the other members did not answer. */
 const FAILED_PAUSE_MS = 500;
+/** The longest such pause; it doubles while a member fails. */
+const LONGEST_PAUSE_MS = 4_000;
 /** Time for a new holder to be heard. */
 const NEW_HOLDER_PAUSE_MS = 350;
 /** Head start of the others for a seat that was just lost. */
@@ -38,6 +41,8 @@
   abstract isPlannerHeard(): boolean;
   /** True where most members are reached and none hears a planner. */
   abstract mayTake(): Promise<boolean>;
+  /** Milliseconds that members before this one have to take the seat. */
+  abstract turnMs(): number;
 }
 
 export class Seat {
@@ -50,6 +55,9 @@
   private seenVersion = 0;
   private pausesUntil = 0;
   private isClosed = false;
+  /** When the planner was first missed; undefined: it is heard. */
+  private missedAt: number | undefined;
+  private failedPauseMs = FAILED_PAUSE_MS;
 
   constructor(
     readonly key: string,
@@ -90,20 +98,31 @@
   }
 
   private async step(): Promise<number> {
-    const isPausing = performance.now() < this.pausesUntil;
+    const now = performance.now();
+    const isPausing = now < this.pausesUntil;
     if (this.term !== 0 || isPausing || this.context.isPlannerHeard()) {
+      this.missedAt = undefined;
+      this.failedPauseMs = FAILED_PAUSE_MS;
       return random.jitter(LOOK_MS);
     }
-    if (!(await this.context.mayTake())) {
-      return random.jitter(FAILED_PAUSE_MS);
+    this.missedAt ??= now;
+    const turnIn = this.missedAt + this.context.turnMs() - now;
+    if (turnIn > 0) {
+      return Math.min(turnIn, LOOK_MS);
     }
-    return this.take();
+    return (await this.context.mayTake()) ? this.take() : this.pauseAfterFail();
+  }
+
+  private pauseAfterFail(): number {
+    const pauseMs = this.failedPauseMs;
+    this.failedPauseMs = Math.min(pauseMs * 2, LONGEST_PAUSE_MS);
+    return random.jitter(pauseMs);
   }
 
   private async take(): Promise<number> {
     const got = await this.store.get(this.key);
     if (!got.ok) {
-      return random.jitter(FAILED_PAUSE_MS);
+      return this.pauseAfterFail();
     }
     const version = got.value?.version ?? 0;
     const parsed = v.safeParse(seatSchema, got.value?.value);
@@ -123,7 +142,7 @@
     if (put.ok) {
       this.hold(put.value);
     }
-    return random.jitter(put.ok ? LOOK_MS : FAILED_PAUSE_MS);
+    return put.ok ? LOOK_MS : this.pauseAfterFail();
   }
 
   private hold(term: number): void {
--- a/src/experts/types.ts
+++ b/src/experts/types.ts
@@ -1,42 +1,65 @@
 /** Groups of ranks in lock-step, and orders that change their expert map. */
+import * as v from 'valibot';
 import type {Result} from '../result';
 
 /** By set of layers, by rank: the experts that the rank holds. */
 export type ExpertMap = readonly (readonly (readonly number[])[])[];
 
+const whole = v.pipe(v.number(), v.integer());
+
 /** A map that every rank takes as the pass `step` begins. */
-export interface ArmedMap {
-  readonly version: number;
-  readonly step: number;
-}
+const armedMapSchema = v.object({version: whole, step: whole});
+export type ArmedMap = v.InferOutput<typeof armedMapSchema>;
 
 /** What a rank tells of itself. */
-export interface RankState {
-  readonly group: string;
+const rankStateSchema = v.object({
+  group: v.string(),
   /** Rises each time the group forms; everything prepared is then gone. */
-  readonly epoch: number;
-  readonly rank: number;
+  epoch: whole,
+  rank: whole,
   /** Ranks in the group. */
-  readonly size: number;
-  readonly isOpen: boolean;
+  size: whole,
+  isOpen: v.boolean(),
   /** The pass that began last. */
-  readonly step: number;
-  readonly running: number;
-  readonly waiting: number;
+  step: whole,
+  running: v.number(),
+  waiting: v.number(),
   /** Version of the map in force. */
-  readonly mapVersion: number;
+  mapVersion: whole,
   /** Version that was copied and may be armed. */
-  readonly prepared: number | null;
-  readonly armed: ArmedMap | null;
+  prepared: v.nullable(whole),
+  armed: v.nullable(armedMapSchema),
   /** The group does not begin this pass until it is released. */
-  readonly held: number | null;
-}
+  held: v.nullable(whole),
+});
+export type RankState = v.InferOutput<typeof rankStateSchema>;
 
 /** Experts of one rank by set, under the map in force. */
-export interface HeldExperts {
-  readonly version: number;
-  readonly experts: readonly (readonly number[])[];
-}
+const heldExpertsSchema = v.object({
+  version: whole,
+  experts: v.array(v.array(whole)),
+});
+export type HeldExperts = v.InferOutput<typeof heldExpertsSchema>;
+
+/** What a planner reads of a rank. */
+const rankReadingSchema = v.object({
+  state: rankStateSchema,
+  /** Left out where it was not asked for. */
+  held: v.optional(heldExpertsSchema),
+});
+export type RankReading = v.InferOutput<typeof rankReadingSchema>;
+
+/**
+ * What came of reading a rank. `silent`: its sidecar does not answer;
+ * `no-rank`: its engine doesn't, or is in no group.
+ */
+export const readAnswerSchema = v.variant('kind', [
+  v.object({kind: v.literal('read'), reading: rankReadingSchema}),
+  v.object({kind: v.literal('deposed')}),
+  v.object({kind: v.literal('no-rank')}),
+  v.object({kind: v.literal('silent')}),
+]);
+export type ReadAnswer = v.InferOutput<typeof readAnswerSchema>;
 
 /** An order to one rank. All are refused in another epoch. */
 export type Order =
@@ -46,7 +69,9 @@
       readonly epoch: number;
       readonly version: number;
       readonly map: ExpertMap;
-      /** Longest time that the copying should take. */
+      /** Time that the copying should take, in milliseconds. */
+      readonly expectedMs: number;
+      /** Longest time that it may take. */
       readonly patienceMs: number;
     }
   /** Take a prepared map as a pass begins. */
@@ -88,23 +113,33 @@
   abstract close(): void;
 }
 
-/** What a planner reads of a rank. */
-export interface RankReading {
-  readonly state: RankState;
-  /** Undefined where they were not asked for. */
-  readonly counts: readonly number[] | undefined;
-  readonly held: HeldExperts | undefined;
-}
+/** Counters' growth by expert, all sets in a row. */
+export type Growth = ArrayLike<number>;
 
 /** What a reading should hold beside the state. */
 export interface ReadWish {
-  readonly counts: boolean;
+  readonly growth: boolean;
   readonly held: boolean;
 }
 
-/** One rank as a planner reaches it. */
-export abstract class RankLink {
-  abstract read(wish: ReadWish): Promise<RankReading | 'deposed' | undefined>;
+/**
+ * The ranks of a group as a planner reaches them. Places are ranks: answers
+ * come in the order of the places asked.
+ */
+export abstract class Ranks {
+  /** Ranks in the group. */
+  abstract readonly size: number;
+  abstract readStates(
+    places: readonly number[],
+  ): Promise<(RankState | undefined)[]>;
   /** Carries an order out, also where single answers are lost. */
-  abstract order(order: Order): Promise<OrderResult>;
+  abstract order(
+    places: readonly number[],
+    order: Order,
+  ): Promise<OrderResult[]>;
+
+  /** Every place. */
+  get all(): number[] {
+    return Array.from({length: this.size}, (_, place) => place);
+  }
 }
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -14,7 +14,12 @@
 
 /** What is timed. All in milliseconds. */
 export type Timing =
-  'first_token' | 'between_tokens' | 'whole' | 'queue' | 'step_skew';
+  | 'first_token'
+  | 'between_tokens'
+  | 'whole'
+  | 'queue'
+  | 'step_skew'
+  | 'map_change';
 
 /** One line of the metrics page. */
 export interface Sample {
--- a/src/random.ts
+++ b/src/random.ts
@@ -33,6 +33,16 @@
   return list[below(list.length)]!;
 }
 
+/** Some elements of a list, each at most once, in random order. */
+export function sample<T>(list: readonly T[], count: number): T[] {
+  const left = [...list];
+  const drawn: T[] = [];
+  while (drawn.length < count && left.length > 0) {
+    drawn.push(...left.splice(below(left.length), 1));
+  }
+  return drawn;
+}
+
 /** A duration between half and one and a half of the given one. */
 export function jitter(milliseconds: number): number {
   return milliseconds * (0.5 + unit());
--- a/src/roles/site-sidecar.ts
+++ b/src/roles/site-sidecar.ts
@@ -4,7 +4,9 @@
 import * as experts from '../experts/app';
 import {GroupMember} from '../experts/group-member';
 import {RankAgent} from '../experts/rank-agent';
-import type {Engine, RankReading} from '../experts/types';
+import {BranchHead} from '../experts/branch';
+import * as packing from '../experts/packing';
+import type {Engine} from '../experts/types';
 import * as httpServer from '../http/server';
 import type {Log} from '../observability/log';
 import {Metrics} from '../observability/metrics';
@@ -51,19 +53,17 @@
   }
 
   async open(): Promise<void> {
-    this.rpc.handle(experts.read, async ({term, counts, held}) => {
-      const read = await this.agent.read(term, {counts, held});
-      if (read === 'deposed') {
-        return {kind: 'deposed' as const};
-      }
-      return read === undefined
-        ? {kind: 'no-rank' as const}
-        : {kind: 'reading' as const, reading: toWire(read)};
+    const head = new BranchHead(this.agent, this.client);
+    this.rpc.handle(experts.read, async call => {
+      const {ranks, growth} = await head.read(call);
+      return {ranks: [...ranks], growth: growth && packing.packGrowth(growth)};
     });
-    this.rpc.handle(experts.order, async ({term, order}) => ({
-      result: await this.agent.order(term, order),
+    this.rpc.handle(experts.order, async ({term, order, members}) => ({
+      results: await head.order(term, order, members),
+    }));
+    this.rpc.handle(experts.hearing, () => ({
+      isPlannerHeard: this.agent.isPlannerHeard,
     }));
-    this.rpc.handle(experts.silence, () => ({silentMs: this.agent.silentMs}));
     const server = http.createServer((req, res) => {
       this.rpc.answer(req, res).catch(err => {
         this.log.event('requestFault', {error: String((err as Error).stack)});
@@ -97,18 +97,3 @@
     this.store.close();
   }
 }
-
-function toWire(reading: RankReading) {
-  const {state, counts, held} = reading;
-  return {
-    state,
-    counts: counts === undefined ? undefined : [...counts],
-    held:
-      held === undefined
-        ? undefined
-        : {
-            version: held.version,
-            experts: held.experts.map(experts_ => [...experts_]),
-          },
-  };
-}
