--- a/src/observability/catalogue.ts
+++ b/src/observability/catalogue.ts
@@ -118,12 +118,12 @@
   strayHold: {id: 'FC7013', level: 'warn', text: 'group held by nobody'},
   seatTaken: {id: 'FC7014', level: 'info', text: 'planner seat taken'},
   seatLost: {id: 'FC7015', level: 'warn', text: 'planner seat lost'},
+  seatReleased: {id: 'FC7016', level: 'info', text: 'planner seat given up'},
   demandDrifted: {
     id: 'FC7017',
     level: 'info',
     text: 'demand for experts has changed',
   },
-  seatReleased: {id: 'FC7016', level: 'info', text: 'planner seat given up'},
   rpcRejected: {id: 'FC8001', level: 'warn', text: 'RPC of the wrong shape'},
 } as const satisfies Record<string, EventEntry>;
 
