Orders reach the ranks after the targets were told anew; fewer store calls

Store calls: a watch that waited in vain proves its whole wait, so it may wait 1.8 s; news that comes in quick succession is told at once; the watch of the targets waits 20 s and is renewed when the other one fails.

--- /dev/null
+++ b/src/experts/demand.test.ts
@@ -0,0 +1,123 @@
+import * as xoroshiro from 'pure-rand/generator/xoroshiro128plus';
+import {RecentDemand} from './demand';
+
+const SETS = 4;
+const EXPERTS = 72;
+const TOPICS = 9;
+const READING_MS = 100;
+/** Prompts whose tokens a reading of a small fleet covers. */
+const PROMPTS = 6;
+
+/** Demand of topics that share some experts, as the fleets show it. */
+class Fleet {
+  private readonly generator;
+  private shared: Float64Array[] = [];
+  private topics: Float64Array[][] = [];
+
+  constructor(seed: number) {
+    this.generator = xoroshiro.xoroshiro128plus(seed);
+    this.shift(1);
+  }
+
+  /** Every liking is drawn anew with this probability. */
+  shift(share: number): void {
+    const renew = (old: Float64Array | undefined) =>
+      old === undefined || this.unit() < share ? this.liking() : old;
+    this.shared = Array.from({length: SETS}, (_, set) =>
+      renew(this.shared[set]),
+    );
+    this.topics = Array.from({length: SETS}, (_, set) =>
+      Array.from({length: TOPICS}, (__, topic) =>
+        renew(this.topics[set]?.[topic]),
+      ),
+    );
+  }
+
+  /** Growth of one reading: a few prompts on topics of their own. */
+  read(): Float64Array {
+    const growth = new Float64Array(SETS * EXPERTS);
+    for (let prompt = 0; prompt < PROMPTS; prompt += 1) {
+      const topic = Math.floor(this.unit() * TOPICS);
+      const tokens = 20_000 + this.unit() * 60_000;
+      for (let set = 0; set < SETS; set += 1) {
+        for (let expert = 0; expert < EXPERTS; expert += 1) {
+          const liked =
+            0.7 * this.shared[set]![expert]! +
+            0.3 * this.topics[set]![topic]![expert]!;
+          growth[set * EXPERTS + expert]! += tokens * liked;
+        }
+      }
+    }
+    return growth;
+  }
+
+  private liking(): Float64Array {
+    const weights = Array.from({length: EXPERTS}, (_, at) => ({
+      weight: 1 / (at + 1) ** 1.1,
+      order: this.unit(),
+    })).sort((a, b) => a.order - b.order);
+    const total = weights.reduce((sum, one) => sum + one.weight, 0);
+    return Float64Array.from(weights, one => one.weight / total);
+  }
+
+  private unit(): number {
+    return (this.generator.next() >>> 0) / 2 ** 32;
+  }
+}
+
+const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8];
+
+describe('demand for experts', () => {
+  it('takes steady demand for steady', () => {
+    for (const seed of SEEDS) {
+      const fleet = new Fleet(seed);
+      const demand = new RecentDemand(SETS);
+      let drifts = 0;
+      for (let at = 1; at <= 200; at += 1) {
+        drifts += demand.note(fleet.read(), at * READING_MS).hasDrifted ? 1 : 0;
+      }
+      expect([seed, drifts]).toEqual([seed, 0]);
+    }
+  });
+
+  it('notices within two readings that demand has changed', () => {
+    for (const seed of SEEDS) {
+      const fleet = new Fleet(seed);
+      const demand = new RecentDemand(SETS);
+      let at = 0;
+      for (let shift = 0; shift < 5; shift += 1) {
+        for (let calm = 0; calm < 30; calm += 1) {
+          at += 1;
+          demand.note(fleet.read(), at * READING_MS);
+        }
+        fleet.shift(0.8);
+        const notes = [1, 2].map(() => {
+          at += 1;
+          return demand.note(fleet.read(), at * READING_MS).hasDrifted;
+        });
+        expect([seed, shift, notes]).toEqual([
+          seed,
+          shift,
+          expect.arrayContaining([true]),
+        ]);
+      }
+    }
+  });
+
+  it('forgets what was before the change', () => {
+    const demand = new RecentDemand(1);
+    for (let at = 1; at <= 30; at += 1) {
+      demand.note([900, 100], at * READING_MS);
+    }
+    demand.note([100, 900], 31 * READING_MS);
+    expect([...demand.demand![0]!]).toEqual([100, 900]);
+  });
+
+  it('lets a reading without growth be', () => {
+    const demand = new RecentDemand(1);
+    demand.note([9, 1], READING_MS);
+    const note = demand.note([0, 0], 2 * READING_MS);
+    expect(note.hasDrifted).toBe(false);
+    expect(demand.total).toBe(10);
+  });
+});
--- a/src/experts/group-links.ts
+++ b/src/experts/group-links.ts
@@ -74,9 +74,7 @@
 
   setMembers(members: readonly Member[]): void {
     this.members = members;
-    this.branches = this.isLarge
-      ? branchesOf(members)
-      : members.map(member => [member]);
+    this.branches = branchesOf(members);
     const targets = new Set(members.map(member => member.target));
     for (const [target, engine] of this.engines) {
       if (!targets.has(target)) {
@@ -168,16 +166,14 @@
     members: readonly Member[],
     order: Order,
   ): Promise<OrderResult[]> {
-    const asked = new Set(members);
     const results = new Map<Member, OrderResult>();
     await Promise.all(
-      this.branches.map(async all => {
-        const some = all.filter(member => asked.has(member));
+      branchesOf(members).map(async some => {
         const ends = await this.orderBranch(some, order);
         some.forEach((member, at) => results.set(member, ends[at]!));
       }),
     );
-    return members.map(member => results.get(member) ?? 'no-answer');
+    return members.map(member => results.get(member)!);
   }
 
   async readStates(
@@ -354,8 +350,11 @@
   }
 }
 
-/** Branches of one hall each. */
+/** Branches of one hall each; few members are called one by one. */
 function branchesOf(members: readonly Member[]): Member[][] {
+  if (members.length <= LARGEST_WITHOUT_BRANCHES) {
+    return members.map(member => [member]);
+  }
   const byHall = new Map<string, Member[]>();
   for (const member of members) {
     const held = byHall.get(member.hall) ?? [];
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -42,7 +42,7 @@
  * Milliseconds without the store after which an unknown route or key may
  * just be a new one, and the caller is asked to come back.
  */
-const STALE_MS = 1_800;
+const STALE_MS = 2_400;
 /** When to come back where there is no configuration to decide with. */
 const NO_CONFIGURATION_RETRY_MS = 500;
 const DEFAULT_TIME_LEFT_MS = 60_000;
--- a/src/platform/watch-loop.ts
+++ b/src/platform/watch-loop.ts
@@ -6,6 +6,11 @@
 import type {ObjectApi} from './client';
 import type {Listing, PlatformError} from './types';
 
+/**
+ * Pause after a change before the next watch, so that changes that come in
+ * quick succession are told in one answer. Each call is paid for.
+ */
+const SETTLE_MS = 200;
 /** First pause after a failed call, and the longest, in milliseconds. */
 const FIRST_PAUSE_MS = 100;
 const LONGEST_PAUSE_MS = 500;
@@ -16,8 +21,9 @@
   | {readonly kind: 'listed'; readonly listing: Listing}
   | {readonly kind: 'changed'; readonly listing: Listing}
   /**
-   * The store has answered; `since` is when it was asked, in milliseconds of
-   * the monotonic clock. Comes after what the answer held.
+   * The store has answered; all that was accepted until `since`, in
+   * milliseconds of the monotonic clock, is known. Comes after what the
+   * answer held.
    */
   | {readonly kind: 'contact'; readonly since: number}
   /** First failure after an answer. */
@@ -27,6 +33,7 @@
   readonly events = new Subject<WatchEvent>();
   private readonly stop = new AbortController();
   private revision: number | undefined;
+  private watch = new AbortController();
   private isLost = false;
   private pauseMs = FIRST_PAUSE_MS;
 
@@ -40,14 +47,18 @@
   /** Runs until closed. */
   async run(): Promise<void> {
     while (!this.stop.signal.aborted) {
-      const since = performance.now();
+      const askedAt = performance.now();
       const isFirst = this.revision === undefined;
       const answer = await this.ask();
       if (this.stop.signal.aborted) {
         return;
       }
-      if (answer.ok) {
-        this.take(isFirst ? 'listed' : 'changed', answer.value, since);
+      if (this.watch.signal.aborted) {
+        // Whatever it says, nobody waited for it to the end.
+        this.revision = undefined;
+      } else if (answer.ok) {
+        const hasNews = this.take(isFirst, answer.value, askedAt);
+        await pause(hasNews && !isFirst ? SETTLE_MS : 0);
       } else if (answer.error.kind === 'watch-too-old') {
         this.revision = undefined;
       } else {
@@ -56,34 +67,40 @@
     }
   }
 
+  /** Lists anew at once: the watch under way may never be answered. */
+  restart(): void {
+    this.watch.abort();
+  }
+
   close(): void {
     this.stop.abort();
+    this.watch.abort();
     this.events.complete();
   }
 
   private ask() {
     const prefix = `${this.kind}/`;
+    this.watch = new AbortController();
     return this.revision === undefined
       ? this.store.list(prefix)
-      : this.store.watch(prefix, this.revision, this.waitMs, this.stop.signal);
+      : this.store.watch(prefix, this.revision, this.waitMs, this.watch.signal);
   }
 
-  private take(
-    kind: 'listed' | 'changed',
-    listing: Listing,
-    since: number,
-  ): void {
+  /** True where the answer held something. */
+  private take(isFirst: boolean, listing: Listing, askedAt: number): boolean {
     this.revision = listing.revision;
     this.isLost = false;
     this.pauseMs = FIRST_PAUSE_MS;
-    if (
-      kind === 'listed' ||
-      listing.items.length > 0 ||
-      listing.removed.length > 0
-    ) {
+    const hasNews = listing.items.length > 0 || listing.removed.length > 0;
+    if (isFirst || hasNews) {
+      const kind = isFirst ? 'listed' : 'changed';
       this.events.next({kind, listing});
     }
+    // A watch that waited in vain was answered after its whole wait.
+    const waitedMs = isFirst || hasNews ? 0 : this.waitMs;
+    const since = Math.min(askedAt + waitedMs, performance.now());
     this.events.next({kind: 'contact', since});
+    return hasNews;
   }
 
   /** After an outage everything is listed anew: watches may have gaps. */
@@ -93,7 +110,11 @@
       this.isLost = true;
       this.events.next({kind: 'lost', error});
     }
-    await new Promise(resolve => setTimeout(resolve, this.pauseMs));
+    await pause(this.pauseMs);
     this.pauseMs = Math.min(this.pauseMs * 2, LONGEST_PAUSE_MS);
   }
 }
+
+function pause(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
--- a/src/roles/site-entry.ts
+++ b/src/roles/site-entry.ts
@@ -22,9 +22,12 @@
  * Milliseconds that a watch of the configuration waits. An answer proves that
  * nothing newer exists, and keys are trusted for a few seconds after it.
  */
-const CONFIGURATION_WAIT_MS = 1_000;
-/** Milliseconds that a watch of the targets waits. */
-const TARGETS_WAIT_MS = 2_500;
+const CONFIGURATION_WAIT_MS = 1_800;
+/**
+ * Milliseconds that a watch of the targets waits. It need not tell that the
+ * store is out of reach: the other watch does.
+ */
+const TARGETS_WAIT_MS = 20_000;
 /**
  * After a planned stop: milliseconds until connections are closed. By then
  * the platform has seen two failed status checks and sends no new ones.
@@ -176,6 +179,7 @@
           of: this.documents.configurationKind,
           error: event.error.kind,
         });
+        this.targetsLoop.restart();
     }
   }
 
--- a/src/routes/current.ts
+++ b/src/routes/current.ts
@@ -8,10 +8,10 @@
 import type * as types from './types';
 
 /**
- * Milliseconds without the store. The store is asked once a second and may
- * take some hundred milliseconds when it is slow.
+ * Milliseconds without the store. A watch waits up to 1.8 s, and a slow store
+ * may take some hundred milliseconds more.
  */
-const LAGGING_MS = 2_000;
+const LAGGING_MS = 2_600;
 
 export class CurrentConfiguration {
   /** Undefined until the first version is known. */
