--- a/src/experts/plan.test.ts
+++ b/src/experts/plan.test.ts
@@ -9,6 +9,7 @@
   spare: 3,
   share: 1,
   copyMs: 1,
+  formMs: 1,
 };
 const RANKS = 6;
 
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -15,6 +15,10 @@
   readonly startedAt = performance.now();
   /** Sends so far, over all targets. */
   sends = 0;
+  /** Sends that may have run. */
+  runs = 0;
+  /** True where the caller has likely tried before. */
+  isLater = false;
   target = '';
   private route: Route | undefined;
   private readonly left = new AbortController();
@@ -54,6 +58,11 @@
     this.endsAt = this.startedAt + timeMs;
   }
 
+  /** Notes how a send ended. */
+  noteOutcome(isNotRun: boolean): void {
+    this.runs += isNotRun ? 0 : 1;
+  }
+
   /** Answers with a refusal or failure of our own. */
   refuse(refusal: Refusal): void {
     if (this.isAnswered || this.hasLeft) {
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -12,8 +12,10 @@
 import * as tables from '../routes/table';
 import type {ClientAccount, Route} from '../routes/types';
 import {TargetConnections} from './agents';
+import {AttemptAges} from './attempt-ages';
 import {Call} from './call';
 import {TargetLoads} from './choose';
+import {GroupGate} from './group-gate';
 import {PlainRelay} from './plain-relay';
 import {RetryBudget} from './retry-budget';
 import {StreamRelay} from './stream-relay';
@@ -27,6 +29,7 @@
   readonly configuration: CurrentConfiguration;
   readonly targets: TargetList;
   readonly loads: TargetLoads;
+  readonly gate: GroupGate;
   readonly connections: TargetConnections;
   readonly log: Log;
   readonly metrics: Metrics;
@@ -51,6 +54,7 @@
   private readonly budgets = new Map<string, RetryBudget>();
   private readonly plain: PlainRelay;
   private readonly streams: StreamRelay;
+  private readonly ages = new AttemptAges();
   private open = 0;
   private isStopping = false;
 
@@ -104,6 +108,13 @@
       route.account?.name,
       Math.min(timeLeftMs, route.route.timeoutMs),
     );
+    call.isLater =
+      head.timeLeftMs !== undefined &&
+      this.ages.isLater(
+        route.route.name,
+        head.timeLeftMs,
+        route.route.timeoutMs,
+      );
     const limit = this.context.configuration.table!.snapshot.limits.bodyBytes;
     const body = await bodies.readBody(call.req, limit);
     if (!body.ok) {
--- /dev/null
+++ b/src/forwarding/group-gate.test.ts
@@ -0,0 +1,74 @@
+import {AttemptAges} from './attempt-ages';
+import {GroupGate} from './group-gate';
+
+describe('the gate of a group of ranks', () => {
+  const never = new AbortController().signal;
+
+  function closedAt(now: number): GroupGate {
+    const gate = new GroupGate();
+    gate.noteRefused('g', 'a', now - 10);
+    gate.noteRefused('g', 'b', now);
+    return gate;
+  }
+
+  it('stays open where one rank is full', () => {
+    const gate = new GroupGate();
+    expect(gate.noteRefused('g', 'a', 0)).toBe(false);
+    expect(gate.noteRefused('g', 'a', 10)).toBe(false);
+    expect(gate.mayEnter('g', 20)).toBe(true);
+  });
+
+  it('stays open where another rank takes requests', () => {
+    const gate = new GroupGate();
+    gate.noteRefused('g', 'a', 0);
+    gate.noteTaken('g');
+    expect(gate.noteRefused('g', 'b', 10)).toBe(false);
+    expect(gate.closedMs('g', 20)).toBe(0);
+  });
+
+  it('closes where two ranks refuse one after the other', () => {
+    const gate = closedAt(100);
+    expect(gate.closedMs('g', 130)).toBe(30);
+    expect(gate.closedMs('other', 130)).toBe(0);
+    expect(gate.closedMs(undefined, 130)).toBe(0);
+  });
+
+  it('lets one request in at a time to find out', () => {
+    const gate = closedAt(100);
+    expect(gate.mayEnter('g', 160)).toBe(true);
+    expect(gate.mayEnter('g', 161)).toBe(false);
+    expect(gate.mayEnter('g', 219)).toBe(false);
+    expect(gate.mayEnter('g', 220)).toBe(true);
+    gate.noteTaken('g');
+    expect(gate.mayEnter('g', 221)).toBe(true);
+    expect(gate.mayEnter('g', 221)).toBe(true);
+  });
+
+  it('wakes those that wait when it opens', async () => {
+    const gate = closedAt(performance.now());
+    const woken = gate.waitForTurn('g', never);
+    gate.noteTaken('g');
+    await woken;
+    const left = new AbortController();
+    const gone = closedAt(performance.now()).waitForTurn('g', left.signal);
+    left.abort();
+    await gone;
+  });
+
+  it('forgets a closing that nobody has tried for long', () => {
+    const gate = closedAt(100);
+    expect(gate.closedMs('g', 2_000)).toBe(0);
+  });
+});
+
+describe('telling later tries from first ones', () => {
+  it('goes by the time that is left', () => {
+    const ages = new AttemptAges();
+    expect(ages.isLater('r', 8_017, 8_000)).toBe(false);
+    expect(ages.isLater('r', 8_010, 8_000)).toBe(false);
+    expect(ages.isLater('r', 6_400, 8_000)).toBe(true);
+    // Callers that wait longer than the route allows are known by others.
+    expect(ages.isLater('q', 1_500, 800)).toBe(false);
+    expect(ages.isLater('q', 1_100, 800)).toBe(true);
+  });
+});
--- a/src/forwarding/plain-relay.ts
+++ b/src/forwarding/plain-relay.ts
@@ -6,11 +6,12 @@
   async relay(call: Call, request: RelayedRequest): Promise<void> {
     const tried = new Set<string>();
     for (;;) {
-      const target = this.choose(request, tried);
-      if (target === undefined) {
-        call.refuse(this.noTarget(request.service));
+      const found = await this.findTarget(call, request, tried, call.isLater);
+      if (!found.ok) {
+        call.refuse(found.error);
         return;
       }
+      const target = found.value;
       tried.add(target.id);
       const outcome = await this.send(call, request, target);
       if (call.hasLeft) {
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -1,4 +1,5 @@
 /** What relaying plain requests and streams has in common. */
+import {Result, fail, ok} from '../result';
 import type {ClientAccount, Route} from '../routes/types';
 import type {Call} from './call';
 import * as exchanges from './exchange';
@@ -23,6 +24,17 @@
  */
 const RETRY_SHARE = 0.25;
 const LONGEST_RETRY_MS = 1_000;
+/**
+ * Longest wait for a group that is closed: a group forms within a second, and
+ * callers leave a stream that is silent for two. Milliseconds.
+ */
+const LONGEST_GATE_WAIT_MS = 1_900;
+/** Part of the time left after which callers may be asked to come back. */
+const LONG_RETRY_SHARE = 0.3;
+/** What a group may take longer to form than its engine states. */
+const FORM_SLACK_MS = 250;
+/** Sends of one request to a group that refuses them all. */
+const MOST_REFUSED_SENDS = 6;
 /** Least time left that makes another send worth while, in milliseconds. */
 const MIN_SEND_MS = 20;
 
@@ -35,18 +47,43 @@
   /** Serves a request to its end. */
   abstract relay(call: Call, request: RelayedRequest): Promise<void>;
 
-  /** A target that was not tried yet. */
-  protected choose(
+  /**
+   * A target that was not tried yet. Where a group of ranks takes nothing for
+   * the moment, `mayWait` waits for it. Fails with why there is none.
+   */
+  protected async findTarget(
+    call: Call,
     request: RelayedRequest,
     tried: ReadonlySet<string>,
-  ): types.Target | undefined {
-    const now = performance.now();
-    const {targets, loads} = this.context;
-    const known = targets.ofService(request.service, now);
-    return loads.choose(
-      known.filter(target => !tried.has(target.id)),
-      now,
+    mayWait: boolean,
+  ): Promise<Result<types.Target, types.Refusal>> {
+    const {targets, loads, gate} = this.context;
+    const waitsUntil = Math.min(
+      performance.now() + LONGEST_GATE_WAIT_MS,
+      call.endsAt - MIN_SEND_MS,
     );
+    for (;;) {
+      const now = performance.now();
+      const known = targets
+        .ofService(request.service, now)
+        .filter(target => !tried.has(target.id));
+      const open = known.filter(one => gate.closedMs(one.group, now) === 0);
+      const chosen = loads.choose(open, now);
+      if (chosen !== undefined) {
+        return ok(chosen);
+      }
+      const closed = loads.choose(known, now);
+      if (closed?.group === undefined) {
+        return fail(this.noTarget(request.service));
+      }
+      if (gate.mayEnter(closed.group, now)) {
+        return ok(closed);
+      }
+      if (!mayWait || call.hasLeft || now >= waitsUntil) {
+        return fail(this.closedGroup(call, request, closed.group, now));
+      }
+      await gate.waitForTurn(closed.group, call.signal);
+    }
   }
 
   /** Sends once and notes how it went. */
@@ -80,6 +117,8 @@
       // Another life, or another service, has the address by now.
       targets.drop(target.id);
     }
+    this.noteGroup(target, outcome);
+    call.noteOutcome(outcome.kind === 'not-run');
     if (outcome.kind !== 'streaming') {
       loads.end(target.id, isFailure(outcome), performance.now());
     }
@@ -126,7 +165,15 @@
     request: RelayedRequest,
     target: types.Target,
   ): boolean {
-    if (call.sends >= request.route.attempts || call.leftMs < MIN_SEND_MS) {
+    const isClosed =
+      this.context.gate.closedMs(target.group, performance.now()) > 0;
+    // Refusals of a group that is closed leave the request's tries alone.
+    const used = isClosed ? call.runs : call.sends;
+    if (
+      used >= request.route.attempts ||
+      call.sends >= MOST_REFUSED_SENDS ||
+      call.leftMs < MIN_SEND_MS
+    ) {
       return false;
     }
     const isDrawn = this.budgetOf(request.service).tryDraw(performance.now());
@@ -138,7 +185,47 @@
     return isDrawn;
   }
 
-  protected noTarget(service: string): types.Refusal {
+  /** Learns from an outcome whether the target's group takes requests. */
+  private noteGroup(target: types.Target, outcome: exchanges.Outcome): void {
+    const {gate, log} = this.context;
+    const {group, service} = target;
+    if (group === undefined) {
+      return;
+    }
+    const now = performance.now();
+    if (outcome.kind === 'streaming' || outcome.kind === 'answered') {
+      const closedMs = Math.round(gate.closedMs(group, now));
+      gate.noteTaken(group);
+      if (closedMs > 0) {
+        log.event('groupOpen', {service, group, closedMs});
+      }
+    } else if (
+      outcome.kind === 'not-run' &&
+      outcome.status === UNAVAILABLE &&
+      gate.noteRefused(group, target.id, now)
+    ) {
+      log.event('groupClosed', {service, group, target: target.id});
+    }
+  }
+
+  /** Asks the caller to come back when the group may have formed. */
+  private closedGroup(
+    call: Call,
+    request: RelayedRequest,
+    group: string,
+    now: number,
+  ): types.Refusal {
+    const {configuration, gate} = this.context;
+    const service = configuration.table?.findService(request.service);
+    const formMs = (service?.engine?.experts?.formMs ?? 0) + FORM_SLACK_MS;
+    const openIn = formMs - gate.closedMs(group, now);
+    // A group that takes longer has lost a rank for nobody knows how long.
+    const longMs = Math.max(call.leftMs, 0) * LONG_RETRY_SHARE;
+    const retryMs = openIn > 0 ? Math.min(openIn, longMs) : longMs;
+    return {kind: 'not-run', why: 'group-closed', retryMs};
+  }
+
+  private noTarget(service: string): types.Refusal {
     this.context.log.event('noTarget', {service});
     return {kind: 'not-run', why: 'no-target', retryMs: NO_TARGET_RETRY_MS};
   }
@@ -173,6 +260,7 @@
 
 /** The status of a target that another was meant. Source: RFC 9110. */
 const MISDIRECTED = 421;
+const UNAVAILABLE = 503;
 
 function retryMsOf(call: Call): number {
   return Math.min(Math.max(call.leftMs, 0) * RETRY_SHARE, LONGEST_RETRY_MS);
--- a/src/forwarding/stream-relay.ts
+++ b/src/forwarding/stream-relay.ts
@@ -20,13 +20,13 @@
     const splitter = new EventSplitter();
     let hasBegun = false;
     for (;;) {
-      const target = this.choose(request, tried);
-      if (target === undefined) {
-        this.giveUp(call, hasBegun, () =>
-          call.refuse(this.noTarget(request.service)),
-        );
+      const mayWait = hasBegun || call.isLater;
+      const found = await this.findTarget(call, request, tried, mayWait);
+      if (!found.ok) {
+        this.giveUp(call, hasBegun, () => call.refuse(found.error));
         return;
       }
+      const target = found.value;
       tried.add(target.id);
       splitter.discardPartial();
       const outcome = await this.send(
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -91,6 +91,7 @@
   | 'no-target'
   | 'overloaded'
   | 'target-full'
+  | 'group-closed'
   | 'timed-out';
 
 export type FailureReason =
--- a/src/observability/catalogue.ts
+++ b/src/observability/catalogue.ts
@@ -87,6 +87,16 @@
     level: 'warn',
     text: 'target does not answer its sidecar',
   },
+  groupClosed: {
+    id: 'FC6008',
+    level: 'warn',
+    text: 'ranks of a group refuse all requests',
+  },
+  groupOpen: {
+    id: 'FC6009',
+    level: 'info',
+    text: 'group takes requests again',
+  },
   mapChangeStarted: {id: 'FC7001', level: 'info', text: 'map change started'},
   mapChangeCommitted: {
     id: 'FC7002',
--- a/src/roles/site-entry.ts
+++ b/src/roles/site-entry.ts
@@ -4,6 +4,7 @@
 import {TargetConnections} from '../forwarding/agents';
 import {TargetLoads} from '../forwarding/choose';
 import {Forwarder} from '../forwarding/forwarder';
+import {GroupGate} from '../forwarding/group-gate';
 import {TargetChange, TargetList} from '../forwarding/target-list';
 import type {Target, Wire} from '../forwarding/types';
 import * as httpServer from '../http/server';
@@ -69,6 +70,7 @@
       configuration: this.configuration,
       targets: this.targets,
       loads: this.loads,
+      gate: new GroupGate(),
       connections: this.connections,
       log,
       metrics: this.metrics,
--- a/src/routes/types.ts
+++ b/src/routes/types.ts
@@ -64,6 +64,8 @@
   readonly share: number;
   /** Milliseconds to copy one expert to a rank. */
   readonly copyMs: number;
+  /** Milliseconds until a group opens once all its ranks are there. */
+  readonly formMs: number;
 }
 
 export interface Service {
