--- a/src/experts/planner.ts
+++ b/src/experts/planner.ts
@@ -24,7 +24,7 @@
  * Time that the copies of one change may take at a rank, in milliseconds:
  * copies slow passes down, and the worst should be relieved first.
  */
-const COPY_TIME_MS = 200;
+const COPY_TIME_MS = 100;
 /** Least relief of a copy, in shares of the mean load of a set. */
 const MIN_RELIEF = 0.03;
 /** Least gain of a whole change, in shares of the mean load. */
@@ -34,8 +34,10 @@
 const COPY_SLACK_MS = 400;
 /** Time that arming takes before it was measured, in milliseconds. */
 const FIRST_ARM_MS = 30;
-/** Weight of the newest time in that. */
-const ARM_WEIGHT = 0.3;
+/** Part of the longest time that still counts at the next change. */
+const ARM_KEEP = 0.85;
+/** Arming may take this much longer than it has lately, unnoticed. */
+const ARM_MARGIN = 1.2;
 /** Low part of a version that tells planners' maps apart. */
 const VERSION_UNIT = 2 ** 20;
 
@@ -287,7 +289,7 @@
     const expectedMs = plan.mostCopies * figures.copyMs;
     try {
       const own = this.context.ownRank();
-      const passesAhead = this.passes.passesIn(this.armMs);
+      const passesAhead = this.passes.passesIn(this.armMs * ARM_MARGIN);
       const end = await mapChange.changeMap(
         known.ranks,
         {
@@ -330,7 +332,7 @@
   }
 
   private noteArming(ms: number): void {
-    this.armMs += ARM_WEIGHT * (ms - this.armMs);
+    this.armMs = Math.max(ms, this.armMs * ARM_KEEP);
   }
 
   private afterChange(
--- a/src/experts/rank-agent.ts
+++ b/src/experts/rank-agent.ts
@@ -14,7 +14,7 @@
 } from './types';
 
 /** Tries of an order whose answer does not come. */
-const ORDER_TRIES = 6;
+const ORDER_TRIES = 12;
 /** Pause between looks at a copy under way, in milliseconds. */
 const COPY_POLL_MS = 8;
 /** Periods of a planner's readings that it may miss and still be heard. */
