Waiting requests count at their target as soon as it is chosen; a planner back in half a second

Cause: requests that waited for a group all chose in the same turn of the loop, before any of them counted as in flight, and went to one or two ranks (86 to one after a loss of power; callers left after 2 s of silence).

--- a/src/experts/group-member.ts
+++ b/src/experts/group-member.ts
@@ -26,6 +26,11 @@
 const WATCH_WAIT_MS = 25_000;
 /** Members that are asked for their word; more would tell no more. */
 const MOST_ASKED = 12;
+/**
+ * Time that a planner has to be heard by a process that has just started, in
+ * milliseconds: some of its readings.
+ */
+const FIRST_TURN_MS = 200;
 /** Time between members' turns at a seat that is free, in milliseconds. */
 const TURN_MS = 50;
 /** Pause between questions to an engine that is no rank yet. */
@@ -97,6 +102,7 @@
     if (this.isClosed) {
       return;
     }
+    void context.agent.primeCounters();
     const {documents, service, id, life, store, log} = context;
     const key = `${documents.seatKind}/${service}.${this.group}`;
     this.seat = new Seat(
@@ -119,7 +125,13 @@
   }
 
   turnMs(): number {
-    return this.rank * TURN_MS;
+    const {hasHeard} = this.context.agent;
+    return this.rank * TURN_MS + (hasHeard ? 0 : FIRST_TURN_MS);
+  }
+
+  onTaken(): void {
+    this.followWhileHolding();
+    this.planner.wake();
   }
 
   async mayTake(): Promise<boolean> {
@@ -214,6 +226,7 @@
     if (read.ok) {
       const found = read.value.services.find(one => one.name === service);
       this.figures = found?.engine?.experts;
+      this.planner.wake();
     }
   }
 
--- a/src/experts/planner.ts
+++ b/src/experts/planner.ts
@@ -93,6 +93,14 @@
     this.startIn(PERIOD_MS);
   }
 
+  /** Looks at once, where no look is under way. */
+  wake(): void {
+    if (this.timer !== undefined && !this.isClosed) {
+      clearTimeout(this.timer);
+      this.startIn(0);
+    }
+  }
+
   close(): void {
     this.isClosed = true;
     clearTimeout(this.timer);
@@ -104,6 +112,7 @@
 
   private async tick(): Promise<void> {
     const begunAt = performance.now();
+    this.timer = undefined;
     try {
       await this.look();
     } catch (err) {
@@ -119,11 +128,16 @@
 
   private async look(): Promise<void> {
     this.context.onTick();
-    const figures = this.context.figures();
-    if (this.context.term() === 0 || figures === undefined) {
+    if (this.context.term() === 0) {
       this.forget();
       return;
     }
+    const figures = this.context.figures();
+    if (figures === undefined) {
+      // The others should hear at once that the seat is taken.
+      await this.context.links.read({growth: false, held: false});
+      return;
+    }
     if (this.known === undefined && !this.isChanging) {
       await this.learn();
       return;
--- a/src/experts/rank-agent.ts
+++ b/src/experts/rank-agent.ts
@@ -33,7 +33,7 @@
 export class RankAgent {
   /** Highest term of a planner that was heard. */
   term = 0;
-  private heardAt = performance.now();
+  private heardAt = -Infinity;
   private periodMs = FIRST_PERIOD_MS;
   private counters: readonly number[] | undefined;
 
@@ -42,6 +42,19 @@
     private readonly log: Log,
   ) {}
 
+  /** True once a planner was heard. */
+  get hasHeard(): boolean {
+    return this.term > 0;
+  }
+
+  /** Takes the counters as they stand, so that the first reading has growth. */
+  async primeCounters(): Promise<void> {
+    const counters = await this.engine.counts();
+    if (counters.ok) {
+      this.takeGrowth(counters.value);
+    }
+  }
+
   /** True while a planner has been heard lately. */
   get isPlannerHeard(): boolean {
     const silentMs = performance.now() - this.heardAt;
--- a/src/experts/seat.ts
+++ b/src/experts/seat.ts
@@ -17,7 +17,7 @@
 /** The longest such pause; it doubles while a member fails. */
 const LONGEST_PAUSE_MS = 4_000;
 /** Time for a new holder to be heard. */
-const NEW_HOLDER_PAUSE_MS = 350;
+const NEW_HOLDER_PAUSE_MS = 150;
 /** Head start of the others for a seat that was just lost. */
 const AFTER_LOSS_PAUSE_MS = 900;
 
@@ -43,6 +43,8 @@
   abstract mayTake(): Promise<boolean>;
   /** Milliseconds that members before this one have to take the seat. */
   abstract turnMs(): number;
+  /** The seat was taken: the others should hear of it soon. */
+  abstract onTaken(): void;
 }
 
 export class Seat {
@@ -138,6 +140,9 @@
       this.seenVersion = version;
       return NEW_HOLDER_PAUSE_MS;
     }
+    if (this.context.isPlannerHeard()) {
+      return LOOK_MS;
+    }
     const put = await this.store.put(this.key, this.own, version);
     if (put.ok) {
       this.hold(put.value);
@@ -148,6 +153,7 @@
   private hold(term: number): void {
     if (!this.isClosed) {
       this.term = term;
+      this.context.onTaken();
       this.log.event('seatTaken', {seat: this.key, term});
     }
   }
--- a/src/forwarding/choose.ts
+++ b/src/forwarding/choose.ts
@@ -14,6 +14,12 @@
 /** Places that another hall costs: a hop is little beside a request. */
 const HALL_WEIGHT = 0.4;
 
+/**
+ * Requests that this entry sends to a target at most, in its slots. A target
+ * queues more, but there they wait longer than callers do.
+ */
+const MOST_PER_SLOT = 1.5;
+
 interface Record_ {
   inFlight: number;
   failing: number;
@@ -43,11 +49,14 @@
     return this.records.get(id)?.inFlight ?? 0;
   }
 
-  /** The target with the lowest score; undefined where there is none. */
+  /** The target with the lowest score; undefined where none has room. */
   choose(targets: readonly Target[], now: number): Target | undefined {
     let best: Target | undefined;
     let bestScore = Infinity;
     for (const target of targets) {
+      if (this.inFlight(target.id) >= target.slots * MOST_PER_SLOT) {
+        continue;
+      }
       const score = this.score(target, now) + random.unit() * TIE_BREAK;
       if (score < bestScore) {
         best = target;
--- a/src/forwarding/group-gate.ts
+++ b/src/forwarding/group-gate.ts
@@ -87,21 +87,21 @@
     return true;
   }
 
-  /** Resolves when the group opens, the next trial is due, or at abort. */
-  waitForTurn(group: string, signal: AbortSignal): Promise<void> {
-    const state = this.groups.get(group);
-    if (state === undefined || signal.aborted) {
-      return Promise.resolve();
-    }
+  /**
+   * Resolves when the group opens, the next trial is due, or at abort;
+   * without a group after the time between trials.
+   */
+  waitForTurn(group: string | undefined, signal: AbortSignal): Promise<void> {
+    const state = group === undefined ? undefined : this.groups.get(group);
     return new Promise(resolve => {
       const wake = () => {
         clearTimeout(timer);
-        state.waiting.delete(wake);
+        state?.waiting.delete(wake);
         signal.removeEventListener('abort', wake);
         resolve();
       };
       const timer = setTimeout(wake, TRIAL_MS);
-      state.waiting.add(wake);
+      state?.waiting.add(wake);
       signal.addEventListener('abort', wake, {once: true});
     });
   }
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -1,4 +1,5 @@
 /** What relaying plain requests and streams has in common. */
+import * as random from '../random';
 import {Result, fail, ok} from '../result';
 import type {ClientAccount, Route} from '../routes/types';
 import type {Call} from './call';
@@ -18,6 +19,8 @@
 
 /** When to come back where no target of the service is known. */
 const NO_TARGET_RETRY_MS = 300;
+/** And where all have enough to do: about a third of a stream's time. */
+const OVERLOADED_RETRY_MS = 700;
 /**
  * When to come back where a target was full: a part of the time left, since
  * callers heed no more than a third, and no longer than a group takes to form.
@@ -49,7 +52,8 @@
 
   /**
    * A target that was not tried yet. Where a group of ranks takes nothing for
-   * the moment, `mayWait` waits for it. Fails with why there is none.
+   * the moment, `mayWait` waits for it. The request counts as in flight at
+   * the target from then on. Fails with why there is none.
    */
   protected async findTarget(
     call: Call,
@@ -67,26 +71,32 @@
       const known = targets
         .ofService(request.service, now)
         .filter(target => !tried.has(target.id));
+      if (known.length === 0) {
+        return fail(this.noTarget(request.service));
+      }
       const open = known.filter(one => gate.closedMs(one.group, now) === 0);
-      const chosen = loads.choose(open, now);
+      const group = open.length > 0 ? undefined : known[0]!.group;
+      const mayEnter = gate.mayEnter(group, now);
+      const chosen = mayEnter
+        ? loads.choose(open.length > 0 ? open : known, now)
+        : undefined;
       if (chosen !== undefined) {
+        // At once: others that wait choose in the same turn of the loop.
+        loads.begin(chosen.id);
         return ok(chosen);
       }
-      const closed = loads.choose(known, now);
-      if (closed?.group === undefined) {
-        return fail(this.noTarget(request.service));
-      }
-      if (gate.mayEnter(closed.group, now)) {
-        return ok(closed);
-      }
       if (!mayWait || call.hasLeft || now >= waitsUntil) {
-        return fail(this.closedGroup(call, request, closed.group, now));
+        return fail(
+          group === undefined
+            ? this.overloaded(request.service)
+            : this.closedGroup(call, request, group, now),
+        );
       }
-      await gate.waitForTurn(closed.group, call.signal);
+      await gate.waitForTurn(group, call.signal);
     }
   }
 
-  /** Sends once and notes how it went. */
+  /** Sends to a target that was found, once, and notes how it went. */
   protected async send(
     call: Call,
     request: RelayedRequest,
@@ -97,7 +107,6 @@
     const mayRepeat = types.isRepeatable(request.route);
     call.sends += 1;
     call.target = target.id;
-    loads.begin(target.id);
     const outcome = await exchanges.exchange(wire, {
       agent: mayRepeat ? connections.kept : connections.fresh,
       target,
@@ -120,7 +129,10 @@
     this.noteGroup(target, outcome);
     call.noteOutcome(outcome.kind === 'not-run');
     if (outcome.kind !== 'streaming') {
-      loads.end(target.id, isFailure(outcome), performance.now());
+      const now = performance.now();
+      // A group that is closed says nothing of the one rank.
+      const isClosed = this.context.gate.closedMs(target.group, now) > 0;
+      loads.end(target.id, !isClosed && isFailure(outcome), now);
     }
     this.context.log.event('requestSent', {
       request: request.head.id,
@@ -225,6 +237,13 @@
     return {kind: 'not-run', why: 'group-closed', retryMs};
   }
 
+  /** Every target has as much from this entry as it should wait for. */
+  private overloaded(service: string): types.Refusal {
+    this.context.metrics.count('overloads_total', {service});
+    const retryMs = random.jitter(OVERLOADED_RETRY_MS);
+    return {kind: 'not-run', why: 'overloaded', retryMs};
+  }
+
   private noTarget(service: string): types.Refusal {
     this.context.log.event('noTarget', {service});
     return {kind: 'not-run', why: 'no-target', retryMs: NO_TARGET_RETRY_MS};
--- a/src/roles/site-entry.ts
+++ b/src/roles/site-entry.ts
@@ -261,11 +261,11 @@
   }
 
   private onTarget(change: TargetChange): void {
-    const {id, service, address} = change.target;
+    const {id, service, address, slots, group} = change.target;
     const fields = {target: id, service, address};
     switch (change.kind) {
       case 'joined':
-        this.log.event('targetJoined', fields);
+        this.log.event('targetJoined', {...fields, slots, group});
         return;
       case 'leaving':
         this.log.event('targetLeaving', fields);
