A frozen giver of orders no longer holds its group

Cause: each sidecar armed its own rank. Now: who gives an order is never the only one that could tell what came of it. A change that is given up is made void (the map in force is prepared under a newer version), and a pass whose hold or release got no answer is not held again.

--- a/src/experts/app.ts
+++ b/src/experts/app.ts
@@ -64,6 +64,15 @@
   }),
 );
 
+/** Gives another rank an order, by its target's address. */
+export const orderOther = rpc.method(
+  'experts.orderOther',
+  v.object({term: whole, target: v.string(), rank: whole, order: orderSchema}),
+  v.object({
+    result: v.picklist(['done', 'refused', 'no-answer', 'deposed']),
+  }),
+);
+
 /** Asks a sidecar whether it hears a planner. */
 export const hearing = rpc.method(
   'experts.hearing',
--- a/src/experts/change.ts
+++ b/src/experts/change.ts
@@ -2,23 +2,37 @@
  * Changing the expert map of a group in lock-step, so that no pass begins
  * with two maps:
  *
- * 1. every rank has copied the new map;
- * 2. one rank holds the group before a pass;
- * 3. every rank is armed to take the map at that pass, the planner's own last;
- * 4. the group is released.
+ * 1. every rank has copied the new map, ordered by its own sidecar;
+ * 2. one rank holds the group before a pass, ordered by another's sidecar;
+ * 3. the planner's own rank is armed to take the map at that pass, by the same
+ *    sidecar, which remembers it;
+ * 4. the planner arms all other ranks itself;
+ * 5. the group is released.
  *
  * Nothing is armed before all have copied, and nothing is released before all
  * are armed. An order that is carried out late says what was meant anyway, or
- * names a pass that has begun, and is refused. Whoever takes over finishes
- * what it finds, in the same direction; only where the former planner's own
- * rank is all that can't be read, and another rank is not armed, it knows that
- * that rank isn't either, and may go back instead.
+ * names a pass that has begun, and is refused. A change that is given up is
+ * made void first: ranks prepare the map in force once more under a newer
+ * version, after which nothing can arm them for the one that was given up. A
+ * pass whose hold or release got no answer is not held again: a release that
+ * comes late would let the group go.
  *
- * The hold never lies at the planner's own rank: if the planner's instance
- * freezes, another can still release it.
+ * An instance may freeze with its rank out of reach while that rank goes on
+ * making passes. So nobody gives an order that only the rank beside it could
+ * tell of: who takes over from a planner that is silent can read all ranks but
+ * the planner's own, and a helper tells of that one. Then the change is
+ * finished where the planner's rank is armed for certain, and given up where
+ * it is certain that it isn't.
  */
 import {Log} from '../observability/log';
-import type {ExpertMap, Order, OrderResult, RankState, Ranks} from './types';
+import type {
+  ExpertMap,
+  Order,
+  OrderResult,
+  RankReading,
+  RankState,
+  Ranks,
+} from './types';
 
 /** How a change ended. */
 export type ChangeEnd =
@@ -41,6 +55,8 @@
   readonly epoch: number;
   readonly version: number;
   readonly map: ExpertMap;
+  /** The map in force; its ranks have nothing to copy for it. */
+  readonly former: ExpertMap;
   /** Time that the copying should take, in milliseconds. */
   readonly expectedMs: number;
   /** Longest time for it. */
@@ -49,8 +65,18 @@
   readonly passesAhead: number;
 }
 
+/** What planners carry from one change to the next. */
+export interface ChangeTrace {
+  /** No pass up to this one is held again. */
+  spentStep: number;
+  /** Milliseconds that arming took, where it came to an end. */
+  armMs: number | undefined;
+}
+
 /** Tries to hold the group before a pass that has not begun. */
 const HOLD_TRIES = 5;
+/** Time for a copy that moves nothing, in milliseconds. */
+const VOID_PATIENCE_MS = 200;
 /** Rounds of orders to ranks that have not answered yet. */
 const ARM_ROUNDS = 4;
 
@@ -60,15 +86,16 @@
   readonly own: number;
   /** The rank that holds the group meanwhile; not the planner's. */
   readonly holder: number;
-  /** Told how long arming took, in milliseconds. */
-  readonly onArmed?: (ms: number) => void;
+  /** The rank whose sidecar arms the planner's; neither of the two. */
+  readonly helper: number;
 }
 
 /** Makes a change. */
 export async function changeMap(
   ranks: Ranks,
   change: Change,
-  {own, holder, onArmed}: Parts,
+  {own, holder, helper}: Parts,
+  trace: ChangeTrace,
   log: Log,
 ): Promise<ChangeEnd> {
   const {epoch, version, map, expectedMs, patienceMs} = change;
@@ -88,15 +115,16 @@
     return 'not-prepared';
   }
   const begunAt = performance.now();
-  const step = await holdPass(ranks, holder, epoch, change.passesAhead);
+  const {passesAhead} = change;
+  const hold = {own, holder, helper, epoch, passesAhead};
+  const step = await holdPass(ranks, hold, trace);
   if (step === undefined) {
     return 'not-held';
   }
-  const arming = {epoch, version, step, own};
+  const {former} = change;
+  const arming = {epoch, version, step, own, helper, former};
   const end = await armAndRelease(ranks, arming, [holder], log);
-  if (end === 'armed') {
-    onArmed?.(performance.now() - begunAt);
-  }
+  trace.armMs = end === 'armed' ? performance.now() - begunAt : undefined;
   return end;
 }
 
@@ -105,55 +133,88 @@
   readonly epoch: number;
   readonly version: number;
   readonly step: number;
-  /** The planner's own rank, which is armed last. */
+  /** The planner's own rank, which is armed first, by the helper's sidecar. */
   readonly own: number;
+  readonly helper: number;
+  /** Undefined where it isn't known; then the change can't be given up. */
+  readonly former: ExpertMap | undefined;
 }
 
-/** Arms every rank while the group is held, then releases it. */
+/**
+ * Arms every rank while the group is held, then releases it. Some may be
+ * armed `before`, for the same map and pass.
+ */
 async function armAndRelease(
   ranks: Ranks,
   arming: Arming,
   holders: readonly number[],
   log: Log,
+  before: ReadonlySet<number> = new Set(),
 ): Promise<ChangeEnd> {
-  const {epoch, version, step, own} = arming;
+  const {epoch, version, step, own, helper} = arming;
   const order: Order = {kind: 'arm', epoch, version, step};
-  const results: OrderResult[] = ranks.all.map(() => 'no-answer');
-  const arm = async (places: readonly number[]) => {
-    const ends = await ranks.order(places, order);
-    places.forEach((place, at) => (results[place] = ends[at]!));
-  };
-  for (let round = 0; round < ARM_ROUNDS; round += 1) {
-    const open = ranks.all.filter(place => results[place] !== 'done');
-    await arm(open.filter(place => place !== own));
-    if (results.every((result, place) => result === 'done' || place === own)) {
-      await arm([own]);
-    }
-    if (results.every(result => result === 'done')) {
-      await ranks.order(holders, {kind: 'release', epoch, step});
-      return 'armed';
-    }
-    if (results.includes('deposed')) {
+  const first = before.has(own)
+    ? 'done'
+    : await ranks.orderThrough(helper, own, order);
+  switch (first) {
+    case 'deposed':
       return 'deposed';
-    }
-    if (results.includes('refused')) {
+    case 'refused':
+      return backOut(ranks, arming, holders, log);
+    case 'no-answer':
+      return before.size === 0
+        ? dropUnarmed(ranks, arming, holders, log)
+        : 'stuck';
+    case 'done':
+  }
+  let open = ranks.all.filter(place => place !== own && !before.has(place));
+  let ends: OrderResult[] = [];
+  for (let round = 0; open.length > 0 && round < ARM_ROUNDS; round += 1) {
+    ends = await ranks.orderDirect(open, order);
+    if (ends.includes('refused')) {
       return backOut(ranks, arming, holders, log);
     }
+    open = open.filter((_, at) => ends[at] !== 'done');
+  }
+  if (open.length === 0) {
+    await ranks.orderDirect(holders, {kind: 'release', epoch, step});
+    return 'armed';
   }
-  log.event('mapChangeStuck', {version, step, results: countOf(results)});
+  log.event('mapChangeStuck', {version, step, results: countOf(ends)});
   return 'stuck';
 }
 
+/**
+ * The helper is silent, and its rank can't be armed then. Nothing but the
+ * planner's own rank may be.
+ */
+async function dropUnarmed(
+  ranks: Ranks,
+  arming: Arming,
+  holders: readonly number[],
+  log: Log,
+): Promise<ChangeEnd> {
+  const {epoch, version, step, own, helper} = arming;
+  const result = await makeVoid(ranks, [own], arming);
+  log.event('mapChangeAborted', {version, step, helper, result});
+  if (result !== 'done') {
+    return result === 'deposed' ? 'deposed' : 'stuck';
+  }
+  await ranks.orderDirect(holders, {kind: 'release', epoch, step});
+  return 'backed-out';
+}
+
 /**
  * A rank has refused to be armed: the group has formed anew, or the rank has
  * lost what it prepared. Only when no rank is armed may the group go on.
  */
 async function backOut(
   ranks: Ranks,
-  {epoch, version, step}: Arming,
+  arming: Arming,
   holders: readonly number[],
   log: Log,
 ): Promise<ChangeEnd> {
+  const {epoch, version, step} = arming;
   const states = await ranks.readStates(ranks.all);
   if (states.some(state => state !== undefined && state.epoch !== epoch)) {
     return 'regrouped';
@@ -162,42 +223,85 @@
     // The pass had begun: every rank took the map.
     return 'armed';
   }
-  const order: Order = {kind: 'disarm', epoch, version};
-  const results = await ranks.order(ranks.all, order);
-  log.event('mapChangeAborted', {version, step, results: countOf(results)});
-  if (results.includes('deposed')) {
-    return 'deposed';
+  const result = await makeVoid(ranks, ranks.all, arming);
+  log.event('mapChangeAborted', {version, step, result});
+  if (result !== 'done') {
+    return result === 'deposed' ? 'deposed' : 'stuck';
   }
-  if (results.some(result => result !== 'done')) {
-    return 'stuck';
-  }
-  await ranks.order(holders, {kind: 'release', epoch, step});
+  await ranks.orderDirect(holders, {kind: 'release', epoch, step});
   return 'backed-out';
 }
 
+/**
+ * Disarms ranks, and has them prepare the map in force under a newer version:
+ * an order to arm them that is still under way is refused from then on.
+ */
+async function makeVoid(
+  ranks: Ranks,
+  places: readonly number[],
+  {epoch, version, former}: Pick<Arming, 'epoch' | 'version' | 'former'>,
+): Promise<OrderResult> {
+  if (former === undefined) {
+    return 'refused';
+  }
+  const disarm: Order = {kind: 'disarm', epoch, version};
+  const prepare: Order = {
+    kind: 'prepare',
+    epoch,
+    version: version + 1,
+    map: former,
+    expectedMs: 0,
+    patienceMs: VOID_PATIENCE_MS,
+  };
+  let open = [...places];
+  for (let round = 0; round < ARM_ROUNDS; round += 1) {
+    const disarmed = await ranks.order(open, disarm);
+    const prepared = await ranks.order(open, prepare);
+    if ([...disarmed, ...prepared].includes('deposed')) {
+      return 'deposed';
+    }
+    open = open.filter((_, at) => prepared[at] !== 'done');
+    if (open.length === 0) {
+      return 'done';
+    }
+  }
+  return 'no-answer';
+}
+
+/** Where and how far ahead to hold a group. */
+interface Hold {
+  readonly own: number;
+  readonly holder: number;
+  readonly helper: number;
+  readonly epoch: number;
+  readonly passesAhead: number;
+}
+
 /**
  * Holds the group before a pass that lies so far ahead that the ranks should
  * be armed by then, and the group need not wait.
  */
 async function holdPass(
   ranks: Ranks,
-  holder: number,
-  epoch: number,
-  passesAhead: number,
+  {own, holder, helper, epoch, passesAhead}: Hold,
+  trace: ChangeTrace,
 ): Promise<number | undefined> {
   for (let tries = 0; tries < HOLD_TRIES; tries += 1) {
-    const [state] = await ranks.readStates([holder]);
+    const [state] = await ranks.readStates([own]);
     if (state === undefined) {
       return undefined;
     }
-    const step = state.step + 1 + passesAhead;
-    const [result] = await ranks.order([holder], {kind: 'hold', epoch, step});
+    const next = state.step + 1 + passesAhead;
+    const step = Math.max(next, trace.spentStep + 1);
+    trace.spentStep = step;
+    const order: Order = {kind: 'hold', epoch, step};
+    const result = await ranks.orderThrough(helper, holder, order);
     if (result === 'done') {
       return step;
     }
     if (result !== 'refused') {
       // It may be held all the same, or will be.
-      await ranks.order([holder], {kind: 'release', epoch, step});
+      await ranks.orderDirect([holder], {kind: 'release', epoch, step});
       return undefined;
     }
   }
@@ -206,14 +310,16 @@
 
 /**
  * Finishes what an earlier planner left: a held group whose ranks may be
- * armed in part. States are by rank and were read under the new term.
+ * armed in part. Readings are by rank, under the new term, and tell the map
+ * in force.
  */
 export async function finishChange(
   ranks: Ranks,
-  states: readonly RankState[],
+  readings: readonly RankReading[],
   own: number,
   log: Log,
 ): Promise<ChangeEnd | 'nothing-left'> {
+  const states = readings.map(one => one.state);
   const epoch = states[0]!.epoch;
   const held = states.flatMap(state => state.held ?? []);
   const armed = states.flatMap(state => state.armed ?? []);
@@ -221,27 +327,32 @@
   if (held.length === 0 && (armed.length === 0 || isArmedByAll)) {
     return 'nothing-left';
   }
-  const step = armed[0]?.step ?? Math.min(...held);
-  const version = armed[0]?.version ?? commonPrepared(states);
+  const [first] = armed;
+  if (first === undefined) {
+    return giveUpUnarmed(ranks, readings, log);
+  }
+  const {step, version} = first;
   log.event('mapChangeRecovered', {version, step, armed: armed.length});
-  const holders = states.flatMap((state, at) =>
-    state.held === step ? [at] : [],
-  );
-  if (held.length === 0) {
+  const holders = holdersOf(states, step);
+  if (holders.length === 0) {
     // Armed in part and not held: hold it before anything else.
     const holder = own === 0 ? states.length - 1 : 0;
-    const [result] = await ranks.order([holder], {kind: 'hold', epoch, step});
+    const hold: Order = {kind: 'hold', epoch, step};
+    const [result] = await ranks.orderDirect([holder], hold);
     if (result !== 'done') {
       return 'not-held';
     }
     holders.push(holder);
   }
-  if (version === undefined) {
-    await releaseAll(ranks, states);
-    return 'not-prepared';
-  }
-  const arming = {epoch, version, step, own};
-  const end = await armAndRelease(ranks, arming, holders, log);
+  const others = ranks.all.filter(place => place !== own);
+  const helper =
+    others.find(place => !holders.includes(place)) ?? others[0] ?? own;
+  const former = mapOf(readings);
+  const arming = {epoch, version, step, own, helper, former};
+  const before = new Set(
+    states.flatMap(({armed: at, rank}) => (at === null ? [] : [rank])),
+  );
+  const end = await armAndRelease(ranks, arming, holders, log, before);
   if (end === 'armed') {
     await releaseAll(ranks, states);
   }
@@ -249,47 +360,105 @@
 }
 
 /**
- * Goes back from a change whose planner is silent together with its own rank,
- * the only one that is not among the states. That rank is armed last: where
- * another is not armed, it isn't either. False where that can't be told.
+ * A group is held and none of its ranks is armed. Nobody arms them any more
+ * but orders that are still under way; those are made void.
  */
-export async function undoWithoutPlanner(
+async function giveUpUnarmed(
   ranks: Ranks,
-  states: readonly RankState[],
+  readings: readonly RankReading[],
+  log: Log,
+): Promise<ChangeEnd> {
+  const states = readings.map(one => one.state);
+  const {epoch} = states[0]!;
+  const version = Math.max(...states.map(state => state.prepared ?? 0));
+  const isCertain = readings.every(
+    ({gave}) => gave === null || gave?.isConfirmed === true,
+  );
+  const former = mapOf(readings);
+  const order = {epoch, version, former};
+  const result = isCertain ? 'done' : await makeVoid(ranks, ranks.all, order);
+  log.event('mapChangeAborted', {version, isCertain, result});
+  if (result !== 'done') {
+    return result === 'deposed' ? 'deposed' : 'stuck';
+  }
+  await releaseAll(ranks, states);
+  return 'backed-out';
+}
+
+/** The map in force, where the readings tell it. */
+export function mapOf(readings: readonly RankReading[]): ExpertMap | undefined {
+  const [first] = readings;
+  const isKnown = readings.every(
+    one => one.held !== undefined && one.held.version === first?.held?.version,
+  );
+  return isKnown
+    ? first?.held?.experts.map((_, set) =>
+        readings.map(one => one.held!.experts[set]!),
+      )
+    : undefined;
+}
+
+/** What came of a change whose planner is silent. */
+export type OrphanEnd =
+  | 'nothing-held'
+  /** Every rank is armed, the silent one too, and the group goes on. */
+  | 'armed'
+  /** No rank was armed, and the group goes on. */
+  | 'backed-out'
+  /** The silent rank may or may not be armed. */
+  | 'unknown';
+
+/**
+ * Ends a change whose planner is silent together with its own rank, the only
+ * one that is not among the readings. That rank is armed by the sidecar of
+ * another and before any other; so the others know what became of it. Sidecars
+ * that answered obey the new planner, and won't arm it any more.
+ */
+export async function endOrphaned(
+  ranks: Ranks,
+  readings: readonly RankReading[],
+  silent: number,
   log: Log,
-): Promise<boolean> {
+): Promise<OrphanEnd> {
+  const states = readings.map(one => one.state);
+  const {epoch} = states[0]!;
   const held = states.flatMap(state => state.held ?? []);
   if (held.length === 0) {
-    return true;
+    return 'nothing-held';
   }
+  const step = Math.min(...held);
   const armed = states.flatMap(state => state.armed ?? []);
-  if (armed.length === states.length) {
-    return false;
-  }
-  const places = states.map(state => state.rank);
-  const {epoch} = states[0]!;
-  const versions = new Set(armed.map(one => one.version));
-  const results = await Promise.all(
-    [...versions].map(version =>
-      ranks.order(places, {kind: 'disarm', epoch, version}),
-    ),
+  const given = readings.flatMap(({gave}) =>
+    gave?.epoch === epoch && gave.rank === silent && gave.step === step
+      ? [gave]
+      : [],
   );
-  log.event('mapChangeAborted', {
-    held: held[0],
-    results: countOf(results.flat()),
-  });
-  if (results.flat().some(result => result !== 'done')) {
-    return false;
+  const confirmed = given.find(one => one.isConfirmed);
+  if (confirmed !== undefined) {
+    const {version} = confirmed;
+    const order: Order = {kind: 'arm', epoch, version, step};
+    const open = states.flatMap(({armed: at, rank}) =>
+      at === null ? [rank] : [],
+    );
+    const ends = await ranks.orderDirect(open, order);
+    log.event('mapChangeRecovered', {version, step, silent});
+    if (ends.some(end => end !== 'done')) {
+      return 'unknown';
+    }
+    await releaseAll(ranks, states);
+    return 'armed';
   }
+  const isCertain = readings.every(one => one.gave !== undefined);
+  if (armed.length > 0 || given.length > 0 || !isCertain) {
+    return 'unknown';
+  }
+  log.event('mapChangeAborted', {step, silent});
   await releaseAll(ranks, states);
-  return true;
+  return 'backed-out';
 }
 
-/** The version that every rank has prepared; nothing is armed before that. */
-function commonPrepared(states: readonly RankState[]): number | undefined {
-  const version = states[0]!.prepared;
-  const isCommon = states.every(state => state.prepared === version);
-  return version !== null && isCommon ? version : undefined;
+function holdersOf(states: readonly RankState[], step: number): number[] {
+  return states.flatMap((state, at) => (state.held === step ? [at] : []));
 }
 
 /** Releases every hold that the states show. */
@@ -300,7 +469,7 @@
   await Promise.all(
     states.map(async ({epoch, rank, held: step}) => {
       if (step !== null) {
-        await ranks.order([rank], {kind: 'release', epoch, step});
+        await ranks.orderDirect([rank], {kind: 'release', epoch, step});
       }
     }),
   );
--- a/src/experts/group-links.test.ts
+++ b/src/experts/group-links.test.ts
@@ -69,7 +69,11 @@
 
 async function openSidecar(rank: number, size: number): Promise<Sidecar> {
   const engine = new FakeEngine(rank, size);
-  const agent = new RankAgent(engine, SILENT_LOG);
+  const agent = new RankAgent(
+    engine,
+    target => new FakeEngine(Number(target.split('-')[1]), size),
+    SILENT_LOG,
+  );
   const client = new RpcClient();
   const head = new BranchHead(agent, client);
   const rpc = new RpcServer(SILENT_LOG);
--- a/src/experts/group-links.ts
+++ b/src/experts/group-links.ts
@@ -26,6 +26,11 @@
 const BRANCH_SIZE = 8;
 /** What a branch may take longer than a single sidecar, in milliseconds. */
 const BRANCH_EXTRA_MS = 100;
+/**
+ * Longest wait for a sidecar that orders another's rank, in milliseconds: some
+ * tries of the order, since the group may be held meanwhile.
+ */
+const HELPER_TIMEOUT_MS = 250;
 /** Pause before a silent sidecar is called again, in milliseconds. */
 const SILENT_PAUSE_MS = 400;
 
@@ -176,6 +181,32 @@
     return members.map(member => results.get(member)!);
   }
 
+  /** Orders some members' engines from here, past their sidecars. */
+  orderDirect(
+    members: readonly Member[],
+    order: Order,
+  ): Promise<OrderResult[]> {
+    return Promise.all(members.map(member => this.orderEngine(member, order)));
+  }
+
+  /** Has a member's sidecar order the rank of another. */
+  async orderThrough(
+    helper: Member,
+    member: Member,
+    rank: number,
+    order: Order,
+  ): Promise<OrderResult> {
+    const wire = app.orderToWire(order);
+    const answer = await this.context.rpc.call(
+      helper.sidecar,
+      app.orderOther,
+      {term: this.context.term(), target: member.target, rank, order: wire},
+      HELPER_TIMEOUT_MS,
+    );
+    this.note(helper, answer.ok);
+    return answer.ok ? answer.value.result : 'no-answer';
+  }
+
   async readStates(
     members: readonly Member[],
   ): Promise<(RankState | undefined)[]> {
@@ -295,7 +326,7 @@
     return members.map(member => results.get(member)!);
   }
 
-  /** Past a silent sidecar; the platform charges for it. */
+  /** Past a sidecar; the platform charges for it. */
   private orderEngine(member: Member, order: Order): Promise<OrderResult> {
     return agent.carryOut(this.engineOf(member), order);
   }
@@ -342,6 +373,22 @@
     );
   }
 
+  orderDirect(places: readonly number[], order: Order) {
+    return this.links.orderDirect(
+      places.map(place => this.members[place]!),
+      order,
+    );
+  }
+
+  orderThrough(helper: number, place: number, order: Order) {
+    return this.links.orderThrough(
+      this.members[helper]!,
+      this.members[place]!,
+      place,
+      order,
+    );
+  }
+
   /** Places whose sidecars answer. */
   get heard(): number[] {
     return this.all.filter(place =>
--- a/src/experts/pass-clock.ts
+++ b/src/experts/pass-clock.ts
@@ -7,7 +7,7 @@
 /** An idle group's step stands still; longer times tell nothing. */
 const LONGEST_PASS_MS = 1_000;
 /** More is never needed, and would delay the change of a fast group. */
-const MOST_PASSES = 8;
+export const MOST_PASSES_AHEAD = 8;
 
 export class PassClock {
   private last: {readonly step: number; readonly at: number} | undefined;
@@ -33,6 +33,6 @@
 
   /** Whole passes that begin within a time. */
   passesIn(ms: number): number {
-    return Math.min(Math.ceil(ms / this.meanMs), MOST_PASSES);
+    return Math.min(Math.ceil(ms / this.meanMs), MOST_PASSES_AHEAD);
   }
 }
--- a/src/experts/planner.ts
+++ b/src/experts/planner.ts
@@ -10,9 +10,9 @@
 import * as mapChange from './change';
 import {RecentDemand} from './demand';
 import type {GroupLinks, GroupRanks, GroupReading} from './group-links';
-import {PassClock} from './pass-clock';
+import {MOST_PASSES_AHEAD, PassClock} from './pass-clock';
 import * as plans from './plan';
-import type {ExpertMap, RankState} from './types';
+import type {ExpertMap, RankReading, RankState} from './types';
 
 /** Milliseconds between readings of the ranks of a small group. */
 const PERIOD_MS = 100;
@@ -79,6 +79,11 @@
   private highestTried = 0;
   private readonly passes = new PassClock();
   private armMs = FIRST_ARM_MS;
+  private spentEpoch = 0;
+  private readonly trace: mapChange.ChangeTrace = {
+    spentStep: 0,
+    armMs: undefined,
+  };
   private isClosed = false;
   private timer: NodeJS.Timeout | undefined;
 
@@ -170,22 +175,42 @@
     }
     const ranks = links.ranksOf(reading);
     if (ranks === undefined) {
-      await this.undoFormer(reading);
+      await this.endOrphaned(reading);
       return;
     }
-    const states = byRank(reading);
-    const end = await mapChange.finishChange(ranks, states, ownRank, log);
+    const readings = byRank(reading);
+    const end = await mapChange.finishChange(ranks, readings, ownRank, log);
     if (!this.hasStarted) {
       this.hasStarted = true;
       log.event('plannerStarted', {group, term, left: end});
     }
     if (end === 'nothing-left') {
-      this.known = knownOf(ranks, reading);
+      this.known = knownOf(ranks, readings);
+      this.spareSteps(readings);
     } else if (end === 'stuck' || end === 'deposed') {
       this.giveUp();
     }
   }
 
+  /**
+   * A change that somebody else has given up may have left a release under
+   * way; the passes that it may name are not held.
+   */
+  private spareSteps(readings: readonly RankReading[]): void {
+    const isLeft = readings.some(
+      ({state}) =>
+        state.prepared !== null && state.prepared !== state.mapVersion,
+    );
+    const {step, epoch} = readings[0]!.state;
+    if (epoch !== this.spentEpoch) {
+      // Orders of another epoch are refused.
+      this.spentEpoch = epoch;
+      this.trace.spentStep = 0;
+    }
+    const spent = isLeft ? step + MOST_PASSES_AHEAD + 1 : step;
+    this.trace.spentStep = Math.max(this.trace.spentStep, spent);
+  }
+
   private contextParts() {
     const {links, log, group} = this.context;
     const ownRank = this.context.ownRank();
@@ -196,20 +221,21 @@
    * A new planner that can read all ranks but its predecessor's must not wait
    * for that one: the group may be held.
    */
-  private async undoFormer(reading: GroupReading): Promise<void> {
-    const {links, log} = this.context;
+  private async endOrphaned(reading: GroupReading): Promise<void> {
+    const {links, log, metrics} = this.context;
     const former = this.context.formerRank();
-    const states = byRank(reading);
-    const [first] = states;
+    const readings = [...reading.ranks.values()];
+    const [first] = readings;
     const isMissing =
       !this.hasStarted &&
       first !== undefined &&
       former !== undefined &&
-      states.length === first.size - 1 &&
-      states.every(state => state.rank !== former);
-    const ranks = isMissing ? links.someRanksOf(reading) : undefined;
-    if (ranks !== undefined) {
-      await mapChange.undoWithoutPlanner(ranks, states, log);
+      readings.length === first.state.size - 1 &&
+      readings.every(one => one.state.rank !== former);
+    if (isMissing) {
+      const ranks = links.someRanksOf(reading);
+      const end = await mapChange.endOrphaned(ranks, readings, former, log);
+      metrics.count('orphaned_changes_total', {end});
     }
   }
 
@@ -275,7 +301,9 @@
       return false;
     }
     if (own.armed !== null) {
-      // The pass that takes the map has not begun yet.
+      // The pass that takes the map has not begun yet, or a change was given
+      // up whose order came late.
+      this.known = own.armed.version === known.version ? known : undefined;
       return false;
     }
     const isStray = [...reading.ranks.values()].some(
@@ -310,15 +338,16 @@
           epoch: known.epoch,
           version,
           map: plan.map,
+          former: known.map,
           expectedMs,
           patienceMs: expectedMs * COPY_SLACK + COPY_SLACK_MS,
           passesAhead,
         },
         {
           own,
-          holder: pickHolder(known.ranks, own),
-          onArmed: ms => this.noteArming(ms),
+          ...pickParts(known.ranks, own),
         },
+        this.trace,
         this.context.log,
       );
       const ms = Math.round(performance.now() - begunAt);
@@ -335,6 +364,7 @@
         armMs: Math.round(this.armMs),
         ms,
       });
+      this.noteArming();
       this.afterChange(known, end, version, plan.map);
     } catch (err) {
       this.context.log.event('plannerFault', {
@@ -345,8 +375,11 @@
     this.isChanging = false;
   }
 
-  private noteArming(ms: number): void {
-    this.armMs = Math.max(ms, this.armMs * ARM_KEEP);
+  private noteArming(): void {
+    const {armMs} = this.trace;
+    if (armMs !== undefined) {
+      this.armMs = Math.max(armMs, this.armMs * ARM_KEEP);
+    }
   }
 
   private afterChange(
@@ -379,40 +412,35 @@
   }
 }
 
-/** A rank on another instance whose sidecar answers. */
-function pickHolder(ranks: GroupRanks, own: number): number {
+/** Two other ranks whose sidecars answer: one to hold, one to help. */
+function pickParts(
+  ranks: GroupRanks,
+  own: number,
+): {holder: number; helper: number} {
   const heard = ranks.heard.filter(place => place !== own);
-  return heard.length > 0 ? random.pick(heard) : 0;
+  const others = heard.length > 1 ? heard : ranks.all.filter(at => at !== own);
+  const [holder = own, helper = holder] = random.sample(others, 2);
+  return {holder, helper};
 }
 
-/** The states of a reading, in the order of their ranks. */
-function byRank(reading: GroupReading): RankState[] {
-  return [...reading.ranks.values()]
-    .map(one => one.state)
-    .sort((a, b) => a.rank - b.rank);
+/** A reading in the order of the ranks. */
+function byRank(reading: GroupReading): RankReading[] {
+  return [...reading.ranks.values()].sort(
+    (a, b) => a.state.rank - b.state.rank,
+  );
 }
 
 /** The map in force, where all ranks tell the same version of it. */
 function knownOf(
   ranks: GroupRanks,
-  reading: GroupReading,
+  readings: readonly RankReading[],
 ): KnownGroup | undefined {
-  const readings = [...reading.ranks.values()].sort(
-    (a, b) => a.state.rank - b.state.rank,
-  );
   const [first] = readings;
-  const isSame = readings.every(
-    one =>
-      one.held !== undefined &&
-      one.held.version === first?.held?.version &&
-      one.state.armed === null,
-  );
-  if (first?.held === undefined || !isSame) {
+  const map = mapChange.mapOf(readings);
+  const isArmed = readings.some(one => one.state.armed !== null);
+  if (first?.held === undefined || map === undefined || isArmed) {
     return undefined;
   }
-  const map = first.held.experts.map((_, set) =>
-    readings.map(one => one.held!.experts[set]!),
-  );
   const {epoch} = first.state;
   return {epoch, ranks, version: first.held.version, map};
 }
--- a/src/experts/rank-agent.ts
+++ b/src/experts/rank-agent.ts
@@ -5,6 +5,7 @@
 import {Log} from '../observability/log';
 import {
   Engine,
+  GivenArm,
   Growth,
   Order,
   OrderResult,
@@ -17,6 +18,8 @@
 const ORDER_TRIES = 12;
 /** Pause between looks at a copy under way, in milliseconds. */
 const COPY_POLL_MS = 8;
+/** Time for tries of an order to another's rank: the planner waits for it. */
+const OTHER_PATIENCE_MS = 180;
 /** Periods of a planner's readings that it may miss and still be heard. */
 const MISSED_PERIODS = 4.5;
 /** Longest time between readings that a planner may name, in milliseconds. */
@@ -36,9 +39,13 @@
   private heardAt = -Infinity;
   private periodMs = FIRST_PERIOD_MS;
   private counters: readonly number[] | undefined;
+  /** Undefined until a planner has learnt what there was before. */
+  private gave: GivenArm | null | undefined;
+  private other: {readonly target: string; readonly engine: Engine} | undefined;
 
   constructor(
     private readonly engine: Engine,
+    private readonly makeEngine: (target: string) => Engine,
     private readonly log: Log,
   ) {}
 
@@ -79,7 +86,12 @@
       return {answer: {kind: 'no-rank'}, growth: undefined};
     }
     const growth = counters?.ok ? this.takeGrowth(counters.value) : undefined;
-    return {answer: {kind: 'read', reading}, growth};
+    const {gave} = this;
+    if (wish.growth && gave === undefined) {
+      // A planner asks for growth once it has finished what it found.
+      this.gave = null;
+    }
+    return {answer: {kind: 'read', reading: {...reading, gave}}, growth};
   }
 
   /** Carries an order out for the planner of a term. */
@@ -93,6 +105,56 @@
       return 'deposed';
     }
     const result = await carryOut(this.engine, order, () => this.term === term);
+    this.noteResult(order, result);
+    return result;
+  }
+
+  /** Gives another rank an order for the planner of a term. */
+  async orderOther(
+    term: number,
+    to: {readonly target: string; readonly rank: number},
+    order: Order,
+  ): Promise<OrderResult> {
+    if (!this.obeys(term)) {
+      return 'deposed';
+    }
+    const given: GivenArm | undefined =
+      order.kind === 'arm'
+        ? {
+            epoch: order.epoch,
+            rank: to.rank,
+            version: order.version,
+            step: order.step,
+            isConfirmed: false,
+          }
+        : undefined;
+    // Noted before anything is sent: whoever asks later must know of it.
+    this.gave = given ?? this.gave;
+    const engine = this.engineOf(to.target);
+    const endsAt = performance.now() + OTHER_PATIENCE_MS;
+    const mayGoOn = () => this.term === term && performance.now() < endsAt;
+    const result = await carryOut(engine, order, mayGoOn);
+    if (given !== undefined && this.gave === given) {
+      this.gave = result === 'refused' ? null : given;
+      given.isConfirmed = result === 'done';
+    }
+    this.noteResult(order, result);
+    return result;
+  }
+
+  close(): void {
+    this.other?.engine.close();
+  }
+
+  private engineOf(target: string): Engine {
+    if (this.other?.target !== target) {
+      this.other?.engine.close();
+      this.other = {target, engine: this.makeEngine(target)};
+    }
+    return this.other.engine;
+  }
+
+  private noteResult(order: Order, result: OrderResult): void {
     if (result !== 'done') {
       this.log.event('orderFailed', {
         order: order.kind,
@@ -101,7 +163,6 @@
         result,
       });
     }
-    return result;
   }
 
   /** Undefined for a first reading, and after the engine started again. */
--- a/src/experts/types.ts
+++ b/src/experts/types.ts
@@ -41,9 +41,28 @@
 });
 export type HeldExperts = v.InferOutput<typeof heldExpertsSchema>;
 
+/**
+ * An order to arm another rank, as the sidecar that gave it remembers it. A
+ * planner's own rank is armed this way, so that others can tell.
+ */
+const givenArmSchema = v.object({
+  epoch: whole,
+  rank: whole,
+  version: whole,
+  step: whole,
+  /** The rank has answered that it is armed. */
+  isConfirmed: v.boolean(),
+});
+export type GivenArm = v.InferOutput<typeof givenArmSchema>;
+
 /** What a planner reads of a rank. */
 const rankReadingSchema = v.object({
   state: rankStateSchema,
+  /**
+   * The last arm that the rank's sidecar gave for another; null: none. Left
+   * out where the sidecar can't tell, since it has started again meanwhile.
+   */
+  gave: v.optional(v.nullable(givenArmSchema)),
   /** Left out where it was not asked for. */
   held: v.optional(heldExpertsSchema),
 });
@@ -124,7 +143,8 @@
 
 /**
  * The ranks of a group as a planner reaches them. Places are ranks: answers
- * come in the order of the places asked.
+ * come in the order of the places asked. Every order is carried out also where
+ * single answers are lost.
  */
 export abstract class Ranks {
   /** Ranks in the group. */
@@ -132,11 +152,25 @@
   abstract readStates(
     places: readonly number[],
   ): Promise<(RankState | undefined)[]>;
-  /** Carries an order out, also where single answers are lost. */
+  /** Each rank is ordered by its own sidecar, which obeys the newest planner. */
   abstract order(
     places: readonly number[],
     order: Order,
   ): Promise<OrderResult[]>;
+  /**
+   * Each rank is ordered from the planner's instance, past its sidecar. No
+   * term is checked on the way.
+   */
+  abstract orderDirect(
+    places: readonly number[],
+    order: Order,
+  ): Promise<OrderResult[]>;
+  /** One rank is ordered by the sidecar of another. */
+  abstract orderThrough(
+    helper: number,
+    place: number,
+    order: Order,
+  ): Promise<OrderResult>;
 
   /** Every place. */
   get all(): number[] {
--- a/src/roles/site-sidecar.ts
+++ b/src/roles/site-sidecar.ts
@@ -34,7 +34,11 @@
   ) {
     this.rpc = new RpcServer(log);
     this.engine = documents.makeEngine(cfg.targetAddress ?? '');
-    this.agent = new RankAgent(this.engine, log);
+    this.agent = new RankAgent(
+      this.engine,
+      target => documents.makeEngine(target),
+      log,
+    );
     if (cfg.targetService !== undefined) {
       this.member = new GroupMember({
         id: cfg.id,
@@ -61,6 +65,15 @@
     this.rpc.handle(experts.order, async ({term, order, members}) => ({
       results: await head.order(term, order, members),
     }));
+    this.rpc.handle(experts.orderOther, async call => {
+      const order = experts.orderFromWire(call.order);
+      return {
+        result:
+          order === undefined
+            ? 'refused'
+            : await this.agent.orderOther(call.term, call, order),
+      };
+    });
     this.rpc.handle(experts.hearing, () => ({
       isPlannerHeard: this.agent.isPlannerHeard,
     }));
@@ -94,6 +107,7 @@
     }
     this.client.close();
     this.engine.close();
+    this.agent.close();
     this.store.close();
   }
 }
