Admission by predicted pass time; slow ranks get less work and no new requests

Now: sidecars tell how slow their rank is; plans count a slow rank's load by it, entries send it nothing new. The planner tells with each reading what it knows of the group, and entries ask a sidecar for it.

--- a/src/experts/app.ts
+++ b/src/experts/app.ts
@@ -45,6 +45,8 @@
     periodMs: v.number(),
     growth: v.boolean(),
     held: v.boolean(),
+    /** What the planner tells of the group; left out: it doesn't know. */
+    view: v.optional(types.groupViewSchema),
     members: membersSchema,
   }),
   v.object({
@@ -73,6 +75,17 @@
   }),
 );
 
+/** Asks a sidecar what it has heard of its rank's group. */
+export const view = rpc.method(
+  'experts.view',
+  v.object({}),
+  v.object({
+    known: v.optional(
+      v.object({view: types.groupViewSchema, ageMs: v.number()}),
+    ),
+  }),
+);
+
 /** Asks a sidecar whether it hears a planner. */
 export const hearing = rpc.method(
   'experts.hearing',
--- a/src/experts/branch.ts
+++ b/src/experts/branch.ts
@@ -7,7 +7,7 @@
 import * as app from './app';
 import * as packing from './packing';
 import type {RankAgent} from './rank-agent';
-import type {OrderResult, ReadAnswer, ReadWish} from './types';
+import type {GroupView, OrderResult, ReadAnswer, ReadWish} from './types';
 
 /** Longest wait for a member's reading, in milliseconds. */
 export const READ_TIMEOUT_MS = 150;
@@ -21,6 +21,7 @@
 export interface ReadCall extends ReadWish {
   readonly term: number;
   readonly periodMs: number;
+  readonly view?: GroupView | undefined;
   readonly members: readonly string[];
 }
 
@@ -44,7 +45,7 @@
   async read(call: ReadCall): Promise<BranchReading> {
     const {term, periodMs, members} = call;
     const [own, ...behind] = await Promise.all([
-      this.agent.read(term, periodMs, call),
+      this.agent.read(term, periodMs, call, call.view),
       ...members.map(address => this.readMember(address, call)),
     ]);
     let growth: Float64Array | undefined;
--- a/src/experts/change.test.ts
+++ b/src/experts/change.test.ts
@@ -151,6 +151,7 @@
       prepared: rank.prepared?.version ?? null,
       armed: rank.armed,
       held: rank.held,
+      slowness: 1,
     };
   }
 
--- a/src/experts/group-links.test.ts
+++ b/src/experts/group-links.test.ts
@@ -38,6 +38,7 @@
       prepared: null,
       armed: null,
       held: null,
+      slowness: 1,
     });
   }
 
@@ -123,6 +124,7 @@
       rpc,
       term: () => term,
       periodMs: () => 100,
+      view: () => undefined,
       makeEngine: target => {
         const rank = Number(target.split('-')[1]);
         const engine = new FakeEngine(rank, size);
--- a/src/experts/group-links.ts
+++ b/src/experts/group-links.ts
@@ -11,6 +11,7 @@
 import * as agent from './rank-agent';
 import {
   Engine,
+  GroupView,
   Order,
   OrderResult,
   RankReading,
@@ -57,6 +58,8 @@
   term(): number;
   /** Milliseconds between readings, told to the sidecars. */
   periodMs(): number;
+  /** What sidecars are told of the group; undefined: nothing is known. */
+  view(): GroupView | undefined;
   makeEngine(target: string): Engine;
 }
 
@@ -258,6 +261,7 @@
         periodMs: this.context.periodMs(),
         growth: wish.growth,
         held: wish.held,
+        view: this.context.view(),
         members: behind.map(member => member.sidecar),
       },
       branch.READ_TIMEOUT_MS + extraMs,
@@ -389,6 +393,11 @@
     );
   }
 
+  /** Where the rank of a place listens. */
+  targetOf(place: number): string {
+    return this.members[place]!.target;
+  }
+
   /** Places whose sidecars answer. */
   get heard(): number[] {
     return this.all.filter(place =>
--- a/src/experts/group-member.ts
+++ b/src/experts/group-member.ts
@@ -70,6 +70,7 @@
       rpc: context.rpc,
       term: () => this.seat?.term ?? 0,
       periodMs: () => this.planner.periodMs,
+      view: () => this.planner.view,
       makeEngine: target => context.documents.makeEngine(target),
     });
     this.planner = new GroupPlanner({
--- a/src/experts/plan.test.ts
+++ b/src/experts/plan.test.ts
@@ -12,6 +12,7 @@
   formMs: 1,
 };
 const RANKS = 6;
+const EVEN = Array<number>(RANKS).fill(1);
 
 const demand = fc.array(
   fc
@@ -29,7 +30,7 @@
   const steps: {from: plans.MapPlan['map']; plan: plans.MapPlan}[] = [];
   let map: plans.MapPlan['map'] = first;
   for (const one of demands) {
-    const plan = plans.planMap(map, one, LIMITS);
+    const plan = plans.planMap(map, one, EVEN, LIMITS);
     if (plan !== undefined) {
       steps.push({from: map, plan});
       map = plan.map;
@@ -80,8 +81,11 @@
     fc.assert(
       fc.property(demand, one => {
         for (const {from, plan} of planInRow([one])) {
-          expect(plan.before).toBeCloseTo(plans.imbalance(from, one), 9);
-          expect(plan.after).toBeCloseTo(plans.imbalance(plan.map, one), 9);
+          expect(plan.before).toBeCloseTo(plans.imbalance(from, one, EVEN), 9);
+          expect(plan.after).toBeCloseTo(
+            plans.imbalance(plan.map, one, EVEN),
+            9,
+          );
         }
       }),
       {numRuns: 150, seed: 23},
@@ -100,9 +104,22 @@
     expect(last.plan.after).toBeLessThan(1.3);
   });
 
+  it('takes work away from a slow rank', () => {
+    const even = Float64Array.from({length: FIGURES.experts}, () => 5);
+    const slowness = [1, 1, 5, 1, 1, 1];
+    const limits = {...LIMITS, copiesPerRank: 3};
+    let map: plans.MapPlan['map'] = plans.initialMap(FIGURES, RANKS);
+    const before = plans.imbalance(map, [even, even], slowness);
+    for (let change = 0; change < 4; change += 1) {
+      map = plans.planMap(map, [even, even], slowness, limits)?.map ?? map;
+    }
+    expect(before).toBe(5);
+    expect(plans.imbalance(map, [even, even], slowness)).toBeLessThan(1.6);
+  });
+
   it('plans nothing where demand is even', () => {
     const even = Float64Array.from({length: FIGURES.experts}, () => 5);
     const map = plans.initialMap(FIGURES, RANKS);
-    expect(plans.planMap(map, [even, even], LIMITS)).toBeUndefined();
+    expect(plans.planMap(map, [even, even], EVEN, LIMITS)).toBeUndefined();
   });
 });
--- a/src/experts/plan.ts
+++ b/src/experts/plan.ts
@@ -9,6 +9,9 @@
 /** Tokens a second, or any one unit, by set and expert. */
 export type Demand = readonly Float64Array[];
 
+/** By rank: how many times as long as it should its work takes. */
+export type Slowness = readonly number[];
+
 /** Bounds of one change. */
 export interface PlanLimits {
   /** Experts that a rank holds in a set, at most. */
@@ -61,9 +64,16 @@
   });
 }
 
-/** Most loaded rank over the mean, averaged over sets; 1 is even. */
-export function imbalance(map: ExpertMap, demand: Demand): number {
-  const sets = map.map((held, at) => new SetBoard(held, demand[at]!));
+/**
+ * Most loaded rank over the mean, averaged over sets; 1 is even. A slow rank
+ * counts as if it had more load, by its slowness.
+ */
+export function imbalance(
+  map: ExpertMap,
+  demand: Demand,
+  slowness: Slowness,
+): number {
+  const sets = map.map((held, at) => new SetBoard(held, demand[at]!, slowness));
   return sets.reduce((sum, set) => sum + set.imbalance, 0) / sets.length;
 }
 
@@ -71,9 +81,12 @@
 export function planMap(
   map: ExpertMap,
   demand: Demand,
+  slowness: Slowness,
   limits: PlanLimits,
 ): MapPlan | undefined {
-  const boards = map.map((held, at) => new SetBoard(held, demand[at]!));
+  const boards = map.map(
+    (held, at) => new SetBoard(held, demand[at]!, slowness),
+  );
   const before = meanOf(boards.map(board => board.imbalance));
   const copied = new Array<number>(map[0]?.length ?? 0).fill(0);
   const best: (Action | undefined)[] = boards.map(() => undefined);
@@ -151,7 +164,7 @@
   readonly relief: number;
 }
 
-/** One set's places and the loads that follow from them. */
+/** One set's places, and the loads that follow from them, by slowness. */
 class SetBoard {
   readonly held: number[][];
   private readonly holders: number[][];
@@ -169,6 +182,7 @@
   constructor(
     held: readonly (readonly number[])[],
     private readonly demand: Float64Array,
+    private readonly slowness: Slowness,
   ) {
     this.held = held.map(experts => [...experts]);
     this.holders = Array.from({length: demand.length}, () => []);
@@ -181,7 +195,8 @@
     demand.forEach((asked, expert) => {
       total += asked;
       const ranks = this.holders[expert]!;
-      ranks.forEach(rank => (this.loads[rank]! += asked / ranks.length));
+      const share = asked / ranks.length;
+      ranks.forEach(rank => (this.loads[rank]! += share * slowness[rank]!));
     });
     this.mean = total / held.length || 1;
     this.delta = new Float64Array(held.length);
@@ -367,7 +382,8 @@
       this.touched.push(rank);
     }
     // Never exactly zero again, so that a rank is listed once.
-    this.delta[rank] = this.delta[rank]! + change || Number.MIN_VALUE;
+    const weighted = change * this.slowness[rank]!;
+    this.delta[rank] = this.delta[rank]! + weighted || Number.MIN_VALUE;
   }
 
   private resetChange(): void {
--- a/src/experts/planner.ts
+++ b/src/experts/planner.ts
@@ -12,7 +12,7 @@
 import type {GroupLinks, GroupRanks, GroupReading} from './group-links';
 import {MOST_PASSES_AHEAD, PassClock} from './pass-clock';
 import * as plans from './plan';
-import type {ExpertMap, RankReading, RankState} from './types';
+import type {ExpertMap, GroupView, RankReading, RankState} from './types';
 
 /** Milliseconds between readings of the ranks of a small group. */
 const PERIOD_MS = 100;
@@ -38,6 +38,8 @@
 const ARM_KEEP = 0.85;
 /** Arming may take this much longer than it has lately, unnoticed. */
 const ARM_MARGIN = 1.2;
+/** Entries are told of ranks that are slower than this. */
+const SLOW = 1.1;
 /** Low part of a version that tells planners' maps apart. */
 const VERSION_UNIT = 2 ** 20;
 
@@ -69,11 +71,15 @@
   readonly ranks: GroupRanks;
   version: number;
   map: ExpertMap;
+  /** By rank, as read last. */
+  readonly states: RankState[];
 }
 
 export class GroupPlanner {
   private demand: RecentDemand | undefined;
   private known: KnownGroup | undefined;
+  /** Until the next reading. */
+  private lastView: GroupView | undefined;
   private isChanging = false;
   private hasStarted = false;
   private highestTried = 0;
@@ -89,6 +95,17 @@
 
   constructor(private readonly context: PlannerContext) {}
 
+  /** What is known of the group; undefined: nothing certain. */
+  get view(): GroupView | undefined {
+    const {known} = this;
+    const demand = this.demand?.demand;
+    if (known === undefined || demand === undefined) {
+      return undefined;
+    }
+    this.lastView ??= viewOf(known, demand);
+    return this.lastView;
+  }
+
   /** Milliseconds between readings of the ranks. */
   get periodMs(): number {
     return this.context.links.isLarge ? LARGE_PERIOD_MS : PERIOD_MS;
@@ -152,7 +169,9 @@
       this.context.onDeposed();
       return;
     }
+    this.noteStates(reading);
     this.noteDemand(figures, reading);
+    this.lastView = undefined;
     if (!this.isChanging && this.known !== undefined) {
       await this.plan(figures, this.known, reading);
     }
@@ -239,6 +258,14 @@
     }
   }
 
+  private noteStates(reading: GroupReading): void {
+    for (const {state} of reading.ranks.values()) {
+      if (state.epoch === this.known?.epoch) {
+        this.known.states[state.rank] = state;
+      }
+    }
+  }
+
   private noteDemand(figures: ExpertFigures, reading: GroupReading): void {
     this.demand ??= new RecentDemand(figures.sets);
     if (reading.growth === undefined) {
@@ -273,7 +300,7 @@
       1,
       Math.floor(COPY_TIME_MS / Math.max(figures.copyMs, 1)),
     );
-    const plan = plans.planMap(known.map, demand, {
+    const plan = plans.planMap(known.map, demand, slownessOf(known), {
       places: figures.places,
       spare: figures.spare,
       copiesPerRank,
@@ -412,6 +439,23 @@
   }
 }
 
+function slownessOf(known: KnownGroup): number[] {
+  return known.states.map(state => state.slowness);
+}
+
+function viewOf(known: KnownGroup, demand: plans.Demand): GroupView {
+  const {states, ranks, map} = known;
+  const imbalance = plans.imbalance(map, demand, slownessOf(known));
+  return {
+    size: states.length,
+    requests: states.reduce((sum, one) => sum + one.running + one.waiting, 0),
+    imbalance: Number(imbalance.toFixed(3)),
+    slow: states.flatMap(({rank, slowness}) =>
+      slowness > SLOW ? [{target: ranks.targetOf(rank), slowness}] : [],
+    ),
+  };
+}
+
 /** Two other ranks whose sidecars answer: one to hold, one to help. */
 function pickParts(
   ranks: GroupRanks,
@@ -442,7 +486,8 @@
     return undefined;
   }
   const {epoch} = first.state;
-  return {epoch, ranks, version: first.held.version, map};
+  const states = readings.map(one => one.state);
+  return {epoch, ranks, version: first.held.version, map, states};
 }
 
 /** Higher than all before, and never the same as another planner's. */
--- a/src/experts/rank-agent.ts
+++ b/src/experts/rank-agent.ts
@@ -6,6 +6,7 @@
 import {
   Engine,
   GivenArm,
+  GroupView,
   Growth,
   Order,
   OrderResult,
@@ -41,6 +42,7 @@
   private counters: readonly number[] | undefined;
   /** Undefined until a planner has learnt what there was before. */
   private gave: GivenArm | null | undefined;
+  private heard: {readonly view: GroupView; readonly at: number} | undefined;
   private other: {readonly target: string; readonly engine: Engine} | undefined;
 
   constructor(
@@ -73,10 +75,12 @@
     term: number,
     periodMs: number,
     wish: ReadWish,
+    view?: GroupView,
   ): Promise<AgentReading> {
     if (!this.obeys(term)) {
       return {answer: {kind: 'deposed'}, growth: undefined};
     }
+    this.heard = view && {view, at: performance.now()};
     this.periodMs = Math.min(periodMs, LONGEST_PERIOD_MS);
     const [reading, counters] = await Promise.all([
       readRank(this.engine, wish.held),
@@ -94,6 +98,12 @@
     return {answer: {kind: 'read', reading: {...reading, gave}}, growth};
   }
 
+  /** What the planner told last of the group, and how long ago. */
+  get known(): {view: GroupView; ageMs: number} | undefined {
+    const {heard} = this;
+    return heard && {view: heard.view, ageMs: performance.now() - heard.at};
+  }
+
   /** Carries an order out for the planner of a term. */
   async order(term: number, order: Order): Promise<OrderResult> {
     if (!this.obeys(term)) {
--- a/src/experts/types.ts
+++ b/src/experts/types.ts
@@ -31,6 +31,8 @@
   armed: v.nullable(armedMapSchema),
   /** The group does not begin this pass until it is released. */
   held: v.nullable(whole),
+  /** How many times as long as it should the rank's work takes; 1 or more. */
+  slowness: v.number(),
 });
 export type RankState = v.InferOutput<typeof rankStateSchema>;
 
@@ -132,6 +134,19 @@
   abstract close(): void;
 }
 
+/** What a group's planner tells of it. */
+export const groupViewSchema = v.object({
+  /** Ranks in the group. */
+  size: whole,
+  /** Requests that run or wait at its ranks. */
+  requests: v.number(),
+  /** Most loaded rank over the mean under the map in force; 1 is even. */
+  imbalance: v.number(),
+  /** Ranks whose work takes longer than it should. */
+  slow: v.array(v.object({target: v.string(), slowness: v.number()})),
+});
+export type GroupView = v.InferOutput<typeof groupViewSchema>;
+
 /** Counters' growth by expert, all sets in a row. */
 export type Growth = ArrayLike<number>;
 
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -23,6 +23,13 @@
   private route: Route | undefined;
   private readonly left = new AbortController();
   private isAnswered = false;
+  /** Milliseconds until the first event; undefined: none came. */
+  private firstMs: number | undefined;
+  private lastEventAt = 0;
+  /** Longest time without an event after the first. */
+  private pauseMs = 0;
+  /** When that pause ended, in milliseconds since the start. */
+  private pauseEndMs = 0;
   private account = OPEN_ACCOUNT;
 
   constructor(
@@ -38,6 +45,11 @@
     });
   }
 
+  /** True where a part of the answer is out. */
+  get hasBegun(): boolean {
+    return this.res.headersSent;
+  }
+
   /** Aborted when the caller has left. */
   get signal(): AbortSignal {
     return this.left.signal;
@@ -111,12 +123,28 @@
     ]);
   }
 
+  /** Notes that events of a stream have come. */
+  noteEvents(): void {
+    const now = performance.now();
+    if (this.firstMs === undefined) {
+      this.firstMs = now - this.startedAt;
+    } else if (now - this.lastEventAt > this.pauseMs) {
+      this.pauseMs = now - this.lastEventAt;
+      this.pauseEndMs = now - this.startedAt;
+    }
+    this.lastEventAt = now;
+  }
+
   /** Notes the end in log and metrics. */
   end(outcome: string, status?: number): void {
     const {log, metrics} = this.context;
     const ms = Math.round(performance.now() - this.startedAt);
+    const late = this.lateness(ms);
     metrics.count('requests_total', {outcome});
     this.time('whole');
+    if (late !== undefined) {
+      metrics.count('late_total', {late, outcome});
+    }
     log.event('requestEnded', {
       request: this.head?.id,
       route: this.route?.name,
@@ -125,9 +153,35 @@
       target: this.target,
       sends: this.sends,
       ms,
+      late,
+      ...this.streamTimes(),
     });
   }
 
+  /** What made the answer come later than its route aims at. */
+  private lateness(wholeMs: number): 'first-event' | 'pause' | undefined {
+    const {route} = this;
+    if (route === undefined || route.objectiveMs === 0) {
+      return undefined;
+    }
+    const firstMs = route.kind === 'stream' ? (this.firstMs ?? 0) : wholeMs;
+    if (firstMs > route.objectiveMs) {
+      return 'first-event';
+    }
+    const isPaused = route.pauseMs > 0 && this.pauseMs > route.pauseMs;
+    return isPaused ? 'pause' : undefined;
+  }
+
+  private streamTimes(): object {
+    return this.firstMs === undefined
+      ? {}
+      : {
+          firstMs: Math.round(this.firstMs),
+          pauseMs: Math.round(this.pauseMs),
+          pauseEndMs: Math.round(this.pauseEndMs),
+        };
+  }
+
   /** Whatever happened, the connection ends where nothing was answered. */
   close(): void {
     if (!this.res.headersSent && !this.hasLeft) {
--- a/src/forwarding/choose.ts
+++ b/src/forwarding/choose.ts
@@ -11,6 +11,11 @@
 const FAILURE_WEIGHT = 6;
 /** A share of failures is halved in this time, in milliseconds. */
 const FORGET_MS = 2_000;
+/**
+ * Places that a rank's slowness costs: each request there lengthens the passes
+ * of all ranks by its slowness.
+ */
+const SLOW_WEIGHT = 8;
 /** Places that another hall costs: a hop is little beside a request. */
 const HALL_WEIGHT = 0.4;
 
@@ -29,7 +34,12 @@
 export class TargetLoads {
   private readonly records = new Map<string, Record_>();
 
-  constructor(private readonly hall: string) {}
+  /** `slownessOf`: how many times as long as it should a target's work takes. */
+  constructor(
+    private readonly hall: string,
+    private readonly slownessOf: (target: Target, now: number) => number = () =>
+      1,
+  ) {}
 
   /** Notes that a request goes to a target. */
   begin(id: string): void {
@@ -80,7 +90,8 @@
     const inFlight = record?.inFlight ?? 0;
     const failing = record === undefined ? 0 : decayed(record, now);
     const hop = target.hall === this.hall ? 0 : HALL_WEIGHT;
-    return inFlight + hop + failing * FAILURE_WEIGHT;
+    const slow = (this.slownessOf(target, now) - 1) * SLOW_WEIGHT;
+    return inFlight + hop + slow + failing * FAILURE_WEIGHT;
   }
 
   private recordOf(id: string): Record_ {
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -16,6 +16,7 @@
 import {Call} from './call';
 import {TargetLoads} from './choose';
 import {GroupGate} from './group-gate';
+import {GroupViews} from './group-views';
 import {PlainRelay} from './plain-relay';
 import {RetryBudget} from './retry-budget';
 import {StreamRelay} from './stream-relay';
@@ -30,6 +31,7 @@
   readonly targets: TargetList;
   readonly loads: TargetLoads;
   readonly gate: GroupGate;
+  readonly views: GroupViews;
   readonly connections: TargetConnections;
   readonly log: Log;
   readonly metrics: Metrics;
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -19,8 +19,8 @@
 
 /** When to come back where no target of the service is known. */
 const NO_TARGET_RETRY_MS = 300;
-/** And where all have enough to do: about a third of a stream's time. */
-const OVERLOADED_RETRY_MS = 700;
+/** And where all have enough to do: about the time of a stream. */
+const OVERLOADED_RETRY_MS = 1_600;
 /**
  * When to come back where a target was full: a part of the time left, since
  * callers heed no more than a third, and no longer than a group takes to form.
@@ -76,7 +76,11 @@
       }
       const open = known.filter(one => gate.closedMs(one.group, now) === 0);
       const group = open.length > 0 ? undefined : known[0]!.group;
-      const mayEnter = gate.mayEnter(group, now);
+      // Who has waited in vain is let in while there are places.
+      const isUrgent = mayWait && (call.hasBegun || now >= waitsUntil);
+      const mayEnter =
+        gate.mayEnter(group, now) &&
+        this.hasRoom(request, known, isUrgent, now);
       const chosen = mayEnter
         ? loads.choose(open.length > 0 ? open : known, now)
         : undefined;
@@ -88,7 +92,7 @@
       if (!mayWait || call.hasLeft || now >= waitsUntil) {
         return fail(
           group === undefined
-            ? this.overloaded(request.service)
+            ? this.overloaded(call, request.service)
             : this.closedGroup(call, request, group, now),
         );
       }
@@ -96,6 +100,29 @@
     }
   }
 
+  /**
+   * False where the group has so many requests that its passes would be
+   * longer than the pause that the route allows; an urgent request is let in
+   * while there are places.
+   */
+  private hasRoom(
+    request: RelayedRequest,
+    known: readonly types.Target[],
+    isUrgent: boolean,
+    now: number,
+  ): boolean {
+    const {configuration, views} = this.context;
+    const rank = known.find(target => target.group !== undefined);
+    const service = configuration.table?.findService(request.service);
+    const {pauseMs} = request.route;
+    if (rank === undefined || service?.engine === undefined || pauseMs === 0) {
+      return true;
+    }
+    const allowedMs = isUrgent ? Infinity : pauseMs;
+    const room = views.roomOf(rank, service.engine, allowedMs, now);
+    return room === undefined || room > 0;
+  }
+
   /** Sends to a target that was found, once, and notes how it went. */
   protected async send(
     call: Call,
@@ -238,9 +265,10 @@
   }
 
   /** Every target has as much from this entry as it should wait for. */
-  private overloaded(service: string): types.Refusal {
+  private overloaded(call: Call, service: string): types.Refusal {
     this.context.metrics.count('overloads_total', {service});
-    const retryMs = random.jitter(OVERLOADED_RETRY_MS);
+    const longMs = Math.max(call.leftMs, 0) * LONG_RETRY_SHARE;
+    const retryMs = Math.min(random.jitter(OVERLOADED_RETRY_MS), longMs);
     return {kind: 'not-run', why: 'overloaded', retryMs};
   }
 
--- a/src/forwarding/stream-relay.ts
+++ b/src/forwarding/stream-relay.ts
@@ -123,6 +123,7 @@
         }
         if (events.length > 0) {
           begin();
+          call.noteEvents();
           await bodies.writePatiently(call.res, events);
         }
       }
--- a/src/forwarding/target-list.ts
+++ b/src/forwarding/target-list.ts
@@ -106,6 +106,11 @@
     return [...this.held.values()].map(held => held.target);
   }
 
+  /** Targets that are ranks of groups. */
+  ranks(): Target[] {
+    return this.all().filter(target => target.group !== undefined);
+  }
+
   get size(): number {
     return this.held.size;
   }
--- a/src/roles/site-entry.ts
+++ b/src/roles/site-entry.ts
@@ -5,6 +5,7 @@
 import {TargetLoads} from '../forwarding/choose';
 import {Forwarder} from '../forwarding/forwarder';
 import {GroupGate} from '../forwarding/group-gate';
+import {GroupViews} from '../forwarding/group-views';
 import {TargetChange, TargetList} from '../forwarding/target-list';
 import type {Target, Wire} from '../forwarding/types';
 import * as httpServer from '../http/server';
@@ -13,6 +14,7 @@
 import type {ObjectApi} from '../platform/client';
 import * as objects from '../platform/types';
 import {WatchEvent, WatchLoop} from '../platform/watch-loop';
+import {RpcClient} from '../rpc/client';
 import {CurrentConfiguration} from '../routes/current';
 import type {CallerLimits} from '../routes/types';
 import {serveMetrics} from './metrics-face';
@@ -43,6 +45,8 @@
   private readonly configuration = new CurrentConfiguration();
   private readonly targets: TargetList;
   private readonly loads: TargetLoads;
+  private readonly rpc = new RpcClient();
+  private readonly views: GroupViews;
   private readonly connections = new TargetConnections();
   private readonly forwarder: Forwarder;
   private readonly metrics = new Metrics();
@@ -63,7 +67,16 @@
     private readonly log: Log,
   ) {
     this.targets = new TargetList(change => this.onTarget(change));
-    this.loads = new TargetLoads(cfg.hall);
+    this.views = new GroupViews({
+      rpc: this.rpc,
+      hall: cfg.hall,
+      rpcPort: cfg.rpcPort,
+      ranks: () => this.targets.ranks(),
+      inFlight: id => this.loads.inFlight(id),
+    });
+    this.loads = new TargetLoads(cfg.hall, (target, now) =>
+      this.views.slownessOf(target, now),
+    );
     this.forwarder = new Forwarder({
       cfg,
       wire,
@@ -71,6 +84,7 @@
       targets: this.targets,
       loads: this.loads,
       gate: new GroupGate(),
+      views: this.views,
       connections: this.connections,
       log,
       metrics: this.metrics,
@@ -124,6 +138,7 @@
     this.log.event('processReady', {id: cfg.id, hall: cfg.hall});
     void this.configurationLoop.run();
     void this.targetsLoop.run();
+    this.views.start();
   }
 
   /** New settings are in the file; those of an entry hold for its life. */
@@ -157,6 +172,8 @@
     this.callers?.close();
     this.callers?.closeAllConnections();
     this.connections.close();
+    this.views.close();
+    this.rpc.close();
     this.store.close();
   }
 
--- a/src/roles/site-sidecar.ts
+++ b/src/roles/site-sidecar.ts
@@ -74,6 +74,7 @@
             : await this.agent.orderOther(call.term, call, order),
       };
     });
+    this.rpc.handle(experts.view, () => ({known: this.agent.known}));
     this.rpc.handle(experts.hearing, () => ({
       isPlannerHeard: this.agent.isPlannerHeard,
     }));
--- a/src/routes/types.ts
+++ b/src/routes/types.ts
@@ -47,6 +47,9 @@
   readonly chunkTokens: number;
   /** Steps in a pass while something is generating. */
   readonly stride: number;
+  /** Mean tokens of a prompt and of an answer. */
+  readonly usualPrompt: number;
+  readonly usualAnswer: number;
   readonly experts: ExpertFigures | undefined;
 }
 
