Views of groups are pushed, and refusals of overload tell what decided them

Entries wait at a sidecar for the planner's next word instead of asking every 150 ms; drift of demand is noticed from one reading where that is thick enough (0.14 of the tokens elsewhere is usual, 0.34 and more a change).

--- a/src/experts/app.ts
+++ b/src/experts/app.ts
@@ -75,10 +75,13 @@
   }),
 );
 
-/** Asks a sidecar what it has heard of its rank's group. */
+/**
+ * Asks a sidecar what it has heard of its rank's group; the answer waits for
+ * the next news, but no longer than `waitMs`.
+ */
 export const view = rpc.method(
   'experts.view',
-  v.object({}),
+  v.object({waitMs: v.number()}),
   v.object({
     known: v.optional(
       v.object({view: types.groupViewSchema, ageMs: v.number()}),
--- a/src/experts/demand.ts
+++ b/src/experts/demand.ts
@@ -10,20 +10,23 @@
 
 /** Age at which growth counts for half, in milliseconds. */
 const HALF_LIFE_MS = 1_500;
-/** Readings whose growth is held against the average. */
-const WINDOW = 2;
 /**
- * Distance between newest growth and average that is taken for the usual one
- * at first. Measured on two fleets of 12 ranks, 0.2 s a window: 0.06 to 0.15
- * while demand is steady, 0.3 to 0.45 after it changed.
+ * What is held against the average: the newest readings, so many at a time.
+ * Measured on a fleet of 12 ranks, 0.1 s a reading: one reading is 0.07 to
+ * 0.17 away from the average while demand is steady, two are 0.06 to 0.15;
+ * after a change one is 0.34 to 0.48 away, two 0.3 to 0.45.
  */
-const FIRST_NOISE = 0.12;
+const WINDOWS = [
+  {readings: 1, noise: 0.14, factor: 1.8, margin: 0.06},
+  {readings: 2, noise: 0.12, factor: 1.6, margin: 0.06},
+] as const;
 /** Weight of the newest distance in the usual one. */
 const NOISE_WEIGHT = 0.05;
-/** Demand has changed where the distance is this many times the usual one. */
-const DRIFT_FACTOR = 1.6;
-/** And at least this much larger, in shares of all tokens. */
-const DRIFT_MARGIN = 0.06;
+/**
+ * A reading with fewer tokens than this part of the usual is too thin to be
+ * held against the average alone.
+ */
+const THIN_SHARE = 0.4;
 
 /** What a reading told. */
 export interface DemandNote {
@@ -36,8 +39,9 @@
 export class RecentDemand {
   private sum: Float64Array | undefined;
   private lastAt = 0;
-  private window: Growth[] = [];
-  private noise = FIRST_NOISE;
+  private readonly newest: Growth[] = [];
+  private readonly noise: number[] = WINDOWS.map(one => one.noise);
+  private usualTokens = 0;
 
   constructor(private readonly sets: number) {}
 
@@ -52,18 +56,20 @@
       this.startFrom([growth]);
       return {distance: 0, hasDrifted: false};
     }
-    this.window = [...this.window, growth].slice(-WINDOW);
-    const distance = this.distanceTo(this.window);
-    if (distance > this.noise * DRIFT_FACTOR + DRIFT_MARGIN) {
+    this.keepNewest(growth);
+    const distances = WINDOWS.map((_, at) => this.distanceIn(at));
+    const hasDrifted = distances.some((one, at) => this.isDrift(at, one));
+    const distance = Math.max(...distances.map(one => one ?? 0));
+    if (hasDrifted) {
       // Of a window that spans the change, the newest part is right.
       this.startFrom([growth]);
-      return {distance, hasDrifted: true};
+      return {distance, hasDrifted};
     }
-    this.noise += NOISE_WEIGHT * (distance - this.noise);
+    distances.forEach((one, at) => this.noteNoise(at, one));
     for (let at = 0; at < growth.length; at += 1) {
       this.sum[at] = this.sum[at]! * keep + growth[at]!;
     }
-    return {distance, hasDrifted: false};
+    return {distance, hasDrifted};
   }
 
   /** Tokens noted, with older ones counting for less. */
@@ -85,7 +91,37 @@
 
   private startFrom(growths: readonly Growth[]): void {
     this.sum = sumOf(growths);
-    this.window = [...growths];
+    this.newest.splice(0, this.newest.length, ...growths);
+  }
+
+  private keepNewest(growth: Growth): void {
+    this.newest.push(growth);
+    const most = WINDOWS[WINDOWS.length - 1]!.readings;
+    this.newest.splice(0, this.newest.length - most);
+    const tokens = totalOf(growth);
+    this.usualTokens += NOISE_WEIGHT * (tokens - this.usualTokens);
+  }
+
+  /** Undefined where a window has too little in it to tell. */
+  private distanceIn(at: number): number | undefined {
+    const {readings} = WINDOWS[at]!;
+    const window = this.newest.slice(-readings);
+    const tokens = window.reduce((sum, growth) => sum + totalOf(growth), 0);
+    const isThin = tokens < this.usualTokens * readings * THIN_SHARE;
+    return window.length < readings || isThin
+      ? undefined
+      : this.distanceTo(window);
+  }
+
+  private isDrift(at: number, distance: number | undefined): boolean {
+    const {factor, margin} = WINDOWS[at]!;
+    return (distance ?? 0) > this.noise[at]! * factor + margin;
+  }
+
+  private noteNoise(at: number, distance: number | undefined): void {
+    if (distance !== undefined) {
+      this.noise[at]! += NOISE_WEIGHT * (distance - this.noise[at]!);
+    }
   }
 
   /** Half the sum of differences of shares, averaged over sets: 0 to 1. */
--- a/src/experts/planner.ts
+++ b/src/experts/planner.ts
@@ -170,8 +170,12 @@
       return;
     }
     this.noteStates(reading);
-    this.noteDemand(figures, reading);
+    const hasDrifted = this.noteDemand(figures, reading);
     this.lastView = undefined;
+    if (hasDrifted) {
+      // Entries should hear of it before the next reading.
+      void this.context.links.read({growth: false, held: false});
+    }
     if (!this.isChanging && this.known !== undefined) {
       await this.plan(figures, this.known, reading);
     }
@@ -266,10 +270,11 @@
     }
   }
 
-  private noteDemand(figures: ExpertFigures, reading: GroupReading): void {
+  /** True where demand has changed at once. */
+  private noteDemand(figures: ExpertFigures, reading: GroupReading): boolean {
     this.demand ??= new RecentDemand(figures.sets);
     if (reading.growth === undefined) {
-      return;
+      return false;
     }
     const note = this.demand.note(reading.growth, performance.now());
     if (note.hasDrifted) {
@@ -279,6 +284,7 @@
         distance: Number(note.distance.toFixed(3)),
       });
     }
+    return note.hasDrifted;
   }
 
   private async plan(
--- a/src/experts/rank-agent.ts
+++ b/src/experts/rank-agent.ts
@@ -2,6 +2,7 @@
  * The sidecar's side of a map change: it gives its own rank orders on behalf
  * of the planner with the highest term that it has heard of.
  */
+import * as rxjs from 'rxjs';
 import {Log} from '../observability/log';
 import {
   Engine,
@@ -42,6 +43,7 @@
   private counters: readonly number[] | undefined;
   /** Undefined until a planner has learnt what there was before. */
   private gave: GivenArm | null | undefined;
+  private readonly news = new rxjs.Subject<void>();
   private heard: {readonly view: GroupView; readonly at: number} | undefined;
   private other: {readonly target: string; readonly engine: Engine} | undefined;
 
@@ -81,6 +83,7 @@
       return {answer: {kind: 'deposed'}, growth: undefined};
     }
     this.heard = view && {view, at: performance.now()};
+    this.news.next();
     this.periodMs = Math.min(periodMs, LONGEST_PERIOD_MS);
     const [reading, counters] = await Promise.all([
       readRank(this.engine, wish.held),
@@ -104,6 +107,14 @@
     return heard && {view: heard.view, ageMs: performance.now() - heard.at};
   }
 
+  /** Resolves when a planner has told something, or after the wait. */
+  async waitForNews(waitMs: number): Promise<void> {
+    const longest = Math.min(waitMs, LONGEST_PERIOD_MS);
+    await rxjs.firstValueFrom(rxjs.race(this.news, rxjs.timer(longest)), {
+      defaultValue: undefined,
+    });
+  }
+
   /** Carries an order out for the planner of a term. */
   async order(term: number, order: Order): Promise<OrderResult> {
     if (!this.obeys(term)) {
@@ -153,6 +164,7 @@
   }
 
   close(): void {
+    this.news.complete();
     this.other?.engine.close();
   }
 
--- a/src/forwarding/group-views.ts
+++ b/src/forwarding/group-views.ts
@@ -11,9 +11,13 @@
 import * as limits from './group-limit';
 import type {Target} from './types';
 
-/** Milliseconds between questions. */
-const PERIOD_MS = 150;
-/** Longest wait for an answer, in milliseconds. */
+/** Pause between questions, in milliseconds; a sidecar waits for news. */
+const PAUSE_MS = 20;
+/** And after a question that brought nothing. */
+const FAILED_PAUSE_MS = 150;
+/** Time that a sidecar waits for news: longer than planners are silent. */
+const WAIT_MS = 400;
+/** Longest wait for an answer beyond that, in milliseconds. */
 const ANSWER_MS = 120;
 /** Views older than this tell nothing, in milliseconds. */
 const STALE_MS = 900;
@@ -28,6 +32,19 @@
   readonly ownThen: number;
 }
 
+/** What decides whether a group takes another request. */
+export interface GroupRoom {
+  /** Requests that it may work on at once. */
+  readonly most: number;
+  /** Those that it is believed to have. */
+  readonly requests: number;
+  readonly imbalance: number;
+  /** Of its slowest rank. */
+  readonly slowness: number;
+  /** Milliseconds since this was told. */
+  readonly ageMs: number;
+}
+
 /** What following groups needs. */
 export interface ViewsContext {
   readonly rpc: RpcClient;
@@ -42,18 +59,25 @@
 
 export class GroupViews {
   private readonly held = new Map<string, HeldView>();
-  private timer: NodeJS.Timeout | undefined;
+  /** Groups that are being followed. */
+  private readonly followed = new Set<string>();
   private isClosed = false;
 
   constructor(private readonly context: ViewsContext) {}
 
-  start(): void {
-    this.timer = setTimeout(() => void this.round(), random.jitter(PERIOD_MS));
+  /** Follows the groups of the targets that are known by now. */
+  update(): void {
+    for (const target of this.context.ranks()) {
+      const key = keyOf(target);
+      if (!this.followed.has(key) && !this.isClosed) {
+        this.followed.add(key);
+        void this.follow(key);
+      }
+    }
   }
 
   close(): void {
     this.isClosed = true;
-    clearTimeout(this.timer);
   }
 
   /** How many times as long as it should a target's work takes. */
@@ -63,16 +87,13 @@
     return slow?.slowness ?? 1;
   }
 
-  /**
-   * Requests that the target's group may take in addition; negative where it
-   * has too many. Undefined where that isn't known.
-   */
+  /** What a target's group may take; undefined where that isn't known. */
   roomOf(
     target: Target,
     engine: EngineFigures,
     pauseMs: number,
     now: number,
-  ): number | undefined {
+  ): GroupRoom | undefined {
     const held = this.fresh(target, now);
     if (held === undefined) {
       return undefined;
@@ -85,7 +106,13 @@
     const others = view.requests / Math.max(ownThen, 1);
     const scale = Math.min(Math.max(others, 1), MOST_ENTRIES);
     const requests = view.requests + (own - ownThen) * scale;
-    return limits.mostRequests(engine, pace, pauseMs) - requests;
+    return {
+      most: limits.mostRequests(engine, pace, pauseMs),
+      requests,
+      imbalance: view.imbalance,
+      slowness,
+      ageMs: now - held.at,
+    };
   }
 
   private fresh(target: Target, now: number): HeldView | undefined {
@@ -93,57 +120,59 @@
     return held !== undefined && now - held.at < STALE_MS ? held : undefined;
   }
 
-  private async round(): Promise<void> {
-    const groups = new Map<string, Target[]>();
-    for (const target of this.context.ranks()) {
-      const key = keyOf(target);
-      groups.set(key, [...(groups.get(key) ?? []), target]);
-    }
-    for (const key of this.held.keys()) {
-      if (!groups.has(key)) {
-        this.held.delete(key);
+  /** Asks for news of a group as long as it has ranks. */
+  private async follow(key: string): Promise<void> {
+    while (!this.isClosed) {
+      const ranks = this.ranksOf(key);
+      if (ranks.length === 0) {
+        break;
       }
+      const isTold = await this.ask(key, ranks);
+      await pause(isTold ? PAUSE_MS : random.jitter(FAILED_PAUSE_MS));
     }
-    await Promise.all([...groups].map(([key, ranks]) => this.ask(key, ranks)));
-    if (!this.isClosed) {
-      this.start();
-    }
+    this.followed.delete(key);
+    this.held.delete(key);
   }
 
-  private async ask(key: string, ranks: readonly Target[]): Promise<void> {
+  /** False where nothing was told. */
+  private async ask(key: string, ranks: readonly Target[]): Promise<boolean> {
     const {rpc, hall, rpcPort} = this.context;
     const near = ranks.filter(rank => rank.hall === hall);
     const {address} = random.pick(near.length > 0 ? near : ranks);
     const [host] = address.split(':', 1);
-    const askedAt = performance.now();
     const answer = await rpc.call(
       `${host}:${rpcPort}`,
       experts.view,
-      {},
-      ANSWER_MS,
+      {waitMs: WAIT_MS},
+      WAIT_MS + ANSWER_MS,
     );
     const known = answer.ok ? answer.value.known : undefined;
-    if (known !== undefined) {
-      const {view, ageMs} = known;
-      const at = askedAt - ageMs;
-      const before = this.held.get(key);
-      if (before === undefined || before.at < at) {
-        this.held.set(key, {view, at, ownThen: this.ownOf(key)});
-      }
+    if (known === undefined) {
+      return false;
+    }
+    const at = performance.now() - known.ageMs;
+    if (at > (this.held.get(key)?.at ?? 0)) {
+      this.held.set(key, {view: known.view, at, ownThen: this.ownOf(key)});
     }
+    return true;
   }
 
   private ownOf(key: string): number {
-    let own = 0;
-    for (const target of this.context.ranks()) {
-      if (keyOf(target) === key) {
-        own += this.context.inFlight(target.id);
-      }
-    }
-    return own;
+    return this.ranksOf(key).reduce(
+      (sum, rank) => sum + this.context.inFlight(rank.id),
+      0,
+    );
+  }
+
+  private ranksOf(key: string): Target[] {
+    return this.context.ranks().filter(target => keyOf(target) === key);
   }
 }
 
 function keyOf(target: Target): string {
   return `${target.service} ${target.group}`;
 }
+
+function pause(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -4,6 +4,7 @@
 import type {ClientAccount, Route} from '../routes/types';
 import type {Call} from './call';
 import * as exchanges from './exchange';
+import type {GroupRoom} from './group-views';
 import type {ForwarderContext} from './forwarder';
 import type {RetryBudget} from './retry-budget';
 import * as types from './types';
@@ -78,9 +79,9 @@
       const group = open.length > 0 ? undefined : known[0]!.group;
       // Who has waited in vain is let in while there are places.
       const isUrgent = mayWait && (call.hasBegun || now >= waitsUntil);
-      const mayEnter =
-        gate.mayEnter(group, now) &&
-        this.hasRoom(request, known, isUrgent, now);
+      const room = this.roomFor(request, known, isUrgent, now);
+      const hasRoom = room === undefined || room.requests < room.most;
+      const mayEnter = gate.mayEnter(group, now) && hasRoom;
       const chosen = mayEnter
         ? loads.choose(open.length > 0 ? open : known, now)
         : undefined;
@@ -92,7 +93,7 @@
       if (!mayWait || call.hasLeft || now >= waitsUntil) {
         return fail(
           group === undefined
-            ? this.overloaded(call, request.service)
+            ? this.overloaded(call, request.service, room)
             : this.closedGroup(call, request, group, now),
         );
       }
@@ -101,26 +102,24 @@
   }
 
   /**
-   * False where the group has so many requests that its passes would be
-   * longer than the pause that the route allows; an urgent request is let in
-   * while there are places.
+   * What the group may take so that its passes are no longer than the pause
+   * that the route allows; for an urgent request, while there are places.
    */
-  private hasRoom(
+  private roomFor(
     request: RelayedRequest,
     known: readonly types.Target[],
     isUrgent: boolean,
     now: number,
-  ): boolean {
+  ): GroupRoom | undefined {
     const {configuration, views} = this.context;
     const rank = known.find(target => target.group !== undefined);
     const service = configuration.table?.findService(request.service);
     const {pauseMs} = request.route;
     if (rank === undefined || service?.engine === undefined || pauseMs === 0) {
-      return true;
+      return undefined;
     }
     const allowedMs = isUrgent ? Infinity : pauseMs;
-    const room = views.roomOf(rank, service.engine, allowedMs, now);
-    return room === undefined || room > 0;
+    return views.roomOf(rank, service.engine, allowedMs, now);
   }
 
   /** Sends to a target that was found, once, and notes how it went. */
@@ -265,8 +264,19 @@
   }
 
   /** Every target has as much from this entry as it should wait for. */
-  private overloaded(call: Call, service: string): types.Refusal {
+  private overloaded(
+    call: Call,
+    service: string,
+    room: GroupRoom | undefined,
+  ): types.Refusal {
     this.context.metrics.count('overloads_total', {service});
+    this.context.log.event('requestRefused', {
+      request: call.head?.id,
+      kind: 'overloaded',
+      service,
+      isLater: call.isLater,
+      ...room,
+    });
     const longMs = Math.max(call.leftMs, 0) * LONG_RETRY_SHARE;
     const retryMs = Math.min(random.jitter(OVERLOADED_RETRY_MS), longMs);
     return {kind: 'not-run', why: 'overloaded', retryMs};
--- a/src/roles/site-entry.ts
+++ b/src/roles/site-entry.ts
@@ -138,7 +138,6 @@
     this.log.event('processReady', {id: cfg.id, hall: cfg.hall});
     void this.configurationLoop.run();
     void this.targetsLoop.run();
-    this.views.start();
   }
 
   /** New settings are in the file; those of an entry hold for its life. */
@@ -274,6 +273,7 @@
       this.log.event('platformBack', {targets: this.targets.size});
     }
     this.hasTargets = this.hasTargets || this.targets.size > 0;
+    this.views.update();
     this.loads.retain(id => this.targets.get(id) !== undefined);
   }
 
--- a/src/roles/site-sidecar.ts
+++ b/src/roles/site-sidecar.ts
@@ -74,7 +74,10 @@
             : await this.agent.orderOther(call.term, call, order),
       };
     });
-    this.rpc.handle(experts.view, () => ({known: this.agent.known}));
+    this.rpc.handle(experts.view, async ({waitMs}) => {
+      await this.agent.waitForNews(waitMs);
+      return {known: this.agent.known};
+    });
     this.rpc.handle(experts.hearing, () => ({
       isPlannerHeard: this.agent.isPlannerHeard,
     }));
