--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -29,10 +29,11 @@
 const RETRY_SHARE = 0.25;
 const LONGEST_RETRY_MS = 1_000;
 /**
- * Longest wait for a group that is closed: a group forms within a second, and
- * callers leave a stream that is silent for two. Milliseconds.
+ * Longest wait for a group that is closed or full, in milliseconds: callers
+ * leave a stream that is silent for two seconds, and its first event takes a
+ * part of them.
  */
-const LONGEST_GATE_WAIT_MS = 1_900;
+const LONGEST_GATE_WAIT_MS = 1_200;
 /** Part of the time left after which callers may be asked to come back. */
 const LONG_RETRY_SHARE = 0.3;
 /** What a group may take longer to form than its engine states. */
