Entries balance by what all of them have at a rank

Each entry knew only its own requests, and 15 entries spread theirs over 63 ranks as if at random: at high load some ranks queue while others have places. The planner's word now tells requests by rank.

--- a/src/experts/planner.ts
+++ b/src/experts/planner.ts
@@ -450,14 +450,13 @@
 }
 
 function viewOf(known: KnownGroup, demand: plans.Demand): GroupView {
-  const {states, ranks, map} = known;
+  const {states, map} = known;
   const imbalance = plans.imbalance(map, demand, slownessOf(known));
   return {
-    size: states.length,
-    requests: states.reduce((sum, one) => sum + one.running + one.waiting, 0),
+    requests: states.map(one => one.running + one.waiting),
     imbalance: Number(imbalance.toFixed(3)),
     slow: states.flatMap(({rank, slowness}) =>
-      slowness > SLOW ? [{target: ranks.targetOf(rank), slowness}] : [],
+      slowness > SLOW ? [{rank, slowness}] : [],
     ),
   };
 }
--- a/src/experts/types.ts
+++ b/src/experts/types.ts
@@ -136,14 +136,12 @@
 
 /** What a group's planner tells of it. */
 export const groupViewSchema = v.object({
-  /** Ranks in the group. */
-  size: whole,
-  /** Requests that run or wait at its ranks. */
-  requests: v.number(),
+  /** By rank: requests that run or wait there. */
+  requests: v.array(v.number()),
   /** Most loaded rank over the mean under the map in force; 1 is even. */
   imbalance: v.number(),
   /** Ranks whose work takes longer than it should. */
-  slow: v.array(v.object({target: v.string(), slowness: v.number()})),
+  slow: v.array(v.object({rank: whole, slowness: v.number()})),
 });
 export type GroupView = v.InferOutput<typeof groupViewSchema>;
 
--- a/src/forwarding/choose.ts
+++ b/src/forwarding/choose.ts
@@ -1,6 +1,7 @@
 /**
- * Choosing a target by what this entry sees itself: its own requests in
- * flight, and how recent ones ended. Nothing is asked of a target for it.
+ * Choosing a target by what this entry sees itself, its own requests in
+ * flight and how recent ones ended, and by what sidecars tell of ranks.
+ * Nothing is asked of a target for it.
  */
 import * as random from '../random';
 import type {Target} from './types';
@@ -31,14 +32,32 @@
   at: number;
 }
 
+/** What others tell of a target. */
+export interface TargetNews {
+  /** How many times as long as it should its work takes. */
+  slownessOf(target: Target, now: number): number;
+  /** Requests of all entries there; undefined: not told. */
+  requestsAt(target: Target, now: number): number | undefined;
+}
+
+const NO_NEWS: TargetNews = {
+  slownessOf: () => 1,
+  requestsAt: () => undefined,
+};
+
+/**
+ * Targets that are compared where there are many. Entries are told the same,
+ * so that all would choose the same one otherwise.
+ */
+const COMPARED_SHARE = 1 / 8;
+const LEAST_COMPARED = 4;
+
 export class TargetLoads {
   private readonly records = new Map<string, Record_>();
 
-  /** `slownessOf`: how many times as long as it should a target's work takes. */
   constructor(
     private readonly hall: string,
-    private readonly slownessOf: (target: Target, now: number) => number = () =>
-      1,
+    private readonly news: TargetNews = NO_NEWS,
   ) {}
 
   /** Notes that a request goes to a target. */
@@ -63,10 +82,10 @@
   choose(targets: readonly Target[], now: number): Target | undefined {
     let best: Target | undefined;
     let bestScore = Infinity;
-    for (const target of targets) {
-      if (this.inFlight(target.id) >= target.slots * MOST_PER_SLOT) {
-        continue;
-      }
+    const free = targets.filter(
+      target => this.inFlight(target.id) < target.slots * MOST_PER_SLOT,
+    );
+    for (const target of this.compared(free, now)) {
       const score = this.score(target, now) + random.unit() * TIE_BREAK;
       if (score < bestScore) {
         best = target;
@@ -85,12 +104,23 @@
     }
   }
 
+  /** All targets, or some drawn at random where news of them is shared. */
+  private compared(targets: readonly Target[], now: number): readonly Target[] {
+    const [first] = targets;
+    const isShared =
+      first !== undefined && this.news.requestsAt(first, now) !== undefined;
+    const count = Math.ceil(targets.length * COMPARED_SHARE);
+    return isShared
+      ? random.sample(targets, Math.max(count, LEAST_COMPARED))
+      : targets;
+  }
+
   private score(target: Target, now: number): number {
     const record = this.records.get(target.id);
-    const inFlight = record?.inFlight ?? 0;
+    const inFlight = this.news.requestsAt(target, now) ?? record?.inFlight ?? 0;
     const failing = record === undefined ? 0 : decayed(record, now);
     const hop = target.hall === this.hall ? 0 : HALL_WEIGHT;
-    const slow = (this.slownessOf(target, now) - 1) * SLOW_WEIGHT;
+    const slow = (this.news.slownessOf(target, now) - 1) * SLOW_WEIGHT;
     return inFlight + hop + slow + failing * FAILURE_WEIGHT;
   }
 
--- a/src/forwarding/group-views.ts
+++ b/src/forwarding/group-views.ts
@@ -21,6 +21,7 @@
 const ANSWER_MS = 120;
 /** Views older than this tell nothing, in milliseconds. */
 const STALE_MS = 900;
+const NO_RANK = -1;
 /** Entries that may send to a group beside this one, at most. */
 const MOST_ENTRIES = 16;
 
@@ -28,8 +29,8 @@
   readonly view: GroupView;
   /** Monotonic time at which the view was true. */
   readonly at: number;
-  /** This entry's requests in flight to the group when it heard of it. */
-  readonly ownThen: number;
+  /** This entry's requests in flight when it heard, by target. */
+  readonly ownThen: ReadonlyMap<string, number>;
 }
 
 /** What decides whether a group takes another request. */
@@ -83,8 +84,21 @@
   /** How many times as long as it should a target's work takes. */
   slownessOf(target: Target, now: number): number {
     const view = this.fresh(target, now)?.view;
-    const slow = view?.slow.find(one => one.target === target.address);
-    return slow?.slowness ?? 1;
+    return view?.slow.find(one => one.rank === target.rank)?.slowness ?? 1;
+  }
+
+  /**
+   * Requests of all entries at a target: those that were told, and what this
+   * entry has sent and got answered since. Undefined where nothing was told.
+   */
+  requestsAt(target: Target, now: number): number | undefined {
+    const held = this.fresh(target, now);
+    const told = held?.view.requests[target.rank ?? NO_RANK];
+    if (held === undefined || told === undefined) {
+      return undefined;
+    }
+    const ownThen = held.ownThen.get(target.id) ?? 0;
+    return Math.max(told + this.context.inFlight(target.id) - ownThen, 0);
   }
 
   /** What a target's group may take; undefined where that isn't known. */
@@ -98,18 +112,23 @@
     if (held === undefined) {
       return undefined;
     }
-    const {view, ownThen} = held;
+    const {view} = held;
+    const told = sumOf(view.requests);
     const slowness = Math.max(1, ...view.slow.map(one => one.slowness));
-    const pace = {size: view.size, imbalance: view.imbalance, slowness};
-    const own = this.ownOf(keyOf(target));
+    const {imbalance} = view;
+    const pace = {size: view.requests.length, imbalance, slowness};
+    const own = sumOf([...this.ownOf(keyOf(target)).values()]);
+    const ownThen = sumOf([...held.ownThen.values()]);
     // Other entries change with the traffic as this one does.
-    const others = view.requests / Math.max(ownThen, 1);
-    const scale = Math.min(Math.max(others, 1), MOST_ENTRIES);
-    const requests = view.requests + (own - ownThen) * scale;
+    const scale = Math.min(
+      Math.max(told / Math.max(ownThen, 1), 1),
+      MOST_ENTRIES,
+    );
+    const requests = told + (own - ownThen) * scale;
     return {
       most: limits.mostRequests(engine, pace, pauseMs),
       requests,
-      imbalance: view.imbalance,
+      imbalance,
       slowness,
       ageMs: now - held.at,
     };
@@ -157,10 +176,9 @@
     return true;
   }
 
-  private ownOf(key: string): number {
-    return this.ranksOf(key).reduce(
-      (sum, rank) => sum + this.context.inFlight(rank.id),
-      0,
+  private ownOf(key: string): Map<string, number> {
+    return new Map(
+      this.ranksOf(key).map(rank => [rank.id, this.context.inFlight(rank.id)]),
     );
   }
 
@@ -169,6 +187,10 @@
   }
 }
 
+function sumOf(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0);
+}
+
 function keyOf(target: Target): string {
   return `${target.service} ${target.group}`;
 }
--- a/src/forwarding/target-list.test.ts
+++ b/src/forwarding/target-list.test.ts
@@ -11,6 +11,7 @@
     isLeaving,
     revision: 1,
     group: undefined,
+    rank: undefined,
   };
 }
 
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -16,6 +16,8 @@
   readonly revision: number;
   /** Group of ranks in lock-step that it belongs to; undefined: none. */
   readonly group: string | undefined;
+  /** Its rank there; undefined: not told. */
+  readonly rank: number | undefined;
 }
 
 /** What a request says of its prompt. */
--- a/src/roles/site-entry.ts
+++ b/src/roles/site-entry.ts
@@ -74,9 +74,7 @@
       ranks: () => this.targets.ranks(),
       inFlight: id => this.loads.inFlight(id),
     });
-    this.loads = new TargetLoads(cfg.hall, (target, now) =>
-      this.views.slownessOf(target, now),
-    );
+    this.loads = new TargetLoads(cfg.hall, this.views);
     this.forwarder = new Forwarder({
       cfg,
       wire,
@@ -278,11 +276,11 @@
   }
 
   private onTarget(change: TargetChange): void {
-    const {id, service, address, slots, group} = change.target;
+    const {id, service, address, slots, group, rank} = change.target;
     const fields = {target: id, service, address};
     switch (change.kind) {
       case 'joined':
-        this.log.event('targetJoined', {...fields, slots, group});
+        this.log.event('targetJoined', {...fields, slots, group, rank});
         return;
       case 'leaving':
         this.log.event('targetLeaving', fields);
