Entries tell each other what the store told them; keys outlive an outage where that is allowed

Ruled out: never stepping aside at all. An entry that is cut off from everybody is of no use to callers, so it still does, but only where it reaches neither the store nor a peer nor a target.

Now an entry that hears nothing asks two peers every 0.3 s for what the store told them.

--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -6,6 +6,7 @@
 import * as bodies from '../http/body';
 import {Log} from '../observability/log';
 import {Metrics} from '../observability/metrics';
+import type {Reach} from '../peers/reach';
 import * as random from '../random';
 import type {SiteSettings} from '../roles/site-settings';
 import {CurrentConfiguration} from '../routes/current';
@@ -32,7 +33,10 @@
   readonly loads: TargetLoads;
   readonly gate: GroupGate;
   readonly views: GroupViews;
+  readonly reach: Reach;
   readonly connections: TargetConnections;
+  /** Callers are better served by another entry. */
+  isCutOff(): boolean;
   readonly log: Log;
   readonly metrics: Metrics;
 }
@@ -164,7 +168,10 @@
     if (!table.needsKey(route)) {
       return {route, account: undefined};
     }
-    if (ageMs > cfg.revocationMs * TRUSTED_SHARE) {
+    const trustedMs = cfg.isRevocationStrict
+      ? cfg.revocationMs * TRUSTED_SHARE
+      : Infinity;
+    if (ageMs > trustedMs) {
       call.refuse(stale);
       return undefined;
     }
@@ -179,8 +186,7 @@
 
   /** Callers that hold a connection here are better served elsewhere. */
   private wantsCallersGone(): boolean {
-    const {configuration} = this.context;
-    return this.isStopping || configuration.isLagging(performance.now());
+    return this.isStopping || this.context.isCutOff();
   }
 
   private budgetOf(service: string): RetryBudget {
--- a/src/forwarding/group-views.ts
+++ b/src/forwarding/group-views.ts
@@ -5,6 +5,7 @@
  */
 import * as experts from '../experts/app';
 import type {GroupView} from '../experts/types';
+import type {Reach} from '../peers/reach';
 import * as random from '../random';
 import type {EngineFigures} from '../routes/types';
 import type {RpcClient} from '../rpc/client';
@@ -49,6 +50,7 @@
 /** What following groups needs. */
 export interface ViewsContext {
   readonly rpc: RpcClient;
+  readonly reach: Reach;
   readonly hall: string;
   /** Where sidecars listen. */
   readonly rpcPort: number;
@@ -165,6 +167,9 @@
       {waitMs: WAIT_MS},
       WAIT_MS + ANSWER_MS,
     );
+    if (answer.ok) {
+      this.context.reach.note();
+    }
     const known = answer.ok ? answer.value.known : undefined;
     if (known === undefined) {
       return false;
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -153,6 +153,9 @@
       // Another life, or another service, has the address by now.
       targets.drop(target.id);
     }
+    if (hasAnswered(outcome)) {
+      this.context.reach.note();
+    }
     this.noteGroup(target, outcome);
     call.noteOutcome(outcome.kind === 'not-run');
     if (outcome.kind !== 'streaming') {
@@ -341,6 +344,14 @@
   }
 }
 
+/** True where the target itself has said something. */
+function hasAnswered(outcome: exchanges.Outcome): boolean {
+  const isRefusal = outcome.kind === 'not-run' && outcome.status !== undefined;
+  return (
+    isRefusal || outcome.kind === 'answered' || outcome.kind === 'streaming'
+  );
+}
+
 function detailsOf(outcome: exchanges.Outcome): object {
   switch (outcome.kind) {
     case 'answered':
--- /dev/null
+++ b/src/peers/app.ts
@@ -0,0 +1,22 @@
+/** Calls between processes that follow the store. */
+import * as v from 'valibot';
+import * as rpc from '../rpc/types';
+import * as types from './types';
+
+/**
+ * Asks a peer what it knows of the store's objects, and makes the caller known
+ * to it. A peer that has never heard of a kind leaves it out.
+ */
+export const news = rpc.method(
+  'peers.news',
+  v.object({
+    /** Where the caller takes calls. */
+    from: v.string(),
+    held: v.array(types.heldKindSchema),
+  }),
+  v.object({
+    kinds: v.array(types.kindNewsSchema),
+    /** Where other processes of the same role take calls. */
+    peers: v.array(v.string()),
+  }),
+);
--- /dev/null
+++ b/src/peers/kind-copy.ts
@@ -0,0 +1,100 @@
+/**
+ * What the store has told of one kind of objects, by whichever way it came:
+ * by this process's own watch or by a peer's. Newer revisions go before older
+ * ones, so the order in which both are heard doesn't matter.
+ */
+import * as murmurhash from 'murmurhash';
+import type * as objects from '../platform/types';
+import type {WatchEvent} from '../platform/watch-loop';
+import type {HeldKind, KindNews} from './types';
+
+/** Digests are kept within 32 bits. */
+const DIGEST_RANGE = 2 ** 32;
+
+export class KindCopy {
+  private readonly items = new Map<string, objects.StoredObject>();
+  private revision: number | undefined;
+  private confirmedAt = -Infinity;
+
+  constructor(readonly kind: string) {}
+
+  /** What this process tells a peer that it holds. */
+  get held(): HeldKind {
+    let digest = 0;
+    for (const {key, version} of this.items.values()) {
+      digest = (digest + murmurhash.v3(`${key}@${version}`)) % DIGEST_RANGE;
+    }
+    return {kind: this.kind, digest};
+  }
+
+  /** Takes what the own watch says. False where a peer had told newer. */
+  take(event: WatchEvent): boolean {
+    switch (event.kind) {
+      case 'lost':
+        return true;
+      case 'contact':
+        this.confirmedAt = Math.max(this.confirmedAt, event.since);
+        return true;
+      case 'listed':
+      case 'changed':
+        return this.takeListing(event.kind, event.listing);
+    }
+  }
+
+  /** What a peer that holds this should hear; undefined: nothing is known. */
+  tell(
+    asked: HeldKind | undefined,
+    isSettling: boolean,
+    now: number,
+  ): KindNews | undefined {
+    const {kind, revision} = this;
+    if (revision === undefined || this.confirmedAt === -Infinity) {
+      return undefined;
+    }
+    const ageMs = Math.max(now - this.confirmedAt, 0);
+    const isSame = asked?.digest === this.held.digest;
+    const items = isSame ? undefined : [...this.items.values()];
+    return {kind, revision, ageMs, isSettling, items};
+  }
+
+  /**
+   * Takes what a peer was asked for at `askedAt`: the events that an own watch
+   * would have brought. Its age is counted from the question, since the answer
+   * may have been on its way for as long as anybody was frozen.
+   */
+  offer(news: KindNews, askedAt: number): WatchEvent[] {
+    if (news.revision < (this.revision ?? 0)) {
+      return [];
+    }
+    const events: WatchEvent[] = [];
+    const {revision, items} = news;
+    if (items !== undefined) {
+      const listing = {revision, items, removed: []};
+      this.takeListing('listed', listing);
+      events.push({kind: 'listed', listing});
+    }
+    if (this.revision !== undefined) {
+      this.revision = revision;
+      const since = askedAt - news.ageMs;
+      this.confirmedAt = Math.max(this.confirmedAt, since);
+      events.push({kind: 'contact', since});
+    }
+    return events;
+  }
+
+  private takeListing(
+    kind: 'listed' | 'changed',
+    listing: objects.Listing,
+  ): boolean {
+    if (listing.revision < (this.revision ?? 0)) {
+      return false;
+    }
+    if (kind === 'listed') {
+      this.items.clear();
+    }
+    listing.removed.forEach(key => this.items.delete(key));
+    listing.items.forEach(item => this.items.set(item.key, item));
+    this.revision = listing.revision;
+    return true;
+  }
+}
--- /dev/null
+++ b/src/peers/peer-follower.ts
@@ -0,0 +1,90 @@
+/**
+ * Asks peers what the store has told them, while this process hears nothing
+ * from it: one that the store turns away, or that has just started, goes on
+ * with what others hear. In calm nothing is asked but a greeting now and then,
+ * so that peers know of each other when it is needed.
+ */
+import type {RpcClient} from '../rpc/client';
+import * as app from './app';
+import type {PeerBook} from './peer-book';
+import type * as types from './types';
+
+/**
+ * Pause between rounds of questions, in milliseconds. A change that one
+ * process hears of reaches another that hears nothing in half of it on
+ * average, well within the two seconds that a site grants.
+ */
+const ROUND_MS = 300;
+/** Peers asked in a round. */
+const ASKED = 2;
+/** Longest wait for an answer, in milliseconds: a round trip and some work. */
+const ANSWER_MS = 250;
+/**
+ * Pause between greetings, in milliseconds. One costs about 1 KB; a peer that
+ * has started again is known to the others after it.
+ */
+const GREETING_MS = 10_000;
+
+/** What asking peers needs of its process. */
+export interface FollowerContext {
+  readonly rpc: RpcClient;
+  readonly book: PeerBook;
+  /** Where this process takes calls. */
+  readonly from: string;
+  /** True while the store itself tells nothing. */
+  needsNews(now: number): boolean;
+  held(): types.HeldKind[];
+  /** Takes what a peer told. True where it has heard lately. */
+  take(news: readonly types.KindNews[], askedAt: number): boolean;
+  /** A peer answered. */
+  onAnswer(): void;
+}
+
+export class PeerFollower {
+  private isClosed = false;
+  private greetedAt = -Infinity;
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly context: FollowerContext) {}
+
+  /** Begins to ask, after a head start for the store. */
+  start(): void {
+    this.timer = setTimeout(() => void this.round(), ROUND_MS);
+  }
+
+  close(): void {
+    this.isClosed = true;
+    clearTimeout(this.timer);
+  }
+
+  private async round(): Promise<void> {
+    const {book} = this.context;
+    const now = performance.now();
+    if (this.context.needsNews(now)) {
+      await Promise.all(book.toAsk(ASKED).map(peer => this.ask(peer)));
+    } else if (now - this.greetedAt > GREETING_MS) {
+      this.greetedAt = now;
+      await Promise.all(book.toAsk(1).map(peer => this.ask(peer)));
+    }
+    if (!this.isClosed) {
+      this.start();
+    }
+  }
+
+  private async ask(peer: string): Promise<void> {
+    const {rpc, book, from} = this.context;
+    const askedAt = performance.now();
+    const params = {from, held: this.context.held()};
+    const answer = await rpc.call(peer, app.news, params, ANSWER_MS);
+    if (this.isClosed) {
+      return;
+    }
+    let isHelpful = false;
+    if (answer.ok) {
+      this.context.onAnswer();
+      book.learn(answer.value.peers);
+      isHelpful = this.context.take(answer.value.kinds, askedAt);
+    }
+    book.note(peer, answer.ok, isHelpful);
+  }
+}
--- /dev/null
+++ b/src/peers/reach.ts
@@ -0,0 +1,14 @@
+/** When another process of the site last answered this one. */
+export class Reach {
+  private at = -Infinity;
+
+  /** Another process has answered. */
+  note(): void {
+    this.at = performance.now();
+  }
+
+  /** Milliseconds of silence from all others; `now` is monotonic. */
+  silentMs(now: number): number {
+    return now - this.at;
+  }
+}
--- /dev/null
+++ b/src/roles/site-follower.ts
@@ -0,0 +1,282 @@
+/**
+ * What an entry knows of its site: the configuration in force and the targets,
+ * as the store tells them, or peers while the store is silent.
+ */
+import {TargetChange, TargetList} from '../forwarding/target-list';
+import type {Target} from '../forwarding/types';
+import type {Log} from '../observability/log';
+import * as peersApp from '../peers/app';
+import {KindCopy} from '../peers/kind-copy';
+import {PeerBook} from '../peers/peer-book';
+import {PeerFollower} from '../peers/peer-follower';
+import type {Reach} from '../peers/reach';
+import type {KindNews} from '../peers/types';
+import type {ObjectApi} from '../platform/client';
+import * as objects from '../platform/types';
+import {WatchEvent, WatchLoop} from '../platform/watch-loop';
+import type {RpcClient} from '../rpc/client';
+import type {RpcServer} from '../rpc/server';
+import {CurrentConfiguration} from '../routes/current';
+import type {CallerLimits} from '../routes/types';
+import type {SiteDocuments} from './site-documents';
+import type {SiteSettings} from './site-settings';
+
+/**
+ * Milliseconds that a watch of the configuration waits. An answer proves that
+ * nothing newer exists, and keys are trusted for a few seconds after it.
+ */
+const CONFIGURATION_WAIT_MS = 1_800;
+/**
+ * Milliseconds that a watch of the targets waits. It need not tell that the
+ * store is out of reach: the other watch does.
+ */
+const TARGETS_WAIT_MS = 20_000;
+/** Time after an outage in which entries may still be coming back. */
+const OUTAGE_GRACE_MS = 1_000;
+/**
+ * Milliseconds without the store after which peers are asked, where no call
+ * has failed: a watch's wait, and the time of a store that is a little slow.
+ */
+const SILENT_MS = 2_000;
+/**
+ * Milliseconds without an answer from any other process after which this one
+ * counts as cut off: some rounds of questions to peers.
+ */
+const CUT_OFF_MS = 1_500;
+
+/** What following a site needs of its process. */
+export interface SiteFollowerContext {
+  readonly cfg: SiteSettings;
+  readonly documents: SiteDocuments;
+  readonly store: ObjectApi;
+  readonly rpc: RpcClient;
+  /** Where this process takes calls. */
+  readonly rpcAddress: string;
+  readonly reach: Reach;
+  readonly log: Log;
+  onLimits(limits: CallerLimits): void;
+  onTargets(): void;
+}
+
+export class SiteFollower {
+  readonly configuration = new CurrentConfiguration();
+  readonly targets = new TargetList(change => this.logTarget(change));
+  private readonly configurationLoop: WatchLoop;
+  private readonly targetsLoop: WatchLoop;
+  private readonly configurationCopy: KindCopy;
+  private readonly targetsCopy: KindCopy;
+  private readonly book: PeerBook;
+  private readonly peers: PeerFollower;
+  private isLost = false;
+  private graceUntil = 0;
+  private hasHadTargets = false;
+
+  constructor(private readonly context: SiteFollowerContext) {
+    const {store, documents, cfg} = context;
+    const {configurationKind, targetsKind} = documents;
+    this.configurationLoop = new WatchLoop(
+      store,
+      configurationKind,
+      CONFIGURATION_WAIT_MS,
+    );
+    this.targetsLoop = new WatchLoop(store, targetsKind, TARGETS_WAIT_MS);
+    this.configurationCopy = new KindCopy(configurationKind);
+    this.targetsCopy = new KindCopy(targetsKind);
+    this.book = new PeerBook(context.rpcAddress, cfg.seeds);
+    this.peers = new PeerFollower({
+      rpc: context.rpc,
+      book: this.book,
+      from: context.rpcAddress,
+      needsNews: now =>
+        this.isLost || this.configuration.ageMs(now) > SILENT_MS,
+      held: () => this.copies.map(copy => copy.held),
+      take: (news, askedAt) => this.takeNews(news, askedAt),
+      onAnswer: () => context.reach.note(),
+    });
+  }
+
+  /** True once requests can be routed somewhere. */
+  get isComplete(): boolean {
+    return this.configuration.table !== undefined && this.hasHadTargets;
+  }
+
+  /**
+   * True where callers are better served by another entry: this one has heard
+   * nothing lately, neither from the store nor from a peer or target. Where
+   * the store alone is silent, an entry goes on serving: the others hear no
+   * more of it, or they would have told.
+   */
+  isCutOff(now: number): boolean {
+    return (
+      this.configuration.isLagging(now) &&
+      !this.book.isEmpty &&
+      this.context.reach.silentMs(now) > CUT_OFF_MS
+    );
+  }
+
+  /** Starts to follow, and to answer peers on `server`. */
+  open(server: RpcServer): void {
+    server.handle(peersApp.news, call => {
+      this.book.learn([call.from]);
+      const now = performance.now();
+      const isSettling = now < this.graceUntil;
+      const kinds = this.copies.flatMap(copy => {
+        const held = call.held.find(one => one.kind === copy.kind);
+        return copy.tell(held, isSettling, now) ?? [];
+      });
+      return {kinds, peers: this.book.toTell()};
+    });
+    this.configurationLoop.events.subscribe(event => {
+      if (this.configurationCopy.take(event)) {
+        this.onConfiguration(event);
+      }
+    });
+    this.targetsLoop.events.subscribe(event => {
+      if (this.targetsCopy.take(event)) {
+        this.onTargets(event, performance.now() < this.graceUntil);
+      }
+    });
+    void this.configurationLoop.run();
+    void this.targetsLoop.run();
+    this.peers.start();
+  }
+
+  close(): void {
+    this.configurationLoop.close();
+    this.targetsLoop.close();
+    this.peers.close();
+  }
+
+  private get copies(): readonly KindCopy[] {
+    return [this.configurationCopy, this.targetsCopy];
+  }
+
+  /** True where the peer has heard from the store lately. */
+  private takeNews(news: readonly KindNews[], askedAt: number): boolean {
+    let isFresh = false;
+    for (const one of news) {
+      if (one.kind === this.configurationCopy.kind) {
+        this.configurationCopy
+          .offer(one, askedAt)
+          .forEach(event => this.takeConfigurationEvent(event, 'peer'));
+        isFresh = one.ageMs < SILENT_MS;
+      } else if (one.kind === this.targetsCopy.kind) {
+        this.targetsCopy
+          .offer(one, askedAt)
+          .forEach(event => this.takeTargetsEvent(event, one.isSettling));
+      }
+    }
+    return isFresh;
+  }
+
+  private onConfiguration(event: WatchEvent): void {
+    this.isLost = event.kind === 'lost';
+    if (event.kind === 'lost') {
+      this.context.log.event('platformUnavailable', {
+        of: this.configurationCopy.kind,
+        error: event.error.kind,
+      });
+      this.targetsLoop.restart();
+    } else {
+      this.takeConfigurationEvent(event, 'store');
+    }
+  }
+
+  private takeConfigurationEvent(
+    event: WatchEvent,
+    source: 'store' | 'peer',
+  ): void {
+    if (event.kind === 'contact') {
+      this.configuration.confirm(event.since);
+    } else if (event.kind !== 'lost') {
+      this.takeConfiguration(event.listing, source);
+    }
+  }
+
+  private takeConfiguration(
+    listing: objects.Listing,
+    source: 'store' | 'peer',
+  ): void {
+    const {documents, log} = this.context;
+    const object = listing.items.find(
+      item => item.key === documents.configurationKey,
+    );
+    if (object === undefined) {
+      return;
+    }
+    const read = documents.readSnapshot(object.value);
+    if (!read.ok) {
+      log.event('configurationRejected', {error: read.error.detail});
+      return;
+    }
+    const {version, limits} = read.value;
+    if (this.configuration.offer(read.value)) {
+      this.context.onLimits(limits);
+      log.event('configurationApplied', {version, source});
+    }
+  }
+
+  private onTargets(event: WatchEvent, inGrace: boolean): void {
+    if (event.kind === 'lost') {
+      this.graceUntil = Infinity;
+      this.context.log.event('platformUnavailable', {
+        of: this.targetsCopy.kind,
+        error: event.error.kind,
+      });
+      return;
+    }
+    this.takeTargetsEvent(event, inGrace);
+    if (event.kind !== 'contact' && this.graceUntil === Infinity) {
+      this.graceUntil = performance.now() + OUTAGE_GRACE_MS;
+      this.context.log.event('platformBack', {targets: this.targets.size});
+    }
+  }
+
+  /** `inGrace`: entries that are missing may still be coming back. */
+  private takeTargetsEvent(event: WatchEvent, inGrace: boolean): void {
+    if (event.kind !== 'listed' && event.kind !== 'changed') {
+      return;
+    }
+    const now = performance.now();
+    const {items, removed} = event.listing;
+    const found = items.flatMap(item => this.readTarget(item));
+    if (event.kind === 'listed') {
+      this.targets.replaceAll(found, now, inGrace);
+    } else {
+      found.forEach(target => this.targets.add(target));
+      removed.forEach(key =>
+        this.targets.remove(objects.nameOf(key), now, inGrace),
+      );
+    }
+    this.hasHadTargets ||= this.targets.size > 0;
+    this.context.onTargets();
+  }
+
+  private readTarget(item: objects.StoredObject): Target[] {
+    const target = this.context.documents.readTarget(
+      objects.nameOf(item.key),
+      item.version,
+      item.value,
+    );
+    return target === undefined ? [] : [target];
+  }
+
+  private logTarget(change: TargetChange): void {
+    const {log} = this.context;
+    const {id, service, address, slots, group, rank} = change.target;
+    const fields = {target: id, service, address};
+    switch (change.kind) {
+      case 'joined':
+        log.event('targetJoined', {...fields, slots, group, rank});
+        return;
+      case 'leaving':
+        log.event('targetLeaving', fields);
+        return;
+      case 'gone':
+        log.event('targetGone', fields);
+        return;
+      case 'missing':
+        log.event('targetMissing', fields);
+    }
+  }
+}
--- a/src/roles/site-settings.ts
+++ b/src/roles/site-settings.ts
@@ -22,6 +22,8 @@
   readonly callersAddress: string | undefined;
   /** Where an entry tells whether it is ready. */
   readonly readyAddress: string | undefined;
+  /** Calls between entries: where some others take them; may be stale. */
+  readonly seeds: readonly string[];
   readonly storeAddress: string;
   /** The target that a sidecar stands beside. */
   readonly targetAddress: string | undefined;
@@ -32,6 +34,8 @@
   readonly gracePeriodMs: number;
   /** Time within which a key that was taken away must stop working. */
   readonly revocationMs: number;
+  /** False: while the store is away, keys go on working for longer. */
+  readonly isRevocationStrict: boolean;
   readonly retryBudget: RetryBudgetSettings;
   /** Time that a group stands still before its requests are cut. */
   readonly stallMs: number;
--- a/src/roles/site-sidecar.ts
+++ b/src/roles/site-sidecar.ts
@@ -1,19 +1,19 @@
 /** The sidecar of a site: speaks for the rank beside it. */
 import * as crypto from 'node:crypto';
-import * as http from 'node:http';
+import type * as http from 'node:http';
 import * as experts from '../experts/app';
 import {GroupMember} from '../experts/group-member';
 import {RankAgent} from '../experts/rank-agent';
 import {BranchHead} from '../experts/branch';
 import * as packing from '../experts/packing';
 import type {Engine} from '../experts/types';
-import * as httpServer from '../http/server';
 import type {Log} from '../observability/log';
 import {Metrics} from '../observability/metrics';
 import type {ObjectApi} from '../platform/client';
 import {RpcClient} from '../rpc/client';
 import {RpcServer} from '../rpc/server';
 import {serveMetrics} from './metrics-face';
+import {serveRpc} from './rpc-face';
 import type {SiteDocuments} from './site-documents';
 import type {SiteSettings} from './site-settings';
 
@@ -81,15 +81,9 @@
     this.rpc.handle(experts.hearing, () => ({
       isPlannerHeard: this.agent.isPlannerHeard,
     }));
-    const server = http.createServer((req, res) => {
-      this.rpc.answer(req, res).catch(err => {
-        this.log.event('requestFault', {error: String((err as Error).stack)});
-        res.destroy();
-      });
-    });
     const {host, rpcPort, metricsPort} = this.cfg;
     this.servers.push(
-      await httpServer.bind(`${host}:${rpcPort}`, server),
+      await serveRpc(`${host}:${rpcPort}`, this.rpc, this.log),
       await serveMetrics(`${host}:${metricsPort}`, this.metrics),
     );
     void this.member?.run();
