Streams leave a rank that turned slow

Change: streams that may be resumed go on at other ranks from a slowness of 2 on, within the same answer, under attempts and retry budget, and only where the other ranks have room. Ruled out: a tighter limit of requests (one slow rank's fixed part alone is 0.33 s; more requests in flight hardly lengthen it).

--- a/src/forwarding/group-views.ts
+++ b/src/forwarding/group-views.ts
@@ -3,6 +3,7 @@
  * at each reading, and an entry asks one of them several times a second. So
  * entries share a view of the group without asking each other.
  */
+import * as rxjs from 'rxjs';
 import * as experts from '../experts/app';
 import type {GroupView} from '../experts/types';
 import type {Reach} from '../peers/reach';
@@ -61,6 +62,8 @@
 }
 
 export class GroupViews {
+  /** Something new was told of a group. */
+  readonly updates = new rxjs.Subject<void>();
   private readonly held = new Map<string, HeldView>();
   /** Groups that are being followed. */
   private readonly followed = new Set<string>();
@@ -81,6 +84,12 @@
 
   close(): void {
     this.isClosed = true;
+    this.updates.complete();
+  }
+
+  /** What was told of a target's group; undefined: nothing lately. */
+  viewOf(target: Target, now: number): GroupView | undefined {
+    return this.fresh(target, now)?.view;
   }
 
   /** How many times as long as it should a target's work takes. */
@@ -177,6 +186,7 @@
     const at = performance.now() - known.ageMs;
     if (at > (this.held.get(key)?.at ?? 0)) {
       this.held.set(key, {view: known.view, at, ownThen: this.ownOf(key)});
+      this.updates.next();
     }
     return true;
   }
--- /dev/null
+++ b/src/forwarding/slow-ranks.ts
@@ -0,0 +1,37 @@
+/**
+ * Streams on ranks that have turned slow. All ranks of a group make each pass
+ * together, so the work of a slow rank's own requests lengthens the passes of
+ * everybody's: with one rank of 129 twelve times as slow and six streams on
+ * it, passes took 0.95 s, and 0.35 to 0.5 s when those had ended. A stream of
+ * 15 passes that has 8 s fails with the former and is served with the latter.
+ * So such streams go on at other ranks, where that is allowed. Pure.
+ */
+import type {GroupView} from '../experts/types';
+
+/**
+ * Slowness from which on a stream is moved. It costs the prompt to be read
+ * once more, about a pass, and a retry; at twice the usual time the passes of
+ * all are longer by more than that within a few.
+ */
+const MOVE_SLOWNESS = 2;
+
+/** True where a stream on a rank should go on at another one. */
+export function mayMove(
+  view: GroupView,
+  rank: number | undefined,
+  slots: number,
+): boolean {
+  const isSlow = (at: number) =>
+    view.slow.some(one => one.rank === at && one.slowness >= MOVE_SLOWNESS);
+  if (rank === undefined || !isSlow(rank)) {
+    return false;
+  }
+  let requests = 0;
+  let places = 0;
+  view.requests.forEach((count, at) => {
+    requests += count;
+    places += isSlow(at) ? 0 : slots;
+  });
+  // Where the others have no room, it would only wait there.
+  return requests <= places;
+}
--- a/src/forwarding/stream-relay.ts
+++ b/src/forwarding/stream-relay.ts
@@ -4,6 +4,7 @@
  * same answer.
  */
 import * as bodies from '../http/body';
+import {mayMove} from './slow-ranks';
 import type {Call} from './call';
 import {EventSplitter} from './event-splitter';
 import * as exchanges from './exchange';
@@ -12,7 +13,7 @@
 import {isRepeatable} from './types';
 
 /** How passing a target's events on ended. */
-type PumpEnd = 'done' | 'broken' | 'caller-left' | 'timed-out';
+type PumpEnd = 'done' | 'broken' | 'caller-left' | 'timed-out' | 'moved';
 
 export class StreamRelay extends Relay {
   async relay(call: Call, request: RelayedRequest): Promise<void> {
@@ -42,7 +43,20 @@
             call.beginStream(outcome.head);
           }
         };
-        const end = await this.pump(call, outcome, target, splitter, begin);
+        const move = () =>
+          this.isSlow(target) &&
+          this.mayResume(call, request, target, hasBegun, splitter);
+        const end = await this.pump(
+          call,
+          outcome,
+          target,
+          splitter,
+          begin,
+          move,
+        );
+        if (end === 'moved' && !call.hasLeft) {
+          continue;
+        }
         if (end === 'done') {
           call.end('answered', outcome.head.status);
           return;
@@ -90,6 +104,13 @@
     );
   }
 
+  /** True where a stream had better go on at another rank of the group. */
+  private isSlow(target: Target): boolean {
+    const now = performance.now();
+    const view = this.context.views.viewOf(target, now);
+    return view !== undefined && mayMove(view, target.rank, target.slots);
+  }
+
   /** A stream that has begun can only be cut; nothing else is honest. */
   private giveUp(call: Call, hasBegun: boolean, refuse: () => void): void {
     if (hasBegun) {
@@ -106,8 +127,21 @@
     target: Target,
     splitter: EventSplitter,
     begin: () => void,
+    move: () => boolean,
   ): Promise<PumpEnd> {
     let isLate = false;
+    let isMoved = false;
+    const moving = this.context.views.updates.subscribe(() => {
+      if (!isMoved && !from.res.complete && move()) {
+        isMoved = true;
+        from.res.destroy();
+        this.context.log.event('streamMoved', {
+          request: call.head?.id,
+          target: target.id,
+          events: splitter.count,
+        });
+      }
+    });
     const timer = setTimeout(() => {
       isLate = true;
       from.res.destroy();
@@ -131,25 +165,31 @@
         end = this.finishStream(call, splitter, begin);
       }
     } catch (err) {
-      this.context.log.event('streamBroken', {
-        request: call.head?.id,
-        target: target.id,
-        events: splitter.count,
-        error: (err as Error).message,
-      });
+      if (!isMoved) {
+        this.context.log.event('streamBroken', {
+          request: call.head?.id,
+          target: target.id,
+          events: splitter.count,
+          error: (err as Error).message,
+        });
+      }
     } finally {
       clearTimeout(timer);
+      moving.unsubscribe();
       call.signal.removeEventListener('abort', onLeft);
       from.res.destroy();
       this.context.loads.end(
         target.id,
-        end === 'broken' && !isLate && !call.hasLeft,
+        end === 'broken' && !isLate && !isMoved && !call.hasLeft,
         performance.now(),
       );
     }
     if (call.hasLeft) {
       return 'caller-left';
     }
+    if (isMoved) {
+      return 'moved';
+    }
     return isLate ? 'timed-out' : end;
   }
 
--- a/src/observability/catalogue.ts
+++ b/src/observability/catalogue.ts
@@ -36,6 +36,11 @@
   requestSent: {id: 'FC2008', level: 'info', text: 'request sent to a target'},
   requestEnded: {id: 'FC2009', level: 'info', text: 'request ended'},
   noTarget: {id: 'FC2010', level: 'warn', text: 'no target for a service'},
+  streamMoved: {
+    id: 'FC2011',
+    level: 'info',
+    text: 'stream goes on at a faster rank',
+  },
   platformUnavailable: {
     id: 'FC3001',
     level: 'warn',
