Who watches the store is agreed upon within some greetings

Cause: a test of seven entries hung once (site-peers.test.ts, three of many): processes told each other of random peers and greeted the one that had helped last, so that some never heard of those that should watch.

--- a/src/peers/peer-book.ts
+++ b/src/peers/peer-book.ts
@@ -3,6 +3,7 @@
  * settings; others are learnt from whoever calls, and from what peers answer.
  */
 import * as random from '../random';
+import {watchersOf} from './watch-duty';
 
 /** Peers that are remembered beside the seeds. */
 const MOST_LEARNT = 64;
@@ -68,8 +69,18 @@
       : [helpful, ...random.sample(others, count - 1)];
   }
 
-  /** Peers that another process should know of. */
+  /** A peer to meet: any, so that everybody hears of everybody in time. */
+  toGreet(): string[] {
+    return random.sample(this.known, 1);
+  }
+
+  /**
+   * Peers that another process should know of: those that should watch the
+   * store for all, as far as this one knows, and some others.
+   */
   toTell(): string[] {
-    return random.sample([...this.learnt], MOST_TOLD);
+    const first = watchersOf([this.own, ...this.known]);
+    const others = [...this.learnt].filter(peer => !first.includes(peer));
+    return [...first, ...random.sample(others, MOST_TOLD - first.length)];
   }
 }
--- a/src/peers/peer-follower.ts
+++ b/src/peers/peer-follower.ts
@@ -27,9 +27,10 @@
 const WATCHER_ANSWER_MS = 600;
 /**
  * Pause between greetings, in milliseconds. One costs about 1 KB; a peer that
- * has started again is known to the others after it.
+ * has started again is known to the others after it, and who watches the store
+ * for the others is agreed upon after a few.
  */
-const GREETING_MS = 10_000;
+const GREETING_MS = 3_000;
 
 /** What asking peers needs of its process. */
 export interface FollowerContext {
@@ -75,7 +76,7 @@
       await Promise.all(book.toAsk(ASKED).map(peer => this.ask(peer)));
     } else if (now - this.greetedAt > GREETING_MS) {
       this.greetedAt = now;
-      await Promise.all(book.toAsk(1).map(peer => this.ask(peer)));
+      await Promise.all(book.toGreet().map(peer => this.ask(peer)));
     }
     if (!this.isClosed) {
       this.start();
