A branch whose head is silent is read in branches, not head after head

Cause: read while reviewing: with a whole hall cut off each silent head cost its time-out before the next was tried; a reading of 129 ranks took 12.0 s, in which others would take the planner's seat (30 ranks: 2.8 s). Before and after: group-links.test.ts, a hall cut off, 12.0 s to under 1.5 s.

--- a/src/experts/branch.ts
+++ b/src/experts/branch.ts
@@ -71,7 +71,9 @@
 
 /**
  * Reads the sidecars of one branch, in their order. Where its head does not
- * answer, the others are read behind another head.
+ * answer, the others are read in branches of their own, all at a time: a hall
+ * of 26 sidecars that is cut off costs 0.75 s, once, and not 0.3 s for each
+ * head that is tried after another.
  */
 export async function readBranch(
   rpc: RpcClient,
@@ -89,7 +91,7 @@
     readTimeoutMs(behind.length),
   );
   if (!answer.ok) {
-    const rest = await readBranch(rpc, call, behind);
+    const rest = await readBranches(rpc, call, behind);
     return {...rest, ranks: [SILENT, ...rest.ranks]};
   }
   const {ranks, growth} = answer.value;
@@ -101,6 +103,24 @@
 
 const SILENT: ReadAnswer = {kind: 'silent'};
 
+/** Reads sidecars in a few branches; answers in their order. */
+async function readBranches(
+  rpc: RpcClient,
+  call: Omit<ReadCall, 'members'>,
+  members: readonly string[],
+): Promise<BranchReading> {
+  const readings = await Promise.all(
+    divide(members).map(some => readBranch(rpc, call, some)),
+  );
+  let growth: Float64Array | undefined;
+  for (const one of readings) {
+    if (one.growth !== undefined) {
+      growth = packing.addGrowth(growth, one.growth);
+    }
+  }
+  return {ranks: readings.flatMap(one => one.ranks), growth};
+}
+
 /** Gives the sidecars of one branch an order; results in their order. */
 export async function orderBranch(
   rpc: RpcClient,
@@ -118,11 +138,23 @@
     orderTimeoutMs(call.order, behind.length),
   );
   if (!answer.ok) {
-    return ['silent', ...(await orderBranch(rpc, call, behind))];
+    return ['silent', ...(await orderBranches(rpc, call, behind))];
   }
   return members.map((_, at) => answer.value.results[at] ?? 'silent');
 }
 
+/** Orders sidecars in a few branches; results in their order. */
+async function orderBranches(
+  rpc: RpcClient,
+  call: {readonly term: number; readonly order: app.WireOrder},
+  members: readonly string[],
+): Promise<BranchOrderResult[]> {
+  const results = await Promise.all(
+    divide(members).map(some => orderBranch(rpc, call, some)),
+  );
+  return results.flat();
+}
+
 /** A sidecar that is called first: for its own rank and for those behind it. */
 export class BranchHead {
   constructor(
@@ -133,19 +165,16 @@
 
   async read(call: ReadCall): Promise<BranchReading> {
     const {term, periodMs, members} = call;
-    const [own, ...behind] = await Promise.all([
+    const [own, behind] = await Promise.all([
       this.agent.read(term, periodMs, call, call.view),
-      ...divide(members).map(some => readBranch(this.rpc, call, some)),
+      readBranches(this.rpc, call, members),
     ]);
-    let growth: Float64Array | undefined;
-    for (const one of [own, ...behind]) {
-      if (one.growth !== undefined) {
-        growth = packing.addGrowth(growth, one.growth);
-      }
-    }
     return {
-      ranks: [own.answer, ...behind.flatMap(one => one.ranks)],
-      growth,
+      ranks: [own.answer, ...behind.ranks],
+      growth:
+        own.growth === undefined
+          ? behind.growth
+          : packing.addGrowth(behind.growth, own.growth),
     };
   }
 
@@ -154,12 +183,11 @@
     wire: app.WireOrder,
     members: readonly string[],
   ): Promise<BranchOrderResult[]> {
-    const call = {term, order: wire};
-    const [own, ...behind] = await Promise.all([
+    const [own, behind] = await Promise.all([
       this.orderOwn(term, wire),
-      ...divide(members).map(some => orderBranch(this.rpc, call, some)),
+      orderBranches(this.rpc, {term, order: wire}, members),
     ]);
-    return [own, ...behind.flat()];
+    return [own, ...behind];
   }
 
   private async orderOwn(
--- a/src/experts/group-links.test.ts
+++ b/src/experts/group-links.test.ts
@@ -327,4 +327,14 @@
       await new Promise(resolve => setTimeout(resolve, 200));
     }
   });
+
+  it('reads the others in a second while a whole hall is cut off', async () => {
+    await links.read(growthWish);
+    const cut = sidecars.filter(one => one.member.hall === 'hall-1');
+    cut.forEach(one => one.stall());
+    const begunAt = performance.now();
+    const reading = await links.read(growthWish);
+    expect(performance.now() - begunAt).toBeLessThan(1_500);
+    expect(reading.ranks.size).toBe(size - cut.length);
+  });
 });
