A sidecar that falls silent as it is taken off the list is forgotten

Cause: read while reviewing: the next reading called a member that was not on the list any more and failed with a TypeError that nobody caught, which ends the planner's process. Before and after: group-links.test.ts, fails with that TypeError before.

--- a/src/experts/group-links.test.ts
+++ b/src/experts/group-links.test.ts
@@ -337,4 +337,16 @@
     expect(performance.now() - begunAt).toBeLessThan(1_500);
     expect(reading.ranks.size).toBe(size - cut.length);
   });
+
+  it('forgets a sidecar that fell silent as it was taken off the list', async () => {
+    await links.read(growthWish);
+    sidecars[1]!.stall();
+    const reading = links.read(growthWish);
+    const left = sidecars.filter((_, at) => at !== 1);
+    links.setMembers(left.map(one => ({...one.member})));
+    await reading;
+    await new Promise(resolve => setTimeout(resolve, 450));
+    expect((await links.read(growthWish)).ranks.size).toBe(size - 1);
+    expect((await links.read(growthWish)).ranks.size).toBe(size - 1);
+  });
 });
--- a/src/experts/group-links.ts
+++ b/src/experts/group-links.ts
@@ -115,9 +115,13 @@
   async read(wish: ReadWish): Promise<GroupReading> {
     const now = performance.now();
     for (const [sidecar, at] of this.silent) {
-      if (now - at > SILENT_PAUSE_MS) {
+      const member = this.members.find(one => one.sidecar === sidecar);
+      if (member === undefined) {
+        // It fell silent as it was taken off the list.
+        this.silent.delete(sidecar);
+      } else if (now - at > SILENT_PAUSE_MS) {
         this.silent.set(sidecar, now);
-        void this.readMembers([this.memberAt(sidecar)], STATES_ONLY);
+        void this.readMembers([member], STATES_ONLY);
       }
     }
     const heard = this.members.filter(one => this.isHeard(one.sidecar));
@@ -393,10 +397,6 @@
     return engine;
   }
 
-  private memberAt(sidecar: string): Member {
-    return this.members.find(member => member.sidecar === sidecar)!;
-  }
-
   private note(sidecar: string, isHeard: boolean): void {
     if (isHeard) {
       this.silent.delete(sidecar);
