--- a/src/experts/map-changer.ts
+++ b/src/experts/map-changer.ts
@@ -65,6 +65,7 @@
   readonly plan: MapPlan;
 }
 
+/** The changes of one planner, one at a time. */
 export class MapChanger {
   readonly passes = new PassClock();
   private armMs = FIRST_ARM_MS;
--- a/src/experts/map-copies.ts
+++ b/src/experts/map-copies.ts
@@ -20,6 +20,7 @@
   readonly map: ExpertMap;
 }
 
+/** The maps that one sidecar was told last. */
 export class MapCopies {
   private copies: Copy[] = [];
 
--- a/src/experts/packing.ts
+++ b/src/experts/packing.ts
@@ -36,6 +36,7 @@
   });
 }
 
+/** The shape of a map in which every expert stands somewhere. */
 export function shapeOf(map: ExpertMap): MapShape {
   const highest = map[0]?.flat().reduce((most, one) => Math.max(most, one), -1);
   const ranks = map[0]?.length ?? 0;
@@ -185,6 +186,7 @@
   readonly bytes: string;
 }
 
+/** Growth in few bytes: see `PackedGrowth`. */
 export function packGrowth(growth: Growth): PackedGrowth {
   let largest = 0;
   for (let at = 0; at < growth.length; at += 1) {
--- a/src/peers/watch-duty.ts
+++ b/src/peers/watch-duty.ts
@@ -24,6 +24,7 @@
  */
 const LEAST_DUTY_MS = 8_000;
 
+/** One process's part in watching the store. */
 export class WatchDuty {
   private until = 0;
 
--- a/src/rpc/coding.ts
+++ b/src/rpc/coding.ts
@@ -23,6 +23,7 @@
   readonly headers: Readonly<Record<string, string>>;
 }
 
+/** A document as the body of a call or of its answer. */
 export function encode(document: unknown): CodedBody {
   const text = Buffer.from(JSON.stringify(document));
   const headers = {'content-type': 'application/json'};
@@ -34,7 +35,7 @@
       };
 }
 
-/** Fails with `bad-json`; what unpacks to too much is none either. */
+/** Reads such a body. Fails with `bad-json`; what unpacks to too much is none either. */
 export function decode(
   bytes: Buffer,
   coding: string | undefined,
