--- a/scripts/test.js
+++ b/scripts/test.js
@@ -8,7 +8,7 @@
 
 const ROOT = path.join(__dirname, '..');
 const OUTPUT = path.join(ROOT, 'dist', 'jest.json');
-const MOST_RED = 4;
+const MOST_RED = 3;
 
 function readKnownRed() {
   const file = path.join(ROOT, 'KNOWN-RED.txt');
@@ -24,7 +24,7 @@
 function main() {
   const known = readKnownRed();
   if (known.length > MOST_RED) {
-    process.stderr.write('KNOWN-RED.txt holds more than four lines\n');
+    process.stderr.write('KNOWN-RED.txt holds more than three lines\n');
     return 1;
   }
   fs.rmSync(OUTPUT, {force: true});
