Who waits for a closed group may find out at each of its ranks

Cause: a rank that refused as part of a closed group was noted as tried, so the caller that was the trial at every rank was told "no-target" while others waited on. Mend: a closed group's refusals are no tries, as they were no tries of the request already. Ruled out: the target's own refusal (both had refused before), the place in the queue (the caller was alone).

--- a/src/forwarding/plain-relay.ts
+++ b/src/forwarding/plain-relay.ts
@@ -12,8 +12,8 @@
         return;
       }
       const target = found.value;
-      tried.add(target.id);
       const outcome = await this.send(call, request, target);
+      this.noteTried(tried, target, outcome);
       if (call.hasLeft) {
         call.end('caller-left');
         return;
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -159,10 +159,9 @@
     this.noteGroup(target, outcome);
     call.noteOutcome(outcome.kind === 'not-run');
     if (outcome.kind !== 'streaming') {
-      const now = performance.now();
       // A group that is closed says nothing of the one rank.
-      const isClosed = this.context.gate.closedMs(target.group, now) > 0;
-      loads.end(target.id, !isClosed && isFailure(outcome), now);
+      const hasFailed = !this.isGroupClosed(target) && isFailure(outcome);
+      loads.end(target.id, hasFailed, performance.now());
     }
     this.context.log.event('requestSent', {
       request: request.head.id,
@@ -175,6 +174,27 @@
     return outcome;
   }
 
+  /**
+   * Notes a target as tried, but for a rank whose group took nothing at all:
+   * that says nothing of the rank, and whoever waits for the group may be the
+   * one that finds out at each of its ranks. With two ranks that caller was
+   * refused after 130 ms of its 500, while those beside it were served.
+   */
+  protected noteTried(
+    tried: Set<string>,
+    target: types.Target,
+    outcome: exchanges.Outcome,
+  ): void {
+    if (outcome.kind !== 'not-run' || !this.isGroupClosed(target)) {
+      tried.add(target.id);
+    }
+  }
+
+  /** True where a target's group takes nothing at any of its ranks. */
+  private isGroupClosed(target: types.Target): boolean {
+    return this.context.gate.closedMs(target.group, performance.now()) > 0;
+  }
+
   /** True where an outcome harms nobody who sends the request once more. */
   protected mayTryNext(
     call: Call,
@@ -207,10 +227,8 @@
     request: RelayedRequest,
     target: types.Target,
   ): boolean {
-    const isClosed =
-      this.context.gate.closedMs(target.group, performance.now()) > 0;
     // Refusals of a group that is closed leave the request's tries alone.
-    const used = isClosed ? call.runs : call.sends;
+    const used = this.isGroupClosed(target) ? call.runs : call.sends;
     if (
       used >= request.route.attempts ||
       call.sends >= MOST_REFUSED_SENDS ||
--- a/src/forwarding/stream-relay.ts
+++ b/src/forwarding/stream-relay.ts
@@ -28,7 +28,6 @@
         return;
       }
       const target = found.value;
-      tried.add(target.id);
       splitter.discardPartial();
       const outcome = await this.send(
         call,
@@ -36,6 +35,7 @@
         target,
         hasBegun ? splitter.lastId : undefined,
       );
+      this.noteTried(tried, target, outcome);
       if (outcome.kind === 'streaming') {
         const begin = () => {
           if (!hasBegun) {
