No reader takes a half answer for a whole one

Cause, of the short answers that callers took for whole: an answer without a length is whole at the end of its connection, and a reset that is read together with the last bytes is reported as a plain end. The check for it stood at one reader of many. Mend: each answer is watched where its head comes, in the one place that all calls go through, and whoever reads or passes on a body asks there. So the store's client, calls between processes, orders to engines, the own interface's answers and what is kept with a key have it too. A body that is passed on is ended by us, after the check; the pipe ended it before. Ruled out: answers with a length or in chunks (Node knows where they end).

--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -32,8 +32,6 @@
       readonly kind: 'streaming';
       readonly head: AnswerHead;
       readonly res: http.IncomingMessage;
-      /** True where the connection was reset on the way. */
-      readonly wasReset: () => boolean;
     }
   /** Certainly not run: the target says so, or nothing was sent. */
   | {readonly kind: 'not-run'; readonly status: number | undefined}
@@ -73,7 +71,6 @@
     return judgeError(answer.error);
   }
   const res = answer.value;
-  const wasReset = httpClient.watchReset(res);
   const head = wire.readAnswer(res);
   if (head.requestId !== send.head.id) {
     res.destroy();
@@ -85,16 +82,15 @@
     return {kind: 'unknown', why: 'unsigned-answer'};
   }
   if (isSuccess && send.isStream) {
-    return {kind: 'streaming', head, res, wasReset};
+    return {kind: 'streaming', head, res};
   }
-  return readWhole(send, head, res, wasReset);
+  return readWhole(send, head, res);
 }
 
 async function readWhole(
   send: Send,
   head: AnswerHead,
   res: http.IncomingMessage,
-  wasReset: () => boolean,
 ): Promise<Outcome> {
   let isLate = false;
   const timer = setTimeout(() => {
@@ -112,7 +108,7 @@
   if (head.isNotRun) {
     return {kind: 'not-run', status: head.status};
   }
-  if (!read.ok || wasReset()) {
+  if (!read.ok) {
     res.destroy();
     return {kind: 'unknown', why: 'broken-answer'};
   }
--- a/src/forwarding/stream-relay.ts
+++ b/src/forwarding/stream-relay.ts
@@ -4,6 +4,7 @@
  * same answer.
  */
 import * as bodies from '../http/body';
+import * as resets from '../http/resets';
 import {mayMove} from './slow-ranks';
 import type {Call} from './call';
 import {EventSplitter} from './event-splitter';
@@ -161,7 +162,7 @@
           await bodies.writePatiently(call.res, events);
         }
       }
-      if (from.res.complete && !from.wasReset() && !call.hasLeft) {
+      if (resets.isWhole(from.res) && !call.hasLeft) {
         end = this.finishStream(call, splitter, begin);
       }
     } catch (err) {
--- a/src/http/body.ts
+++ b/src/http/body.ts
@@ -3,6 +3,7 @@
 import type {Readable} from 'node:stream';
 import {pipeline} from 'node:stream/promises';
 import {Result, fail, ok} from '../result';
+import * as resets from './resets';
 
 /** Why a body was not read. */
 export type BodyError =
@@ -32,7 +33,8 @@
       chunks.push(chunk);
     });
     stream.on('end', () => {
-      const isCut = stream instanceof http.IncomingMessage && !stream.complete;
+      const isCut =
+        stream instanceof http.IncomingMessage && !resets.isWhole(stream);
       resolve(isCut ? fail({kind: 'body-cut'}) : ok(Buffer.concat(chunks)));
     });
     // Either comes without an end where the peer goes away early.
@@ -121,12 +123,18 @@
     return false;
   }
   try {
-    await pipeline(from, to);
-    return true;
+    // The end is ours to give: it would tell the receiver that all has come.
+    await pipeline(from, to, {end: false});
   } catch {
     to.destroy();
     return false;
   }
+  if (!resets.isWhole(from)) {
+    to.destroy();
+    return false;
+  }
+  to.end();
+  return true;
 }
 
 /** Writes; resolves when the peer can take more, or is gone. */
--- a/src/http/client.ts
+++ b/src/http/client.ts
@@ -1,9 +1,9 @@
 /** Requests to other processes over kept-alive connections. */
 import * as http from 'node:http';
-import type * as net from 'node:net';
 import {Result, fail, ok} from '../result';
 import {splitAddress} from './address';
 import * as body from './body';
+import * as resets from './resets';
 
 const CONNECT_TIMEOUT_MS = 1_000;
 const MAX_IDLE_SOCKETS = 64;
@@ -88,6 +88,7 @@
     });
     req.on('response', res => {
       settle();
+      resets.watch(res);
       res.once('close', () =>
         call.signal?.removeEventListener('abort', onAbort),
       );
@@ -132,41 +133,6 @@
   return Array.isArray(headers);
 }
 
-/**
- * Tells later whether an answer's connection was reset. Node takes a body
- * without a length for whole when its connection ends, also by a reset; and
- * where the last bytes and the reset are read together, libuv reports a plain
- * end instead of the error. A socket that was reset has no peer any more.
- */
-export function watchReset(res: http.IncomingMessage): () => boolean {
-  const {socket} = res;
-  let watch = resets.get(socket);
-  if (watch === undefined) {
-    watch = {wasReset: false};
-    resets.set(socket, watch);
-    noteReset(socket, watch);
-  }
-  const held = watch;
-  return () => held.wasReset;
-}
-
-interface ResetWatch {
-  wasReset: boolean;
-}
-
-/** One watch a connection, however many answers come over it. */
-const resets = new WeakMap<net.Socket, ResetWatch>();
-
-function noteReset(socket: net.Socket, watch: ResetWatch): void {
-  socket.once('error', () => {
-    watch.wasReset = true;
-  });
-  // Before Node's own listener, which closes our side too.
-  socket.prependOnceListener('end', () => {
-    watch.wasReset ||= socket.remoteAddress === undefined;
-  });
-}
-
 /** A whole answer. */
 export interface Answer {
   readonly status: number;
