The log tells of answers that only the end of their connection ended

Of a short answer that was passed on as whole, the log said "answered, 200" and nothing else, so that it could not be told from an answer that the target itself framed short. FC2008 has `unframed` now, the bytes of an answer without a length. Test: platform/site-entry.test.ts, "tells of an answer that only the end of its connection ended", fails with the field taken out.

--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -373,6 +373,11 @@
 function detailsOf(outcome: exchanges.Outcome): object {
   switch (outcome.kind) {
     case 'answered':
+      return {
+        status: outcome.head.status,
+        // A short answer that was taken for whole shows nowhere else.
+        ...(outcome.head.isUnframed ? {unframed: outcome.body.length} : {}),
+      };
     case 'streaming':
       return {status: outcome.head.status};
     case 'not-run':
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -69,6 +69,8 @@
   readonly isNotRun: boolean;
   /** The body is not the target's own bytes. */
   readonly isEncoded: boolean;
+  /** No length and no chunks: the end of the connection ends the body. */
+  readonly isUnframed: boolean;
   /** Headers to pass on, names and values by turns. */
   readonly passedHeaders: readonly string[];
 }
