Half an event is no end of a stream that names no length

Cause: where only the end of the connection ends a stream, what came before it was taken for all of it, also where it stopped within an event; the caller got the half as the last one. Mend: such a stream broke off, and goes on at another target or is cut. A stream in chunks whose target gives the end itself is passed on as it is.

--- a/src/forwarding/stream-relay.ts
+++ b/src/forwarding/stream-relay.ts
@@ -13,6 +13,9 @@
 import type {Target} from './types';
 import {isRepeatable} from './types';
 
+/** The head of a stream; its events follow. */
+type StreamingAnswer = Extract<exchanges.Outcome, {kind: 'streaming'}>;
+
 /** How passing a target's events on ended. */
 type PumpEnd = 'done' | 'broken' | 'caller-left' | 'timed-out' | 'moved';
 
@@ -124,7 +127,7 @@
 
   private async pump(
     call: Call,
-    from: Extract<exchanges.Outcome, {kind: 'streaming'}>,
+    from: StreamingAnswer,
     target: Target,
     splitter: EventSplitter,
     begin: () => void,
@@ -162,7 +165,7 @@
           await bodies.writePatiently(call.res, events);
         }
       }
-      if (resets.isWhole(from.res) && !call.hasLeft) {
+      if (hasEnded(from, splitter) && !call.hasLeft) {
         end = this.finishStream(call, splitter, begin);
       }
     } catch (err) {
@@ -207,3 +210,13 @@
     return 'done';
   }
 }
+
+/**
+ * True where a stream came to the end that its target gave it. Where only the
+ * end of the connection ends it, half an event tells that it broke off: the
+ * caller took the half for the last one otherwise.
+ */
+function hasEnded(from: StreamingAnswer, splitter: EventSplitter): boolean {
+  const isCut = from.head.isUnframed && splitter.partial.length > 0;
+  return resets.isWhole(from.res) && !isCut;
+}
