--- a/features/streams.steps.ts
+++ b/features/streams.steps.ts
@@ -165,6 +165,12 @@
   });
 
   then('the two parts are the whole answer to its own prompt', () => {
+    const {status, error, body} = streams[1]!.stream;
+    expect({status, error, body}).toEqual({
+      status: 200,
+      error: undefined,
+      body: '',
+    });
     const text = streams.map(part => part.stream.text).join('');
     expect(text).toBe(textFor(streams[0]!.content, streams[0]!.tokens));
     expect(streams[1]!.stream.isWhole).toBe(true);
--- a/features/support/http.ts
+++ b/features/support/http.ts
@@ -67,6 +67,8 @@
   readonly ids: string[] = [];
   readonly datas: string[] = [];
   error: string | undefined;
+  /** What came where no stream did: a refusal. */
+  body = '';
   status = 0;
   headers: http.IncomingHttpHeaders = {};
   private readonly req: http.ClientRequest;
@@ -101,7 +103,10 @@
         this.status = res.statusCode ?? 0;
         this.headers = res.headers;
         res.setEncoding('utf8');
-        res.on('data', (chunk: string) => parser.feed(chunk));
+        res.on('data', (chunk: string) => {
+          parser.feed(chunk);
+          this.body += res.statusCode === 200 ? '' : chunk;
+        });
         res.on('close', () => resolve());
         res.on('error', () => resolve());
       });
