A failing test: an entry that can't go on with a stream at a target it doesn't use

An entry finds only targets of its subset that have reported, though the platform's list names all of them with their addresses.

--- /dev/null
+++ b/src/targets/directory.test.ts
@@ -0,0 +1,48 @@
+import type {Instance} from '../platform/types';
+import {TargetDirectory} from './directory';
+
+const SIDECARS = 12;
+const SUBSET = 3;
+
+const instances: readonly Instance[] = Array.from(
+  {length: SIDECARS},
+  (_, at) => ({
+    id: `rank-${at}`,
+    role: 'sidecar',
+    address: `10.0.0.${at}:1`,
+    hall: 'h',
+    state: 'live',
+    serves: 'model/m',
+    group: 'g',
+    rank: at,
+  }),
+);
+
+/**
+ * A caller whose entry died went on through another one and was told "the
+ * stream is no longer kept, its target is unknown", though the target ran on
+ * and kept the stream. Cause: an entry knew the targets alone that are of its
+ * subset and have told of themselves. So a caller who came before a target's
+ * first report lost its stream for good, and so did most callers where there
+ * are more targets than a subset holds. Evidence: the refusal in the scenario
+ * "the caller reconnects through another", in 2 of 25 runs beside load.
+ */
+describe('the targets that an entry knows', () => {
+  function directory(): TargetDirectory {
+    const targets = new TargetDirectory('entry-1', () => SUBSET);
+    targets.applyInstances(instances);
+    return targets;
+  }
+
+  it('are found by their id whether or not the entry uses them', () => {
+    const targets = directory();
+    expect(targets.members.length).toBe(SUBSET);
+    const found = instances.map(({id}) => targets.find(id)?.address);
+    expect(found).toEqual(instances.map(({address}) => address));
+    expect(targets.find('rank-99')).toBeUndefined();
+  });
+
+  it('get no work before they have told of themselves', () => {
+    expect(directory().forModel('m')).toEqual([]);
+  });
+});
