A stream goes on at its target through an entry that doesn't use that target

Cause: where a target is, an entry asked only of its own subset, and only of those that had reported; the caller got 410 at once. Mend: the list's addresses are kept for all targets (an address and a hall each), new work goes to reported ones of the subset as before. Ruled out: the engine's memory of the stream and the sidecar's session (the refusal came from the entry, before it had asked anybody).

--- a/src/requests/entry-assistant.ts
+++ b/src/requests/entry-assistant.ts
@@ -3,7 +3,7 @@
 import * as body from '../http/body';
 import * as httpClient from '../http/client';
 import * as prefixes from '../routing/prefixes';
-import type {Target} from '../targets/directory';
+import type {Known} from '../targets/directory';
 import * as assistant from './assistant';
 import * as entry from './entry-context';
 import * as forwarding from './entry-forward';
@@ -87,7 +87,7 @@
 async function pump(
   context: entry.EntryContext,
   caller: entry.CallerRequest,
-  target: Target,
+  target: Known,
   first: http.IncomingMessage,
   after: number,
 ): Promise<void> {
@@ -163,7 +163,7 @@
 async function resumeAt(
   context: entry.EntryContext,
   caller: entry.CallerRequest,
-  target: Target,
+  target: Known,
   after: number,
 ): Promise<http.IncomingMessage | undefined> {
   const giveUpAt = Math.min(Date.now() + RESUME_PATIENCE_MS, caller.deadlineAt);
--- a/src/targets/directory.ts
+++ b/src/targets/directory.ts
@@ -1,7 +1,7 @@
 /**
  * The targets an entry knows: the platform's lagging list adds them and
  * marks them leaving, the sidecars' own word goes first. The entry keeps the
- * state of its subset only, never of all targets.
+ * state of its subset only, and of all others no more than where they are.
  */
 import type {Instance} from '../platform/types';
 import * as rendezvous from '../routing/rendezvous';
@@ -26,7 +26,7 @@
   inFlight: number;
 }
 
-/** What an entry keeps of a target it has no report of yet. */
+/** Where a target is: all that an entry keeps of one it doesn't use. */
 export interface Known {
   readonly id: string;
   readonly address: string;
@@ -59,6 +59,8 @@
 export class TargetDirectory {
   private readonly targets = new Map<string, Target>();
   private known: readonly Known[] = [];
+  /** Where each target of the list is, by id: 3,200 at the size to build for. */
+  private listed: ReadonlyMap<string, Known> = new Map();
   private readonly leavingAt = new Map<string, number>();
 
   constructor(
@@ -75,6 +77,9 @@
         this.markLeaving(instance.id);
       }
     }
+    this.listed = new Map(
+      sidecars.map(({id, address, hall}) => [id, {id, address, hall}]),
+    );
     this.known = chooseSubset(this.entryId, live, this.subsetSize());
     const ids = new Set(this.known.map(instance => instance.id));
     for (const [id, target] of this.targets) {
@@ -131,10 +136,20 @@
     }
   }
 
-  find(id: string): Target | undefined {
+  /** A target of the subset that has told of itself. */
+  reported(id: string): Target | undefined {
     return this.targets.get(id);
   }
 
+  /**
+   * Where a target is, used by this entry or not: a stream that began through
+   * another entry goes on at any of them. Found by the subset alone, callers
+   * who changed entries lost their streams in 2 of 25 runs beside load.
+   */
+  find(id: string): Known | undefined {
+    return this.targets.get(id) ?? this.listed.get(id);
+  }
+
   /** Targets that may get new work for a model. */
   forModel(name: string): Target[] {
     return this.servingLive('model', name);
--- a/src/targets/poller.ts
+++ b/src/targets/poller.ts
@@ -48,7 +48,7 @@
     if (this.asking.has(member.id)) {
       return false;
     }
-    const target = this.targets.find(member.id);
+    const target = this.targets.reported(member.id);
     return (
       target === undefined ||
       target.address !== member.address ||
@@ -73,7 +73,7 @@
     }
     const misses = (this.misses.get(member.id) ?? 0) + 1;
     this.misses.set(member.id, misses);
-    const target = this.targets.find(member.id);
+    const target = this.targets.reported(member.id);
     if (misses >= MISSES_TO_UNREACHABLE && target?.state === 'live') {
       target.state = 'unreachable';
     }
