--- a/features/leaving.steps.ts
+++ b/features/leaving.steps.ts
@@ -25,6 +25,9 @@
   readonly at: number;
   readonly target: string;
   readonly isWhole: boolean;
+  readonly status: number;
+  /** Why it was refused or broke off; empty: it didn't. */
+  readonly why: string;
 }
 
 /** Short streams, one after the other, on several lines. */
@@ -55,7 +58,8 @@
       );
       await stream.whenEnded();
       const target = stream.ids[0]?.split('.')[0] ?? '';
-      this.samples.push({at, target, isWhole: stream.isWhole});
+      const {isWhole, status, error, body} = stream;
+      this.samples.push({at, target, isWhole, status, why: error ?? body});
     }
   }
 }
