--- a/src/requests/answers.ts
+++ b/src/requests/answers.ts
@@ -19,6 +19,19 @@
   };
 }
 
+/** Passes a target's answer on through its sidecar. */
+export async function passOn(
+  context: SidecarContext,
+  incoming: Incoming,
+  sent: http.IncomingMessage,
+): Promise<void> {
+  incoming.res.writeHead(sent.statusCode ?? 502, {
+    ...contentHeaders(sent),
+    ...ownHeaders(context, incoming),
+  });
+  await body.passBody(sent, incoming.res);
+}
+
 /** A sidecar's refusal, as the final answer. */
 export function refuse(
   context: SidecarContext,
--- a/src/requests/entry-assistant.ts
+++ b/src/requests/entry-assistant.ts
@@ -46,7 +46,7 @@
   try {
     await (answers.isEventStream(res)
       ? pump(context, caller, target, res, 0)
-      : passThrough(context, caller, res));
+      : entry.passOn(context, caller, res, 'assistant'));
   } finally {
     done();
   }
@@ -194,22 +194,6 @@
   return undefined;
 }
 
-async function passThrough(
-  context: entry.EntryContext,
-  caller: entry.CallerRequest,
-  sent: http.IncomingMessage,
-): Promise<void> {
-  caller.res.writeHead(sent.statusCode ?? 502, {
-    ...answers.contentHeaders(sent),
-    [refusals.REQUEST_HEADER]: caller.id,
-    [refusals.OUTCOME_HEADER]: 'ran',
-  });
-  const isWhole = await body.passBody(sent, caller.res);
-  caller.entry.outcome = isWhole ? 'done' : 'cut';
-  const wholeMs = Date.now() - caller.startedAt;
-  context.metrics.time('whole', caller.account.id, 'assistant', wholeMs);
-}
-
 /** Times first tokens and the gaps between tokens. */
 class TokenMeter {
   private lastAt = 0;
--- a/src/requests/entry-context.ts
+++ b/src/requests/entry-context.ts
@@ -13,6 +13,7 @@
 import * as rpcTypes from '../rpc/types';
 import type {Target, TargetDirectory} from '../targets/directory';
 import * as targets from '../targets/types';
+import {contentHeaders} from './answers';
 import * as headers from './headers';
 import type {Journal, JournalEntry} from './journal';
 import * as refusals from './refusals';
@@ -135,3 +136,25 @@
   });
   refusals.sendRefusal(caller.res, refusal, caller.id);
 }
+
+/** Passes a sidecar's whole answer on to the caller. */
+export async function passOn(
+  context: EntryContext,
+  caller: CallerRequest,
+  sent: http.IncomingMessage,
+  kind: 'assistant' | 'service',
+): Promise<void> {
+  const replayed = sent.headers[headers.REPLAYED_HEADER];
+  caller.res.writeHead(sent.statusCode ?? 502, {
+    ...contentHeaders(sent),
+    ...(replayed === undefined ? {} : {[headers.REPLAYED_HEADER]: replayed}),
+    [refusals.REQUEST_HEADER]: caller.id,
+    [refusals.OUTCOME_HEADER]: 'ran',
+  });
+  const isWhole = await body.passBody(sent, caller.res);
+  const end = isWhole ? 'done' : 'cut';
+  caller.entry.outcome = end;
+  context.metrics.count('answers_total', {kind, end});
+  const wholeMs = Date.now() - caller.startedAt;
+  context.metrics.time('whole', caller.account.id, kind, wholeMs);
+}
--- a/src/requests/entry-service.ts
+++ b/src/requests/entry-service.ts
@@ -4,7 +4,6 @@
 import * as keys from '../claims/keys';
 import type {Service} from '../configuration/types';
 import {isAddress} from '../http/address';
-import * as body from '../http/body';
 import * as httpClient from '../http/client';
 import * as random from '../random';
 import {Result, fail, ok} from '../result';
@@ -12,7 +11,6 @@
 import * as forwarding from './entry-forward';
 import * as headers from './headers';
 import * as refusals from './refusals';
-import * as answers from './answers';
 import {isRepeatable} from './sidecar-service';
 
 /** A call to a plain service, with its body read. */
@@ -59,7 +57,7 @@
     entry.refuseCaller(context, caller, sent.error);
     return;
   }
-  await passThrough(context, caller, sent.value);
+  await entry.passOn(context, caller, sent.value, 'service');
 }
 
 /**
@@ -134,7 +132,7 @@
     return;
   }
   try {
-    await passThrough(context, caller, sent.value.res);
+    await entry.passOn(context, caller, sent.value.res, 'service');
   } finally {
     sent.value.done();
   }
@@ -247,28 +245,6 @@
   return refusal === undefined ? ok(sent.value) : fail(refusal);
 }
 
-async function passThrough(
-  context: entry.EntryContext,
-  caller: entry.CallerRequest,
-  sent: http.IncomingMessage,
-): Promise<void> {
-  const replayed = sent.headers[headers.REPLAYED_HEADER];
-  caller.res.writeHead(sent.statusCode ?? 502, {
-    ...answers.contentHeaders(sent),
-    ...(replayed === undefined ? {} : {[headers.REPLAYED_HEADER]: replayed}),
-    [refusals.REQUEST_HEADER]: caller.id,
-    [refusals.OUTCOME_HEADER]: 'ran',
-  });
-  const isWhole = await body.passBody(sent, caller.res);
-  caller.entry.outcome = isWhole ? 'done' : 'cut';
-  context.metrics.count('answers_total', {
-    kind: 'service',
-    end: caller.entry.outcome,
-  });
-  const wholeMs = Date.now() - caller.startedAt;
-  context.metrics.time('whole', caller.account.id, 'service', wholeMs);
-}
-
 function pause(milliseconds: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, milliseconds));
 }
--- a/src/requests/sidecar-assistant.ts
+++ b/src/requests/sidecar-assistant.ts
@@ -68,9 +68,12 @@
       answers.refuse(this.context, incoming, sent.error);
       return;
     }
-    await (answers.isEventStream(sent.value)
-      ? this.stream(incoming, chat.value, sent.value, ticket.value)
-      : this.passThrough(incoming, sent.value, ticket.value));
+    if (answers.isEventStream(sent.value)) {
+      await this.stream(incoming, chat.value, sent.value, ticket.value);
+      return;
+    }
+    await answers.passOn(this.context, incoming, sent.value);
+    ticket.value.release();
   }
 
   /** Goes on with a stream after the last event that the caller has. */
@@ -308,20 +311,6 @@
     );
   }
 
-  private async passThrough(
-    incoming: Incoming,
-    sent: http.IncomingMessage,
-    ticket: Ticket,
-  ): Promise<void> {
-    const {res} = incoming;
-    res.writeHead(sent.statusCode ?? 502, {
-      ...answers.contentHeaders(sent),
-      ...answers.ownHeaders(this.context, incoming),
-    });
-    await body.passBody(sent, res);
-    ticket.release();
-  }
-
   private writeStreamHead(incoming: Incoming): void {
     incoming.res.writeHead(200, {
       'content-type': 'text/event-stream',
--- a/src/requests/sidecar-service.ts
+++ b/src/requests/sidecar-service.ts
@@ -85,11 +85,7 @@
       answers.refuse(this.context, incoming, failed);
       return;
     }
-    incoming.res.writeHead(sent.value.statusCode ?? 502, {
-      ...answers.contentHeaders(sent.value),
-      ...answers.ownHeaders(this.context, incoming),
-    });
-    await body.passBody(sent.value, incoming.res);
+    await answers.passOn(this.context, incoming, sent.value);
     ticket.value.release();
   }
 
