An entry waits for the list that names a stream's target

Mend: whoever brings an event's id of a target is waited with, up to the 4 s that a target itself is waited for.

--- a/src/requests/entry-assistant.ts
+++ b/src/requests/entry-assistant.ts
@@ -65,7 +65,13 @@
     entry.refuseCaller(context, caller, refusals.notRun('bad-request', detail));
     return;
   }
-  const target = context.targets.find(stream.target);
+  // The event's id proves that the target was there: an entry that has just
+  // started lost 1 of 20 callers' streams where it didn't wait for the list.
+  const target = await context.targets.whenFound(
+    stream.target,
+    Math.min(RESUME_PATIENCE_MS, entry.timeLeft(caller)),
+    caller.signal,
+  );
   if (target === undefined) {
     entry.refuseCaller(context, caller, lostRefusal('its target is unknown'));
     return;
--- a/src/targets/directory.test.ts
+++ b/src/targets/directory.test.ts
@@ -42,6 +42,23 @@
     expect(targets.find('rank-99')).toBeUndefined();
   });
 
+  // The same refusal in 1 of 20 more runs: an entry that has just started serves
+  // before the list has come that names the target.
+  it('are waited for by whoever knows that they are there', async () => {
+    jest.useFakeTimers();
+    const targets = new TargetDirectory('entry-1', () => SUBSET);
+    const {signal} = new AbortController();
+    const found = targets.whenFound('rank-7', 4_000, signal);
+    const missed = targets.whenFound('rank-99', 4_000, signal);
+    await jest.advanceTimersByTimeAsync(1_000);
+    targets.applyInstances(instances);
+    await jest.advanceTimersByTimeAsync(200);
+    expect(await found).toMatchObject({address: '10.0.0.7:1'});
+    await jest.advanceTimersByTimeAsync(3_000);
+    expect(await missed).toBeUndefined();
+    jest.useRealTimers();
+  });
+
   it('get no work before they have told of themselves', () => {
     expect(directory().forModel('m')).toEqual([]);
   });
--- a/src/targets/directory.ts
+++ b/src/targets/directory.ts
@@ -33,6 +33,8 @@
   readonly hall: string;
 }
 
+/** Between two looks for a target that is waited for, in milliseconds. */
+const LOOK_PAUSE_MS = 100;
 /** How long a sidecar's own word outlives the platform's list. */
 const LEAVING_MEMORY_MS = 60_000;
 
@@ -150,6 +152,24 @@
     return this.targets.get(id) ?? this.listed.get(id);
   }
 
+  /**
+   * Waits for a target that the platform's list doesn't name yet. Undefined
+   * where it has not come within so many milliseconds, or at abort.
+   */
+  async whenFound(
+    id: string,
+    patienceMs: number,
+    signal: AbortSignal,
+  ): Promise<Known | undefined> {
+    const giveUpAt = Date.now() + patienceMs;
+    let found = this.find(id);
+    while (found === undefined && Date.now() < giveUpAt && !signal.aborted) {
+      await new Promise(resolve => setTimeout(resolve, LOOK_PAUSE_MS));
+      found = this.find(id);
+    }
+    return found;
+  }
+
   /** Targets that may get new work for a model. */
   forModel(name: string): Target[] {
     return this.servingLive('model', name);
