Tests of a site's processes take ports that nobody else gets

A port was taken from the system's range, let go of, and bound later, when another connection could have it. The fleet's way of giving out ports below that range serves both now.

--- a/features/support/fleet.ts
+++ b/features/support/fleet.ts
@@ -2,12 +2,12 @@
  * A small fleet of real processes on loopback: platform, engine group,
  * ledger, sidecars and entries, with relays where a test cuts.
  */
-import * as net from 'node:net';
 import type {Document, Service} from '../../src/configuration/types';
 import * as edit from '../../src/configuration/edit';
 import {HttpObjectApi} from '../../src/platform/client';
 import type {Instance} from '../../src/platform/types';
 import * as testHttp from './http';
+import {freePorts} from './ports';
 import {TestProcess} from './process';
 import {Relay} from './relay';
 import * as site from './site';
@@ -40,29 +40,6 @@
   readonly process: TestProcess;
 }
 
-/**
- * Ports below the system's range for outgoing connections, each given out
- * once: a port that is let go of before its process listens could otherwise
- * go to a second process, or to a connection.
- */
-const FIRST_PORT = 11_000;
-const PORTS_PER_WORKER = 1_000;
-const WORKER = Number(process.env['JEST_WORKER_ID'] ?? 0) % 10;
-let nextPort = 0;
-
-/** Ports that nobody else gets. */
-export async function freePorts(count: number): Promise<number[]> {
-  const ports: number[] = [];
-  while (ports.length < count) {
-    const port = FIRST_PORT + WORKER * PORTS_PER_WORKER + nextPort;
-    nextPort = (nextPort + 1) % PORTS_PER_WORKER;
-    if (!(await isTaken(port))) {
-      ports.push(port);
-    }
-  }
-  return ports;
-}
-
 /** Polls until true; throws the message otherwise. */
 export async function eventually(
   what: string,
@@ -386,11 +363,3 @@
     }
   }
 }
-
-function isTaken(port: number): Promise<boolean> {
-  return new Promise(resolve => {
-    const server = net.createServer();
-    server.once('error', () => resolve(true));
-    server.listen(port, HOST, () => server.close(() => resolve(false)));
-  });
-}
