A target's lifetime is its id and its start; entries of other writers name none

Cause: a target may start again under the id that it had, told apart by `born`. That was read nowhere: an id that had left was out for good (and kept for good), failures and requests in flight of the lifetime before counted for the next one, and counters of a new start passed for growth where none had fallen. Every field of an entry but two had a default, so an entry of another writer counted as a ready target, one of an unnamed service took an address over, and one object without a name or revision failed the whole list.

Now: one name of a lifetime, read at the edge; lists, loads, tries and views go by it; lifetimes are put in order by the store's revisions, since starts are told in a time of day that may jump back; 4,096 ended ones are remembered. Objects of a list are read one by one. `ofService` no longer builds a map of all targets at each look.

Ruled out: ordering lifetimes by `born` (clocks jump); dropping what is held under an unreadable entry (it says nothing of the target).

--- a/src/experts/group-links.test.ts
+++ b/src/experts/group-links.test.ts
@@ -47,9 +47,11 @@
 
   async counts() {
     this.looks += 1;
-    return ok(
-      Array.from({length: EXPERTS}, (_, expert) => this.looks * expert * 10),
+    const values = Array.from(
+      {length: EXPERTS},
+      (_, expert) => this.looks * expert * 10,
     );
+    return ok({born: undefined, values});
   }
 
   async held() {
--- a/src/experts/group-member.ts
+++ b/src/experts/group-member.ts
@@ -207,15 +207,15 @@
     }
     const {items, removed} = event.listing;
     const found = items.flatMap(item => this.readTarget(item));
-    if (event.kind === 'listed') {
-      this.takeMembers(found);
-      return;
-    }
-    const changed = new Set([
-      ...found.map(target => target.id),
-      ...removed.map(objects.nameOf),
-    ]);
-    const kept = this.members.filter(target => !changed.has(target.id));
+    const read = new Set(found.map(target => target.id));
+    const isListed = event.kind === 'listed';
+    const named = new Set(
+      (isListed ? items.map(item => item.key) : removed).map(objects.nameOf),
+    );
+    // An entry that tells of no target takes nobody's place.
+    const kept = this.members.filter(
+      ({id}) => !read.has(id) && named.has(id) === isListed,
+    );
     this.takeMembers([...kept, ...found]);
   }
 
@@ -241,7 +241,7 @@
       item.version,
       item.value,
     );
-    return target === undefined ? [] : [target];
+    return target.ok ? [target.value] : [];
   }
 
   /** A rank's newest life is the one that counts at its address. */
--- a/src/experts/planner.ts
+++ b/src/experts/planner.ts
@@ -235,9 +235,16 @@
 
   private noteStates(reading: GroupReading): void {
     for (const {state} of reading.ranks.values()) {
-      if (state.epoch === this.known?.epoch) {
-        this.known.states[state.rank] = state;
+      if (this.known === undefined || state.epoch !== this.known.epoch) {
+        continue;
       }
+      if (state.born !== this.known.states[state.rank]?.born) {
+        // A rank that started again holds no map and nothing prepared, even
+        // where its group still names the epoch of before.
+        this.known = undefined;
+        return;
+      }
+      this.known.states[state.rank] = state;
     }
   }
 
--- /dev/null
+++ b/src/experts/rank-agent.test.ts
@@ -0,0 +1,75 @@
+import {SILENT_LOG} from '../observability/log';
+import {ok} from '../result';
+import {RankAgent} from './rank-agent';
+import * as types from './types';
+
+const STATE: types.RankState = {
+  group: 'g',
+  epoch: 1,
+  rank: 0,
+  size: 1,
+  isOpen: true,
+  step: 4,
+  running: 0,
+  waiting: 0,
+  mapVersion: 0,
+  prepared: null,
+  armed: null,
+  held: null,
+  slowness: 1,
+};
+
+/** An engine whose counters a test sets. */
+class CountingEngine extends types.Engine {
+  told: types.ExpertCounts = {born: 1_000, values: [10, 20]};
+
+  async state() {
+    return ok(STATE);
+  }
+
+  async counts() {
+    return ok(this.told);
+  }
+
+  async held() {
+    return ok({version: 0, experts: [[0, 1]]});
+  }
+
+  async order() {
+    return 'done' as const;
+  }
+
+  close(): void {}
+}
+
+const WISH: types.ReadWish = {growth: true, planning: false, held: false};
+
+describe('the growth of a rank’s counters', () => {
+  const engine = new CountingEngine();
+  const agent = new RankAgent(engine, () => engine, SILENT_LOG);
+
+  async function growth(told: types.ExpertCounts): Promise<number[]> {
+    engine.told = told;
+    const reading = await agent.read(1, 50, WISH);
+    return Array.from(reading.growth ?? []);
+  }
+
+  beforeAll(() => agent.primeCounters());
+
+  it('is what was added since the reading before', async () => {
+    expect(await growth({born: 1_000, values: [15, 20]})).toEqual([5, 0]);
+  });
+
+  // A rank that was frozen or cut off for long may count beyond what it had
+  // counted in the lifetime before.
+  it('is none across a restart, though the counters be higher', async () => {
+    expect(await growth({born: 9_000, values: [40, 60]})).toEqual([]);
+    expect(await growth({born: 9_000, values: [41, 60]})).toEqual([1, 0]);
+  });
+
+  it('is none where a counter fell and no start is told', async () => {
+    expect(await growth({born: undefined, values: [50, 60]})).toEqual([]);
+    expect(await growth({born: undefined, values: [2, 70]})).toEqual([]);
+    expect(await growth({born: undefined, values: [3, 70]})).toEqual([1, 0]);
+  });
+});
--- a/src/experts/rank-agent.ts
+++ b/src/experts/rank-agent.ts
@@ -6,6 +6,7 @@
 import {Log} from '../observability/log';
 import {
   Engine,
+  ExpertCounts,
   GivenArm,
   GroupView,
   Growth,
@@ -45,7 +46,7 @@
   term = 0;
   private heardAt = -Infinity;
   private periodMs = FIRST_PERIOD_MS;
-  private counters: readonly number[] | undefined;
+  private counters: ExpertCounts | undefined;
   /** Undefined until a planner has learnt what there was before. */
   private gave: GivenArm | null | undefined;
   private readonly news = new rxjs.Subject<void>();
@@ -217,15 +218,18 @@
   }
 
   /** Undefined for a first reading, and after the engine started again. */
-  private takeGrowth(counters: readonly number[]): Growth | undefined {
+  private takeGrowth(counters: ExpertCounts): Growth | undefined {
     const before = this.counters;
     this.counters = counters;
-    if (before === undefined || before.length !== counters.length) {
+    const {values} = counters;
+    const isSameStart =
+      before?.born === counters.born && before?.values.length === values.length;
+    if (before === undefined || !isSameStart) {
       return undefined;
     }
-    const growth = new Float64Array(counters.length);
-    for (let at = 0; at < counters.length; at += 1) {
-      growth[at] = counters[at]! - before[at]!;
+    const growth = new Float64Array(values.length);
+    for (let at = 0; at < values.length; at += 1) {
+      growth[at] = values[at]! - before.values[at]!;
       if (growth[at]! < 0) {
         return undefined;
       }
--- a/src/experts/types.ts
+++ b/src/experts/types.ts
@@ -17,6 +17,8 @@
   /** Rises each time the group forms; everything prepared is then gone. */
   epoch: whole,
   rank: whole,
+  /** Unix milliseconds of the rank's start; left out where it isn't told. */
+  born: v.optional(whole),
   /** Ranks in the group. */
   size: whole,
   isOpen: v.boolean(),
@@ -128,14 +130,20 @@
  */
 export type OrderResult = 'done' | 'refused' | 'no-answer' | 'deposed';
 
+/** Tokens sent to each expert since a rank's start, all sets in a row. */
+export interface ExpertCounts {
+  /** The start that they count from; undefined: not told. */
+  readonly born: number | undefined;
+  readonly values: readonly number[];
+}
+
 export type EngineError = {readonly kind: 'no-answer'};
 
 /** One rank's engine, as its own orders and reports go. */
 export abstract class Engine {
   /** Undefined: it is not a rank of a group. */
   abstract state(): Promise<Result<RankState | undefined, EngineError>>;
-  /** Tokens sent to each expert since the start, all sets in a row. */
-  abstract counts(): Promise<Result<readonly number[], EngineError>>;
+  abstract counts(): Promise<Result<ExpertCounts, EngineError>>;
   abstract held(): Promise<Result<HeldExperts, EngineError>>;
   /** One try, without a wait for what it begins. */
   abstract order(order: Order): Promise<OrderResult>;
--- a/src/forwarding/choose.test.ts
+++ b/src/forwarding/choose.test.ts
@@ -14,6 +14,7 @@
 
 const ranks: Target[] = Array.from({length: RANKS}, (_, rank) => ({
   id: `t${rank}`,
+  lifetime: `t${rank}@1`,
   service: 's',
   address: `10.0.0.${rank}:1`,
   hall: `hall-${rank % 5}`,
@@ -28,11 +29,13 @@
 class LateNews implements TargetNews {
   private told = new Int32Array(RANKS);
   private readonly ownThen = new Map<string, number>();
-  inFlight: (id: string) => number = () => 0;
+  inFlight: (lifetime: string) => number = () => 0;
 
   tell(told: Int32Array): void {
     this.told = Int32Array.from(told);
-    ranks.forEach(({id}) => this.ownThen.set(id, this.inFlight(id)));
+    ranks.forEach(({lifetime}) =>
+      this.ownThen.set(lifetime, this.inFlight(lifetime)),
+    );
   }
 
   slownessOf(): number {
@@ -56,7 +59,7 @@
   const entries = Array.from({length: ENTRIES}, (_, at) => {
     const news = new LateNews();
     const loads = new TargetLoads(`hall-${at % 5}`, news);
-    news.inFlight = id => loads.inFlight(id);
+    news.inFlight = lifetime => loads.inFlight(lifetime);
     return {news, loads};
   });
   const requests = new Int32Array(RANKS);
@@ -67,7 +70,7 @@
   for (let now = 0; now < PLAYED_MS; now += random.exponential(1_000 / RATE)) {
     for (const end of ends.filter(one => one.at <= now)) {
       requests[end.rank]! -= 1;
-      end.loads.end(ranks[end.rank]!.id, false, now);
+      end.loads.end(ranks[end.rank]!.lifetime, false, now);
     }
     ends = ends.filter(one => one.at > now);
     if (now >= newsAt) {
@@ -75,8 +78,8 @@
       entries.forEach(({news}) => news.tell(requests));
     }
     const {loads} = random.pick(entries);
-    const {id, rank} = loads.choose(ranks, now)!;
-    loads.begin(id);
+    const {lifetime, rank} = loads.choose(ranks, now)!;
+    loads.begin(lifetime);
     requests[rank!]! += 1;
     ends.push({at: now + random.jitter(TIME_MS), loads, rank: rank!});
     sent += 1;
--- a/src/forwarding/choose.ts
+++ b/src/forwarding/choose.ts
@@ -62,22 +62,22 @@
     private readonly news: TargetNews = NO_NEWS,
   ) {}
 
-  /** Notes that a request goes to a target. */
-  begin(id: string): void {
-    this.recordOf(id).inFlight += 1;
+  /** Notes that a request goes to a lifetime of a target. */
+  begin(lifetime: string): void {
+    this.recordOf(lifetime).inFlight += 1;
   }
 
   /** Notes how it ended. */
-  end(id: string, isFailure: boolean, now: number): void {
-    const record = this.recordOf(id);
+  end(lifetime: string, isFailure: boolean, now: number): void {
+    const record = this.recordOf(lifetime);
     record.inFlight -= 1;
     const failing = decayed(record, now);
     record.failing = failing + NEW_SHARE * ((isFailure ? 1 : 0) - failing);
     record.at = now;
   }
 
-  inFlight(id: string): number {
-    return this.records.get(id)?.inFlight ?? 0;
+  inFlight(lifetime: string): number {
+    return this.records.get(lifetime)?.inFlight ?? 0;
   }
 
   /** The target with the lowest score; undefined where none has room. */
@@ -85,7 +85,7 @@
     let best: Target | undefined;
     let bestScore = Infinity;
     const free = targets.filter(
-      target => this.inFlight(target.id) < target.slots * MOST_PER_SLOT,
+      target => this.inFlight(target.lifetime) < target.slots * MOST_PER_SLOT,
     );
     for (const target of this.compared(free, now)) {
       const score = this.score(target, now) + random.unit() * TIE_BREAK;
@@ -97,11 +97,11 @@
     return best;
   }
 
-  /** Forgets targets that are gone and have nothing in flight. */
-  retain(isKnown: (id: string) => boolean): void {
-    for (const [id, record] of this.records) {
-      if (record.inFlight === 0 && !isKnown(id)) {
-        this.records.delete(id);
+  /** Forgets lifetimes that are gone and have nothing in flight. */
+  retain(isKnown: (lifetime: string) => boolean): void {
+    for (const [lifetime, record] of this.records) {
+      if (record.inFlight === 0 && !isKnown(lifetime)) {
+        this.records.delete(lifetime);
       }
     }
   }
@@ -115,7 +115,7 @@
   }
 
   private score(target: Target, now: number): number {
-    const record = this.records.get(target.id);
+    const record = this.records.get(target.lifetime);
     const inFlight = this.news.requestsAt(target, now) ?? record?.inFlight ?? 0;
     const failing = record === undefined ? 0 : decayed(record, now);
     const hop = target.hall === this.hall ? 0 : HALL_WEIGHT;
@@ -123,11 +123,11 @@
     return inFlight + hop + slow + failing * FAILURE_WEIGHT;
   }
 
-  private recordOf(id: string): Record_ {
-    let record = this.records.get(id);
+  private recordOf(lifetime: string): Record_ {
+    let record = this.records.get(lifetime);
     if (record === undefined) {
       record = {inFlight: 0, failing: 0, at: 0};
-      this.records.set(id, record);
+      this.records.set(lifetime, record);
     }
     return record;
   }
--- a/src/forwarding/group-views.ts
+++ b/src/forwarding/group-views.ts
@@ -31,7 +31,7 @@
   readonly view: GroupView;
   /** Monotonic time at which the view was true. */
   readonly at: number;
-  /** This entry's requests in flight when it heard, by target. */
+  /** This entry's requests in flight when it heard, by target's lifetime. */
   readonly ownThen: ReadonlyMap<string, number>;
 }
 
@@ -57,8 +57,8 @@
   readonly rpcPort: number;
   /** Targets that are ranks of groups. */
   ranks(): readonly Target[];
-  /** This entry's requests in flight to a target. */
-  inFlight(id: string): number;
+  /** This entry's requests in flight to a lifetime of a target. */
+  inFlight(lifetime: string): number;
 }
 
 export class GroupViews {
@@ -108,8 +108,8 @@
     if (held === undefined || told === undefined) {
       return undefined;
     }
-    const ownThen = held.ownThen.get(target.id) ?? 0;
-    return Math.max(told + this.context.inFlight(target.id) - ownThen, 0);
+    const ownThen = held.ownThen.get(target.lifetime) ?? 0;
+    return Math.max(told + this.context.inFlight(target.lifetime) - ownThen, 0);
   }
 
   /** What a target's group may take; undefined where that isn't known. */
@@ -193,7 +193,10 @@
 
   private ownOf(key: string): Map<string, number> {
     return new Map(
-      this.ranksOf(key).map(rank => [rank.id, this.context.inFlight(rank.id)]),
+      this.ranksOf(key).map(rank => [
+        rank.lifetime,
+        this.context.inFlight(rank.lifetime),
+      ]),
     );
   }
 
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -72,7 +72,7 @@
       const now = performance.now();
       const known = targets
         .ofService(request.service, now)
-        .filter(target => !tried.has(target.id));
+        .filter(target => !tried.has(target.lifetime));
       if (known.length === 0) {
         return fail(this.noTarget(request.service));
       }
@@ -88,7 +88,7 @@
         : undefined;
       if (chosen !== undefined) {
         // At once: others that wait choose in the same turn of the loop.
-        loads.begin(chosen.id);
+        loads.begin(chosen.lifetime);
         return ok(chosen);
       }
       if (!mayWait || call.hasLeft || now >= waitsUntil) {
@@ -151,7 +151,7 @@
     });
     if (outcome.kind === 'not-run' && outcome.status === MISDIRECTED) {
       // Another life, or another service, has the address by now.
-      targets.drop(target.id);
+      targets.drop(target);
     }
     if (hasAnswered(outcome)) {
       this.context.reach.note();
@@ -161,13 +161,13 @@
     if (outcome.kind !== 'streaming') {
       // A group that is closed says nothing of the one rank.
       const hasFailed = !this.isGroupClosed(target) && isFailure(outcome);
-      loads.end(target.id, hasFailed, performance.now());
+      loads.end(target.lifetime, hasFailed, performance.now());
     }
     this.context.log.event('requestSent', {
       request: request.head.id,
       target: target.id,
       send: call.sends,
-      inFlight: loads.inFlight(target.id),
+      inFlight: loads.inFlight(target.lifetime),
       outcome: outcome.kind,
       ...detailsOf(outcome),
     });
@@ -186,7 +186,7 @@
     outcome: exchanges.Outcome,
   ): void {
     if (outcome.kind !== 'not-run' || !this.isGroupClosed(target)) {
-      tried.add(target.id);
+      tried.add(target.lifetime);
     }
   }
 
--- a/src/forwarding/stream-relay.ts
+++ b/src/forwarding/stream-relay.ts
@@ -183,7 +183,7 @@
       call.signal.removeEventListener('abort', onLeft);
       from.res.destroy();
       this.context.loads.end(
-        target.id,
+        target.lifetime,
         end === 'broken' && !isLate && !isMoved && !call.hasLeft,
         performance.now(),
       );
--- a/src/forwarding/target-list.test.ts
+++ b/src/forwarding/target-list.test.ts
@@ -4,6 +4,7 @@
 function target(id: string, isLeaving = false): Target {
   return {
     id,
+    lifetime: `${id}@1`,
     service: 's',
     address: `127.0.0.1:${id.charCodeAt(0)}`,
     hall: 'h',
@@ -58,7 +59,7 @@
       service: 't',
     });
     expect(ids(list, 0)).toEqual([]);
-    list.drop('other');
+    list.drop(list.get('other')!);
     expect(ids(list, 0)).toEqual(['new']);
   });
 
@@ -69,4 +70,76 @@
     list.add(target('a'));
     expect(ids(list, 100 + 2 * LAPSE_GRACE_MS)).toEqual(['a']);
   });
+
+  it('tells a target that started again from the one that left', () => {
+    const list = new TargetList();
+    const again = {...target('a'), lifetime: 'a@2', revision: 3};
+    list.add(target('a'));
+    list.add({...target('a', true), revision: 2});
+    list.add(again);
+    expect(list.ofService('s', 0)).toEqual([again]);
+    // Late, twice, and from who knows where.
+    list.add({...target('a'), revision: 9});
+    list.add({...target('a', true), revision: 9});
+    list.replaceAll([{...target('a'), revision: 9}, again], 0, false);
+    expect(list.ofService('s', 0)).toEqual([again]);
+  });
+
+  it('never goes back to an earlier lifetime', () => {
+    const list = new TargetList();
+    const again = {...target('a'), lifetime: 'a@2', revision: 3};
+    list.add(target('a'));
+    list.add(again);
+    list.drop(target('a'));
+    list.add(target('a'));
+    list.add({...target('a', true), revision: 9});
+    expect(list.ofService('s', 0)).toEqual([again]);
+    // Starts are told in the time of day, which may jump back.
+    const third = {...target('a'), lifetime: 'a@0', revision: 5};
+    list.add(third);
+    list.add(again);
+    expect(list.ofService('s', 0)).toEqual([third]);
+  });
+
+  it('takes nothing that is older than what it holds', () => {
+    const list = new TargetList();
+    const newer = {...target('a'), slots: 8, revision: 7};
+    list.add(newer);
+    list.add({...target('a', true), revision: 6});
+    expect(list.ofService('s', 0)).toEqual([newer]);
+  });
+
+  it('keeps what is held under an entry that tells nothing', () => {
+    const list = new TargetList();
+    list.replaceAll([target('a'), target('b')], 0, false);
+    list.replaceAll([target('b')], 10, false, ['a', 'x']);
+    expect(ids(list, 10)).toEqual(['a', 'b']);
+    list.remove('a', 20, false);
+    expect(ids(list, 20)).toEqual(['b']);
+  });
+
+  it('lets no service that is not named take an address', () => {
+    const list = new TargetList();
+    const other = {...target('x'), service: 't', revision: 9};
+    list.add({...target('a'), address: 'x:1'});
+    list.add({...other, address: 'x:1'});
+    expect(ids(list, 0)).toEqual([]);
+    list.nameServices(['s']);
+    expect(ids(list, 0)).toEqual(['a']);
+    list.nameServices(['s', 't']);
+    expect(ids(list, 0)).toEqual([]);
+  });
+
+  it('remembers a bounded number of lifetimes that have ended', () => {
+    const list = new TargetList();
+    const ended = 10_000;
+    for (let life = 1; life <= ended; life += 1) {
+      const lifetime = `a@${life}`;
+      list.add({...target('a'), lifetime, revision: life});
+    }
+    const kept = (list as unknown as {ended: Set<string>}).ended.size;
+    expect(kept).toBeLessThan(ended / 2);
+    list.add({...target('a'), lifetime: `a@${ended - 1}`, revision: ended + 1});
+    expect(list.get('a')?.lifetime).toBe(`a@${ended}`);
+  });
 });
--- a/src/forwarding/target-list.ts
+++ b/src/forwarding/target-list.ts
@@ -1,7 +1,11 @@
 /**
  * Targets that requests may be sent to. A target that says that it leaves is
- * out at once and for good. One that vanishes from the list is out too,
- * except while its entry may just have lapsed in an outage of the store.
+ * out at once, and that lifetime of it for good. One that vanishes from the
+ * list is out too, except while its entry may just have lapsed in an outage
+ * of the store.
+ *
+ * Lifetimes of one target are told apart by its start and put in order by the
+ * store's revisions: the time of day, which starts are told in, may jump back.
  */
 import type {Target} from './types';
 
@@ -10,12 +14,19 @@
  * the users' request: back within about two seconds of the store's return.
  */
 export const LAPSE_GRACE_MS = 2_000;
+/**
+ * Lifetimes that have ended and are remembered, so that a late word of one
+ * doesn't bring it back. Source: the size that decides has 3,200 targets.
+ */
+const MOST_ENDED = 4_096;
 
 /** Why a target is in or out. */
 export type TargetChange =
   | {readonly kind: 'joined'; readonly target: Target}
   | {readonly kind: 'leaving'; readonly target: Target}
   | {readonly kind: 'gone'; readonly target: Target}
+  /** It has started again under the same id. */
+  | {readonly kind: 'restarted'; readonly target: Target}
   /** Not on the list, but kept for a while after an outage. */
   | {readonly kind: 'missing'; readonly target: Target};
 
@@ -27,16 +38,33 @@
 
 export class TargetList {
   private readonly held = new Map<string, Held>();
-  private readonly left = new Set<string>();
+  /** Oldest first. */
+  private readonly ended = new Set<string>();
+  /** Services that the configuration names; undefined: not known yet. */
+  private services: ReadonlySet<string> | undefined;
+  /** By service; undefined since something changed. */
+  private lists: ReadonlyMap<string, readonly Target[]> | undefined;
+  private listedRanks: readonly Target[] | undefined;
+  /** Monotonic time until which the lists hold. */
+  private listsUntil = 0;
 
   /** `onChange` hears of every target that comes in or goes out. */
   constructor(
     private readonly onChange: (change: TargetChange) => void = () => undefined,
   ) {}
 
-  /** Takes the whole list; `inGrace`: an outage has just ended. */
-  replaceAll(targets: readonly Target[], now: number, inGrace: boolean): void {
-    const listed = new Set(targets.map(target => target.id));
+  /**
+   * Takes the whole list; `inGrace`: an outage has just ended. `unread` names
+   * entries that tell nothing: what is held under their ids stays.
+   */
+  replaceAll(
+    targets: readonly Target[],
+    now: number,
+    inGrace: boolean,
+    unread: readonly string[] = [],
+  ): void {
+    const listed = new Set(unread);
+    targets.forEach(target => listed.add(target.id));
     targets.forEach(target => this.add(target));
     for (const [id, held] of [...this.held]) {
       if (!listed.has(id)) {
@@ -47,16 +75,27 @@
 
   /** Takes one entry. */
   add(target: Target): void {
-    if (this.left.has(target.id)) {
+    const before = this.held.get(target.id)?.target;
+    const isStale =
+      this.ended.has(target.lifetime) ||
+      (before !== undefined && before.revision > target.revision);
+    if (isStale) {
       return;
     }
+    const isRestarted =
+      before !== undefined && before.lifetime !== target.lifetime;
+    if (isRestarted) {
+      this.end(before);
+      this.onChange({kind: 'restarted', target});
+    }
     if (target.isLeaving) {
-      this.leave(target);
+      this.end(target);
+      this.onChange({kind: 'leaving', target});
       return;
     }
-    const held = this.held.get(target.id);
     this.held.set(target.id, {target, goneAt: Infinity});
-    if (held === undefined) {
+    this.forgetLists();
+    if (before === undefined || isRestarted) {
       this.onChange({kind: 'joined', target});
     }
   }
@@ -70,11 +109,11 @@
   }
 
   /** A target has said itself that it is not the one that was meant. */
-  drop(id: string): void {
-    const held = this.held.get(id);
-    if (held !== undefined) {
-      this.held.delete(id);
-      this.onChange({kind: 'gone', target: held.target});
+  drop(target: Target): void {
+    if (this.isHeld(target.lifetime, target.id)) {
+      this.held.delete(target.id);
+      this.forgetLists();
+      this.onChange({kind: 'gone', target});
     }
   }
 
@@ -82,23 +121,26 @@
     return this.held.get(id)?.target;
   }
 
+  /** The lifetimes that may get work. */
+  get lifetimes(): ReadonlySet<string> {
+    return new Set(this.all().map(target => target.lifetime));
+  }
+
+  /**
+   * Services that the configuration names. An entry of any other service says
+   * nothing of the target at its address.
+   */
+  nameServices(services: readonly string[]): void {
+    this.services = new Set(services);
+    this.forgetLists();
+  }
+
   /**
    * Targets of a service that may get work. Where a process died, its entry
    * stays for a while beside that of its next life at the same address.
    */
-  ofService(service: string, now: number): Target[] {
-    const newest = new Map<string, Target>();
-    for (const {target, goneAt} of [...this.held.values()]) {
-      if (goneAt <= now) {
-        this.drop(target.id);
-      } else {
-        const other = newest.get(target.address);
-        if (other === undefined || other.revision < target.revision) {
-          newest.set(target.address, target);
-        }
-      }
-    }
-    return [...newest.values()].filter(target => target.service === service);
+  ofService(service: string, now: number): readonly Target[] {
+    return this.listsAt(now).get(service) ?? [];
   }
 
   /** All targets that may get work. */
@@ -107,26 +149,83 @@
   }
 
   /** Targets that are ranks of groups. */
-  ranks(): Target[] {
-    return this.all().filter(target => target.group !== undefined);
+  ranks(): readonly Target[] {
+    this.listedRanks ??= this.all().filter(one => one.group !== undefined);
+    return this.listedRanks;
   }
 
   get size(): number {
     return this.held.size;
   }
 
-  private leave(target: Target): void {
-    this.left.add(target.id);
+  /** Lists of before hold until a target comes, goes or is given up. */
+  private listsAt(now: number): ReadonlyMap<string, readonly Target[]> {
+    if (this.lists === undefined || now >= this.listsUntil) {
+      const entries = [...this.held.values()];
+      entries
+        .filter(({goneAt}) => goneAt <= now)
+        .forEach(({target}) => this.drop(target));
+      this.listsUntil = Math.min(
+        ...[...this.held.values()].map(({goneAt}) => goneAt),
+      );
+      this.lists = byService(this.newestAtAddresses());
+    }
+    return this.lists;
+  }
+
+  private newestAtAddresses(): Target[] {
+    const newest = new Map<string, Target>();
+    for (const {target} of this.held.values()) {
+      const other = newest.get(target.address);
+      const isNamed = this.services?.has(target.service) ?? true;
+      if (isNamed && (other?.revision ?? -1) < target.revision) {
+        newest.set(target.address, target);
+      }
+    }
+    return [...newest.values()];
+  }
+
+  private forgetLists(): void {
+    this.lists = undefined;
+    this.listedRanks = undefined;
+  }
+
+  private isHeld(lifetime: string, id: string): boolean {
+    return this.held.get(id)?.target.lifetime === lifetime;
+  }
+
+  /** A lifetime is over for good. */
+  private end(target: Target): void {
     this.held.delete(target.id);
-    this.onChange({kind: 'leaving', target});
+    this.forgetLists();
+    this.ended.delete(target.lifetime);
+    this.ended.add(target.lifetime);
+    const [oldest] = this.ended;
+    if (this.ended.size > MOST_ENDED && oldest !== undefined) {
+      this.ended.delete(oldest);
+    }
   }
 
   private miss(held: Held, now: number, inGrace: boolean): void {
     if (!inGrace) {
-      this.drop(held.target.id);
+      this.drop(held.target);
     } else if (held.goneAt === Infinity) {
       held.goneAt = now + LAPSE_GRACE_MS;
+      this.forgetLists();
       this.onChange({kind: 'missing', target: held.target});
     }
   }
 }
+
+function byService(targets: readonly Target[]): Map<string, Target[]> {
+  const lists = new Map<string, Target[]>();
+  for (const target of targets) {
+    const list = lists.get(target.service);
+    if (list === undefined) {
+      lists.set(target.service, [target]);
+    } else {
+      list.push(target);
+    }
+  }
+  return lists;
+}
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -4,8 +4,14 @@
 
 /** A process that serves requests of a service. */
 export interface Target {
-  /** Names one life of the process; a restart has another. */
+  /** Names the process; it may start again under the same id. */
   readonly id: string;
+  /**
+   * Names one lifetime of the process, by its id and its start. Whatever is
+   * learnt of a target or sent to it belongs to a lifetime: the next one knows
+   * and holds nothing of it.
+   */
+  readonly lifetime: string;
   readonly service: string;
   readonly address: string;
   readonly hall: string;
--- a/src/observability/catalogue.ts
+++ b/src/observability/catalogue.ts
@@ -93,6 +93,16 @@
     level: 'warn',
     text: 'target off the list after an outage: kept for a while',
   },
+  targetRestarted: {
+    id: 'FC6010',
+    level: 'info',
+    text: 'target has started again under its id',
+  },
+  targetUnread: {
+    id: 'FC6011',
+    level: 'warn',
+    text: 'entry names no target',
+  },
   targetUnreachable: {
     id: 'FC6004',
     level: 'warn',
--- a/src/roles/site-documents.ts
+++ b/src/roles/site-documents.ts
@@ -4,6 +4,11 @@
 import type {Result} from '../result';
 import type {Snapshot} from '../routes/types';
 
+/** Why a document can't be used; the detail names the field. */
+export interface DocumentError {
+  readonly detail: string;
+}
+
 export interface SiteDocuments {
   readonly configurationKind: string;
   readonly configurationKey: string;
@@ -13,10 +18,11 @@
   /** Path at which an entry is asked whether it is ready. */
   readonly readyPath: string;
   makeEngine(address: string): Engine;
-  readSnapshot(document: unknown): Result<Snapshot, {readonly detail: string}>;
+  readSnapshot(document: unknown): Result<Snapshot, DocumentError>;
+  /** Fails where the entry names no target. */
   readTarget(
     id: string,
     revision: number,
     document: unknown,
-  ): Target | undefined;
+  ): Result<Target, DocumentError>;
 }
--- a/src/roles/site-entry.ts
+++ b/src/roles/site-entry.ts
@@ -70,7 +70,7 @@
       hall: cfg.hall,
       rpcPort: cfg.rpcPort,
       ranks: () => targets.ranks(),
-      inFlight: id => this.loads.inFlight(id),
+      inFlight: lifetime => this.loads.inFlight(lifetime),
     });
     this.loads = new TargetLoads(cfg.hall, this.views);
     this.forwarder = new Forwarder({
@@ -180,7 +180,8 @@
 
   private onTargets(): void {
     this.views.update();
-    this.loads.retain(id => this.site.targets.get(id) !== undefined);
+    const {lifetimes} = this.site.targets;
+    this.loads.retain(lifetime => lifetimes.has(lifetime));
   }
 
   private get rpcAddress(): string {
--- a/src/roles/site-follower.ts
+++ b/src/roles/site-follower.ts
@@ -268,8 +268,12 @@
       log.event('configurationRejected', {error: read.error.detail});
       return;
     }
-    const {version, limits} = read.value;
+    const {version, limits, services, routes} = read.value;
     if (this.configuration.offer(read.value)) {
+      this.targets.nameServices([
+        ...services.map(one => one.name),
+        ...routes.flatMap(one => one.services.map(part => part.service)),
+      ]);
       this.context.onLimits(limits);
       log.event('configurationApplied', {version, source});
     }
@@ -298,9 +302,9 @@
     }
     const now = performance.now();
     const {items, removed} = event.listing;
-    const found = items.flatMap(item => this.readTarget(item));
+    const {found, unread} = this.readTargets(items);
     if (event.kind === 'listed') {
-      this.targets.replaceAll(found, now, inGrace);
+      this.targets.replaceAll(found, now, inGrace, unread);
     } else {
       found.forEach(target => this.targets.add(target));
       removed.forEach(key =>
@@ -311,13 +315,22 @@
     this.context.onTargets();
   }
 
-  private readTarget(item: objects.StoredObject): Target[] {
-    const target = this.context.documents.readTarget(
-      objects.nameOf(item.key),
-      item.version,
-      item.value,
-    );
-    return target === undefined ? [] : [target];
+  /** `unread`: names of entries that tell of no target. */
+  private readTargets(items: readonly objects.StoredObject[]) {
+    const {documents, log} = this.context;
+    const found: Target[] = [];
+    const unread: string[] = [];
+    for (const {key, version, value} of items) {
+      const name = objects.nameOf(key);
+      const read = documents.readTarget(name, version, value);
+      if (read.ok) {
+        found.push(read.value);
+      } else {
+        unread.push(name);
+        log.event('targetUnread', {entry: name, error: read.error.detail});
+      }
+    }
+    return {found, unread};
   }
 
   private logTarget(change: TargetChange): void {
@@ -334,6 +347,9 @@
       case 'gone':
         log.event('targetGone', fields);
         return;
+      case 'restarted':
+        log.event('targetRestarted', fields);
+        return;
       case 'missing':
         log.event('targetMissing', fields);
     }
