A planner reads its group when a pass has begun, not each 50 ms

Now the planner looks at its own rank each 15 ms, which is free there, and reads the group as a pass begins: at least 50 ms apart, at most 2.5 periods (sidecars miss a planner after 4.5). Members without the seat look each 400 ms, or when they take it. So a drift is read as the pass ends that showed it, not up to 50 ms later, and the clock of passes is noted each 15 ms too.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -13,6 +13,7 @@
 
 /** Benches by name, each loaded when asked for. */
 const BENCHES: Readonly<Record<string, () => Promise<Bench>>> = {
+  processor: async () => (await import('./processor')).bench,
   planning: async () => (await import('./planning')).bench,
   placement: async () => (await import('./placement')).bench,
   routing: async () => (await import('./routing')).bench,
--- a/src/experts/planner.ts
+++ b/src/experts/planner.ts
@@ -13,11 +13,21 @@
 import type {Demand} from './plan-types';
 import type {ExpertMap, GroupView, RankReading, RankState} from './types';
 
+/** Least time between readings of the ranks, in milliseconds. */
+const PERIOD_MS = 50;
 /**
- * Least time between readings of the ranks, in milliseconds: about a pass, so
- * that a drift of demand is seen in the first pass that it lengthens.
+ * Time between looks whether a pass has begun, in milliseconds: until then the
+ * ranks have counted nothing new. These looks cost nothing on the own instance,
+ * a reading costs each sidecar of the group three calls.
  */
-const PERIOD_MS = 50;
+const PASS_LOOK_MS = 15;
+/**
+ * Periods after which the ranks are read though no pass has begun: sidecars
+ * miss a planner after more than four.
+ */
+const LONGEST_PERIODS = 2.5;
+/** Time between looks whether this process holds the seat, in milliseconds. */
+const NO_SEAT_PERIOD_MS = 400;
 /**
  * And at least so many times as long as readings take: what carries them, the
  * links and processors beside the ranks, carries map changes too.
@@ -68,6 +78,8 @@
   private readonly changer: mapChanger.MapChanger;
   /** Milliseconds that a reading takes. */
   private readingMs = 0;
+  /** The own rank's pass at the last reading, and when that was begun. */
+  private lastRead = {step: -1, at: -Infinity};
   private isClosed = false;
   private timer: NodeJS.Timeout | undefined;
 
@@ -116,8 +128,9 @@
   private async tick(): Promise<void> {
     const begunAt = performance.now();
     this.timer = undefined;
+    let nextMs = this.periodMs;
     try {
-      await this.look();
+      nextMs = await this.lookWhenDue();
     } catch (err) {
       this.context.log.event('plannerFault', {
         error: String((err as Error).stack),
@@ -125,16 +138,34 @@
     }
     if (!this.isClosed) {
       const tookMs = performance.now() - begunAt;
-      this.startIn(Math.max(this.periodMs - tookMs, 0));
+      this.startIn(Math.max(nextMs - tookMs, 0));
     }
   }
 
-  private async look(): Promise<void> {
-    this.context.onTick();
+  /** Answers the time from its begin to the next one, in milliseconds. */
+  private async lookWhenDue(): Promise<number> {
     if (this.context.term() === 0) {
+      this.context.onTick();
       this.forget();
-      return;
+      return NO_SEAT_PERIOD_MS;
     }
+    const now = performance.now();
+    const longestMs = this.periodMs * LONGEST_PERIODS;
+    if (this.known !== undefined && now - this.lastRead.at < longestMs) {
+      const own = await this.context.ownState();
+      if (own === undefined || own.step === this.lastRead.step) {
+        return PASS_LOOK_MS;
+      }
+      this.changer.passes.note(own.step, now);
+      this.lastRead.step = own.step;
+    }
+    this.lastRead.at = now;
+    await this.look();
+    return this.periodMs;
+  }
+
+  private async look(): Promise<void> {
+    this.context.onTick();
     const figures = this.context.figures();
     if (figures === undefined) {
       // The others should hear at once that the seat is taken.
