A process that has just started holds its first requests until it can route

Cause: entries answer 0.1 to 0.3 s before they have a configuration and targets, and refused what came meanwhile; a caller with one more try has then spent it. They wait for it now, 0.35 s at most, a part of an aim of 0.5 s.

--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -37,6 +37,8 @@
   readonly connections: TargetConnections;
   /** Entries of the site that are known, this one among them. */
   knownEntries(): number;
+  /** Resolves once requests can be routed somewhere, or after the wait. */
+  whenComplete(waitMs: number): Promise<void>;
   /** Callers are better served by another entry. */
   isCutOff(): boolean;
   readonly log: Log;
@@ -56,6 +58,12 @@
 const STALE_MS = 2_400;
 /** When to come back where there is no configuration to decide with. */
 const NO_CONFIGURATION_RETRY_MS = 500;
+/**
+ * Longest wait of a request for what a process that has just started lacks, in
+ * milliseconds: it has configuration and targets after 0.1 to 0.3 s. A caller
+ * who is refused instead comes back later and has spent a try.
+ */
+const FIRST_WAIT_MS = 350;
 const DEFAULT_TIME_LEFT_MS = 60_000;
 
 export class Forwarder {
@@ -106,6 +114,7 @@
       return;
     }
     call.head = head;
+    await this.context.whenComplete(FIRST_WAIT_MS);
     const route = this.route(call, head);
     if (route === undefined) {
       return;
--- a/src/roles/site-entry.ts
+++ b/src/roles/site-entry.ts
@@ -93,6 +93,7 @@
       reach: this.reach,
       connections: this.connections,
       knownEntries: () => this.site.knownEntries,
+      whenComplete: waitMs => this.site.whenComplete(waitMs),
       isCutOff: () => this.site.isCutOff(performance.now()),
       log,
       metrics: this.metrics,
--- a/src/roles/site-follower.ts
+++ b/src/roles/site-follower.ts
@@ -2,6 +2,7 @@
  * What an entry knows of its site: the configuration in force and the targets,
  * as the store tells them, or peers while the store is silent.
  */
+import * as rxjs from 'rxjs';
 import {TargetChange, TargetList} from '../forwarding/target-list';
 import type {Target} from '../forwarding/types';
 import type {Log} from '../observability/log';
@@ -76,6 +77,8 @@
   private readonly targetsCopy: KindCopy;
   private readonly book: PeerBook;
   private readonly peers: PeerFollower;
+  /** Emits once requests can be routed, now or at any time before. */
+  private readonly completed = new rxjs.ReplaySubject<void>(1);
   private isLost = false;
   private graceUntil = 0;
   private hasHadTargets = false;
@@ -105,6 +108,15 @@
     return this.configuration.table !== undefined && this.hasHadTargets;
   }
 
+  /** Resolves once requests can be routed somewhere, or after the wait. */
+  async whenComplete(waitMs: number): Promise<void> {
+    if (!this.isComplete) {
+      await rxjs.firstValueFrom(rxjs.race(this.completed, rxjs.timer(waitMs)), {
+        defaultValue: undefined,
+      });
+    }
+  }
+
   /** True while this process watches the store itself. */
   get isWatching(): boolean {
     return this.loops !== undefined;
@@ -275,10 +287,17 @@
         ...routes.flatMap(one => one.services.map(part => part.service)),
       ]);
       this.context.onLimits(limits);
+      this.noteComplete();
       log.event('configurationApplied', {version, source});
     }
   }
 
+  private noteComplete(): void {
+    if (this.isComplete) {
+      this.completed.next();
+    }
+  }
+
   private onTargets(event: WatchEvent, inGrace: boolean): void {
     if (event.kind === 'lost') {
       this.graceUntil = Infinity;
@@ -312,6 +331,7 @@
       );
     }
     this.hasHadTargets ||= this.targets.size > 0;
+    this.noteComplete();
     this.context.onTargets();
   }
 
