--- a/bench/processor.ts
+++ b/bench/processor.ts
@@ -15,12 +15,16 @@
   24: {ranks: 24, sets: 16, experts: 96, places: 5},
   72: {ranks: 72, sets: 8, experts: 252, places: 5},
 };
-const ENTRIES = 3;
+/** Three of them watch the store for the others. */
+const ENTRIES = 6;
 /** Time until processes have found each other. */
 const START_MS = 4_000;
 const PHASE_MS = 8_000;
 /** Milliseconds between drifts of demand. */
 const DRIFT_MS = 3_500;
+/** Milliseconds between versions, and their routes. */
+const VERSIONS_MS = 270;
+const ROUTES = 1_560;
 /** Streams a second. */
 const RATE = 40;
 /** Ticks a second of the kernel's clock for processes. Source: proc(5). */
@@ -31,13 +35,23 @@
   readonly isBusy: boolean;
   readonly hasDrifts: boolean;
   readonly rate: number;
+  /** Milliseconds between versions of a large configuration; 0: none. */
+  readonly versionsMs: number;
 }
 
+const REST: Phase = {
+  name: 'rest',
+  isBusy: false,
+  hasDrifts: false,
+  rate: 0,
+  versionsMs: 0,
+};
 const PHASES: readonly Phase[] = [
-  {name: 'rest', isBusy: false, hasDrifts: false, rate: 0},
-  {name: 'passes', isBusy: true, hasDrifts: false, rate: 0},
-  {name: 'drifts', isBusy: true, hasDrifts: true, rate: 0},
-  {name: 'streams', isBusy: true, hasDrifts: true, rate: RATE},
+  REST,
+  {...REST, name: 'passes', isBusy: true},
+  {...REST, name: 'drifts', isBusy: true, hasDrifts: true},
+  {...REST, name: 'streams', isBusy: true, hasDrifts: true, rate: RATE},
+  {...REST, name: 'versions', versionsMs: VERSIONS_MS},
 ];
 
 /** Processor time of a process so far. */
@@ -79,7 +93,12 @@
     phase.rate > 0
       ? setInterval(() => calls.push(site.call(calls.length)), 1e3 / phase.rate)
       : undefined;
+  const versions =
+    phase.versionsMs > 0
+      ? setInterval(() => site.configure(ROUTES), phase.versionsMs)
+      : undefined;
   await sleep(PHASE_MS);
+  clearInterval(versions);
   clearInterval(drifts);
   clearInterval(caller);
   const served = (await Promise.all(calls)).filter(isServed => isServed).length;
