--- a/src/platform/watch-loop.ts
+++ b/src/platform/watch-loop.ts
@@ -10,7 +10,7 @@
  * Pause after a change before the next watch, so that changes that come in
  * quick succession are told in one answer. Each call is paid for.
  */
-const SETTLE_MS = 200;
+export const SETTLE_MS = 200;
 /** First pause after a failed call, and the longest, in milliseconds. */
 const FIRST_PAUSE_MS = 100;
 const LONGEST_PAUSE_MS = 500;
