--- /dev/null
+++ b/src/forwarding/come-back.ts
@@ -0,0 +1,62 @@
+/**
+ * When callers who are refused should come back, in milliseconds. They heed no
+ * more than a third of the time that they have left, and many have one more try
+ * only, so a time at which they can't be served either costs them the answer.
+ * Pure.
+ */
+import * as random from '../random';
+
+/** Where no target of the service is known. */
+export const NO_TARGET_MS = 300;
+/** Where all have enough to do: about the time of a stream. */
+const OVERLOADED_MS = 1_600;
+/**
+ * Where a target was full: a part of the time left, and no longer than a group
+ * takes to form.
+ */
+const FULL_SHARE = 0.25;
+const LONGEST_FULL_MS = 1_000;
+/** Part of the time left after which callers may be asked to come back. */
+const LONGEST_SHARE = 0.3;
+/** Part of that in which callers of a site that comes back are spread. */
+const LEAST_SPREAD = 0.75;
+/** What a group may take longer to form than its engine states. */
+const FORM_SLACK_MS = 250;
+
+/** What is known of a group that takes nothing. */
+export interface ClosedGroup {
+  /** Milliseconds since it was found closed. */
+  readonly closedMs: number;
+  /** Milliseconds that its ranks take to form, once all are there. */
+  readonly formMs: number;
+  /** It was open at some time since this process began. */
+  readonly hasBeenOpen: boolean;
+}
+
+export function afterFull(leftMs: number): number {
+  return Math.min(Math.max(leftMs, 0) * FULL_SHARE, LONGEST_FULL_MS);
+}
+
+export function afterOverload(leftMs: number): number {
+  return Math.min(random.jitter(OVERLOADED_MS), longest(leftMs));
+}
+
+/**
+ * A group that has lost a rank opens when it has formed, and later than that
+ * nobody knows when. One that has not been open since this process began may
+ * be without all of its ranks: the whole site is coming back, 1.7 s after the
+ * entries with 72 ranks. Callers who were told 0.85 s then, and had one more
+ * try, failed: 160 of a day's 8,250.
+ */
+export function afterClosing(group: ClosedGroup, leftMs: number): number {
+  const openIn = group.formMs + FORM_SLACK_MS - group.closedMs;
+  if (openIn > 0 && group.hasBeenOpen) {
+    return Math.min(openIn, longest(leftMs));
+  }
+  const spread = LEAST_SPREAD + (1 - LEAST_SPREAD) * random.unit();
+  return longest(leftMs) * spread;
+}
+
+function longest(leftMs: number): number {
+  return Math.max(leftMs, 0) * LONGEST_SHARE;
+}
--- a/src/forwarding/plain-relay.ts
+++ b/src/forwarding/plain-relay.ts
@@ -1,7 +1,8 @@
 /** Requests whose answer is read whole before it is passed on. */
 import type {Call} from './call';
 import type * as exchanges from './exchange';
-import {Relay, RelayedRequest, Tried} from './relay';
+import type {Tried} from './outcomes';
+import {Relay, RelayedRequest} from './relay';
 
 export class PlainRelay extends Relay {
   async relay(call: Call, request: RelayedRequest): Promise<void> {
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -1,12 +1,13 @@
 /** What relaying plain requests and streams has in common. */
-import * as random from '../random';
 import {Result, fail, ok} from '../result';
 import type {ClientAccount, Route} from '../routes/types';
 import type {Call} from './call';
+import * as comeBack from './come-back';
 import * as exchanges from './exchange';
 import * as groupChoice from './group-choice';
 import type {GroupRoom} from './group-views';
 import type {ForwarderContext} from './forwarder';
+import * as outcomes from './outcomes';
 import type {RetryBudget} from './retry-budget';
 import * as types from './types';
 
@@ -19,36 +20,17 @@
   readonly account: ClientAccount | undefined;
 }
 
-/** When to come back where no target of the service is known. */
-const NO_TARGET_RETRY_MS = 300;
-/** And where all have enough to do: about the time of a stream. */
-const OVERLOADED_RETRY_MS = 1_600;
-/**
- * When to come back where a target was full: a part of the time left, since
- * callers heed no more than a third, and no longer than a group takes to form.
- */
-const RETRY_SHARE = 0.25;
-const LONGEST_RETRY_MS = 1_000;
 /**
  * Longest wait for a group that is closed or full, in milliseconds: callers
  * leave a stream that is silent for two seconds, and its first event takes a
  * part of them.
  */
 const LONGEST_GATE_WAIT_MS = 1_200;
-/** Part of the time left after which callers may be asked to come back. */
-const LONG_RETRY_SHARE = 0.3;
-/** What a group may take longer to form than its engine states. */
-const FORM_SLACK_MS = 250;
 /** Sends of one request to a group that refuses them all. */
 const MOST_REFUSED_SENDS = 6;
-/** Part of the longest time to come back in which callers are spread. */
-const LEAST_SPREAD = 0.75;
 /** Least time left that makes another send worth while, in milliseconds. */
 const MIN_SEND_MS = 20;
 
-/** How the last send to each target went, by its lifetime. */
-export type Tried = Map<string, exchanges.Outcome['kind']>;
-
 export abstract class Relay {
   constructor(
     protected readonly context: ForwarderContext,
@@ -76,7 +58,10 @@
     );
     for (;;) {
       const now = performance.now();
-      const known = untried(targets.ofService(request.service, now), tried);
+      const known = outcomes.untried(
+        targets.ofService(request.service, now),
+        tried,
+      );
       if (known.length === 0) {
         return fail(this.noTarget(request.service));
       }
@@ -173,18 +158,18 @@
       endsAt: call.endsAt,
       signal: call.signal,
     });
-    if (outcome.kind === 'not-run' && outcome.status === MISDIRECTED) {
+    if (outcome.kind === 'not-run' && outcome.status === outcomes.MISDIRECTED) {
       // Another life, or another service, has the address by now.
       targets.drop(target);
     }
-    if (hasAnswered(outcome)) {
+    if (outcomes.hasAnswered(outcome)) {
       this.context.reach.note();
     }
     this.noteGroup(target, outcome);
     call.noteOutcome(outcome.kind === 'not-run');
     if (outcome.kind !== 'streaming') {
       // A group that is closed says nothing of the one rank.
-      const harm = this.isGroupClosed(target) ? 0 : harmOf(outcome);
+      const harm = this.isGroupClosed(target) ? 0 : outcomes.harmOf(outcome);
       loads.end(target, harm, performance.now());
     }
     this.context.log.event('requestSent', {
@@ -193,7 +178,7 @@
       send: call.sends,
       inFlight: loads.inFlight(target.lifetime),
       outcome: outcome.kind,
-      ...detailsOf(outcome),
+      ...outcomes.detailsOf(outcome),
     });
     return outcome;
   }
@@ -205,7 +190,7 @@
    * refused after 130 ms of its 500, while those beside it were served.
    */
   protected noteTried(
-    tried: Tried,
+    tried: outcomes.Tried,
     target: types.Target,
     outcome: exchanges.Outcome,
   ): void {
@@ -226,13 +211,9 @@
     target: types.Target,
     outcome: exchanges.Outcome,
   ): boolean {
-    const hasFailed =
-      outcome.kind === 'unknown' ||
-      (outcome.kind === 'answered' &&
-        outcome.head.status >= FIRST_SERVER_ERROR);
     const isHarmless =
       outcome.kind === 'not-run' ||
-      (hasFailed && types.isRepeatable(request.route));
+      (outcomes.hasRunBadly(outcome) && types.isRepeatable(request.route));
     return isHarmless && this.maySendAgain(call, request, target);
   }
 
@@ -317,7 +298,7 @@
       }
     } else if (
       outcome.kind === 'not-run' &&
-      outcome.status === UNAVAILABLE &&
+      outcome.status === outcomes.UNAVAILABLE &&
       gate.noteRefused(group, target.id, now)
     ) {
       log.event('groupClosed', {service, group, target: target.id});
@@ -333,17 +314,14 @@
   ): types.Refusal {
     const {configuration, gate} = this.context;
     const service = configuration.table?.findService(request.service);
-    const formMs = (service?.engine?.experts?.formMs ?? 0) + FORM_SLACK_MS;
-    const openIn = formMs - gate.closedMs(group, now);
-    const longMs = Math.max(call.leftMs, 0) * LONG_RETRY_SHARE;
-    // A group that takes longer has lost a rank for nobody knows how long. One
-    // that has not been open since this process began may be without all: the
-    // whole site is coming back, 1.7 s after the entries with 72 ranks. Callers
-    // with one more try who were told 0.85 s failed, 160 of a day's 8,250.
-    const isForming = openIn > 0 && gate.hasBeenOpen(group);
-    const retryMs = isForming
-      ? Math.min(openIn, longMs)
-      : longMs * (LEAST_SPREAD + (1 - LEAST_SPREAD) * random.unit());
+    const retryMs = comeBack.afterClosing(
+      {
+        closedMs: gate.closedMs(group, now),
+        formMs: service?.engine?.experts?.formMs ?? 0,
+        hasBeenOpen: gate.hasBeenOpen(group),
+      },
+      call.leftMs,
+    );
     return {kind: 'not-run', why: 'group-closed', retryMs};
   }
 
@@ -361,14 +339,13 @@
       isLater: call.isLater,
       ...room,
     });
-    const longMs = Math.max(call.leftMs, 0) * LONG_RETRY_SHARE;
-    const retryMs = Math.min(random.jitter(OVERLOADED_RETRY_MS), longMs);
+    const retryMs = comeBack.afterOverload(call.leftMs);
     return {kind: 'not-run', why: 'overloaded', retryMs};
   }
 
   private noTarget(service: string): types.Refusal {
     this.context.log.event('noTarget', {service});
-    return {kind: 'not-run', why: 'no-target', retryMs: NO_TARGET_RETRY_MS};
+    return {kind: 'not-run', why: 'no-target', retryMs: comeBack.NO_TARGET_MS};
   }
 
   /** Answers for an outcome that gave nothing to pass on. */
@@ -378,7 +355,7 @@
         call.refuse({
           kind: 'not-run',
           why: 'target-full',
-          retryMs: retryMsOf(call),
+          retryMs: comeBack.afterFull(call.leftMs),
         });
         return;
       case 'unknown':
@@ -388,7 +365,11 @@
         call.refuse(
           outcome.sent
             ? {kind: 'timed-out'}
-            : {kind: 'not-run', why: 'timed-out', retryMs: retryMsOf(call)},
+            : {
+                kind: 'not-run',
+                why: 'timed-out',
+                retryMs: comeBack.afterFull(call.leftMs),
+              },
         );
         return;
       case 'answered':
@@ -398,83 +379,3 @@
     }
   }
 }
-
-/** The status of a target that another was meant. Source: RFC 9110. */
-const MISDIRECTED = 421;
-const UNAVAILABLE = 503;
-
-function retryMsOf(call: Call): number {
-  return Math.min(Math.max(call.leftMs, 0) * RETRY_SHARE, LONGEST_RETRY_MS);
-}
-
-const FIRST_SERVER_ERROR = 500;
-
-/**
- * Targets that were not tried yet. Where there are none left, those that gave
- * an answer of their own may give a better one: of a service with one target
- * whose runs fail by 0.14, a request that may be repeated was refused instead.
- */
-function untried(
-  targets: readonly types.Target[],
-  tried: ReadonlyMap<string, exchanges.Outcome['kind']>,
-): readonly types.Target[] {
-  if (tried.size === 0) {
-    return targets;
-  }
-  const others = targets.filter(({lifetime}) => !tried.has(lifetime));
-  return others.length > 0
-    ? others
-    : targets.filter(({lifetime}) => tried.get(lifetime) === 'answered');
-}
-
-/**
- * What a refusal counts beside a failure: who refuses is full, or the first
- * rank of a group that closes. Where it counted as much, what had waited for a
- * group of two ranks went to the other one, 7 of 10 requests.
- */
-const REFUSAL_HARM = 0.125;
-
-/** How much the outcome speaks against the target, 0 to 1. */
-function harmOf(outcome: exchanges.Outcome): number {
-  switch (outcome.kind) {
-    case 'answered':
-      return outcome.head.status >= FIRST_SERVER_ERROR ? 1 : 0;
-    case 'streaming':
-    case 'cancelled':
-      return 0;
-    case 'not-run':
-      return REFUSAL_HARM;
-    case 'unknown':
-    case 'timed-out':
-      return 1;
-  }
-}
-
-/** True where the target itself has said something. */
-function hasAnswered(outcome: exchanges.Outcome): boolean {
-  const isRefusal = outcome.kind === 'not-run' && outcome.status !== undefined;
-  return (
-    isRefusal || outcome.kind === 'answered' || outcome.kind === 'streaming'
-  );
-}
-
-function detailsOf(outcome: exchanges.Outcome): object {
-  switch (outcome.kind) {
-    case 'answered':
-      return {
-        status: outcome.head.status,
-        // A short answer that was taken for whole shows nowhere else.
-        ...(outcome.head.isUnframed ? {unframed: outcome.body.length} : {}),
-      };
-    case 'streaming':
-      return {status: outcome.head.status};
-    case 'not-run':
-      return {status: outcome.status};
-    case 'unknown':
-      return {why: outcome.why};
-    case 'timed-out':
-      return {sent: outcome.sent};
-    case 'cancelled':
-      return {};
-  }
-}
--- a/src/forwarding/stream-relay.ts
+++ b/src/forwarding/stream-relay.ts
@@ -9,7 +9,8 @@
 import type {Call} from './call';
 import {EventSplitter} from './event-splitter';
 import * as exchanges from './exchange';
-import {Relay, RelayedRequest, Tried} from './relay';
+import type {Tried} from './outcomes';
+import {Relay, RelayedRequest} from './relay';
 import type {Target} from './types';
 import {isRepeatable} from './types';
 
