--- a/bench/processor.ts
+++ b/bench/processor.ts
@@ -3,6 +3,14 @@
  * with passes but no callers, as demand drifts, and with streams. Real
  * processes on loopback, beside stand-ins in this one. Figures are processor
  * time as the kernel counts it, in milliseconds.
+ *
+ * Variables: PROCESSOR_RANKS is the group's size, 12, 24 or 72; PROCESSOR_BUNDLE
+ * the bundle to run, so that an earlier version can be compared;
+ * PROCESSOR_NODE_ARGS arguments of the runtime; PROCESSOR_PROFILES a folder for
+ * profiles of all processes.
+ *
+ * With 24 ranks, 8 s a phase and 3 entries, a sidecar took 393 ms at rest and 471
+ * with passes where its group was read each 50 ms, and takes 164 and 293.
  */
 import * as fs from 'node:fs';
 import * as path from 'node:path';
