--- a/src/forwarding/group-choice.ts
+++ b/src/forwarding/group-choice.ts
@@ -3,6 +3,7 @@
  * own, and so its own room: one that is full, or has just opened, says nothing
  * of the others. Pure.
  */
+import * as grouping from '../grouping';
 import * as random from '../random';
 import type {GroupRoom} from './group-views';
 import type {Target} from './types';
@@ -22,15 +23,7 @@
 
 /** Targets by their group, in the order in which groups come first. */
 export function groupsOf(targets: readonly Target[]): TargetGroup[] {
-  const groups = new Map<string | undefined, Target[]>();
-  for (const target of targets) {
-    const members = groups.get(target.group);
-    if (members === undefined) {
-      groups.set(target.group, [target]);
-    } else {
-      members.push(target);
-    }
-  }
+  const groups = grouping.groupBy(targets, target => target.group);
   return [...groups].map(([name, members]) => ({name, targets: members}));
 }
 
--- a/src/forwarding/group-views.ts
+++ b/src/forwarding/group-views.ts
@@ -7,6 +7,7 @@
 import * as experts from '../experts/app';
 import type {GroupView} from '../experts/types';
 import type {Reach} from '../peers/reach';
+import * as grouping from '../grouping';
 import * as random from '../random';
 import type {EngineFigures} from '../routes/types';
 import type {RpcClient} from '../rpc/client';
@@ -262,13 +263,7 @@
   private ranksOf(key: string): readonly Target[] {
     const ranks = this.context.ranks();
     if (ranks !== this.grouped.ranks) {
-      const byKey = new Map<string, Target[]>();
-      for (const rank of ranks) {
-        const members = byKey.get(keyOf(rank)) ?? [];
-        members.push(rank);
-        byKey.set(keyOf(rank), members);
-      }
-      this.grouped = {ranks, byKey};
+      this.grouped = {ranks, byKey: grouping.groupBy(ranks, keyOf)};
     }
     return this.grouped.byKey.get(key) ?? [];
   }
--- a/src/forwarding/target-list.ts
+++ b/src/forwarding/target-list.ts
@@ -7,6 +7,7 @@
  * Lifetimes of one target are told apart by its start and put in order by the
  * store's revisions: the time of day, which starts are told in, may jump back.
  */
+import * as grouping from '../grouping';
 import type {Target} from './types';
 
 /**
@@ -168,7 +169,10 @@
       this.listsUntil = Math.min(
         ...[...this.held.values()].map(({goneAt}) => goneAt),
       );
-      this.lists = byService(this.newestAtAddresses());
+      this.lists = grouping.groupBy(
+        this.newestAtAddresses(),
+        target => target.service,
+      );
     }
     return this.lists;
   }
@@ -216,16 +220,3 @@
     }
   }
 }
-
-function byService(targets: readonly Target[]): Map<string, Target[]> {
-  const lists = new Map<string, Target[]>();
-  for (const target of targets) {
-    const list = lists.get(target.service);
-    if (list === undefined) {
-      lists.set(target.service, [target]);
-    } else {
-      list.push(target);
-    }
-  }
-  return lists;
-}
