What a target asks for in an answer is held where targets are chosen

Cause: nobody read Retry-After of a target's 503, nor that a target says in its answers that it leaves. A 503 counted as an eighth of a failure, and what fails at once looks idle, so a target at rest was chosen as soon as the others filled. Class: what a target asks for in an answer is known to one send only, and each next choice knows nothing of it.

Ruled out: sends that were under way (gaps of 0.6 to 2.7 s), and a new lifetime (no line of the list between the sends).

Now each head of an answer is heard as it is read, whatever becomes of the answer. The list of targets, where all choosing gets them from, holds them back by lifetime: for the latest end asked for and up to a tenth longer, at random; then one request at a time until one is taken, 2 s at most. A target that leaves is out for good. Where all are at rest callers are refused at once and told when to come back, spread; a stream that has begun waits, and none leaves a slow rank for nowhere. 4,096 lifetimes are kept at most.

--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -63,6 +63,14 @@
     return this.endsAt - performance.now();
   }
 
+  /** What the caller itself has left; a route may allow less. */
+  get callerLeftMs(): number {
+    const allowedMs = this.head?.timeLeftMs;
+    return allowedMs === undefined
+      ? this.leftMs
+      : this.startedAt + allowedMs - performance.now();
+  }
+
   /** Sets the route and the time that the request may take. */
   setRoute(route: Route, account: string | undefined, timeMs: number): void {
     this.route = route;
--- a/src/forwarding/come-back.test.ts
+++ b/src/forwarding/come-back.test.ts
@@ -45,4 +45,22 @@
       );
     }
   });
+
+  it('is after the rest that all targets asked for, and not all at once', () => {
+    const times = Array.from({length: 200}, () =>
+      comeBack.afterRest(1_000, LEFT_MS),
+    );
+    expect(Math.min(...times)).toBeGreaterThanOrEqual(1_000);
+    expect(Math.max(...times) - Math.min(...times)).toBeGreaterThan(300);
+  });
+
+  it('is as late as is heeded where the rest is longer', () => {
+    const times = Array.from({length: 200}, () =>
+      comeBack.afterRest(60_000, LEFT_MS),
+    );
+    expect(Math.max(...times)).toBeLessThan(LEFT_MS * HEEDED_SHARE);
+    expect(Math.min(...times)).toBeGreaterThan(1_700);
+    expect(Math.max(...times) - Math.min(...times)).toBeGreaterThan(400);
+    expect(comeBack.afterRest(60_000, -5)).toBe(0);
+  });
 });
--- a/src/forwarding/come-back.ts
+++ b/src/forwarding/come-back.ts
@@ -18,11 +18,17 @@
 const LONGEST_FULL_MS = 1_000;
 /** Part of the time left after which callers may be asked to come back. */
 const LONGEST_SHARE = 0.3;
-/** Part of that in which callers of a site that comes back are spread. */
+/** Part of that in which callers who can't be told a time are spread. */
 const LEAST_SPREAD = 0.75;
 /** What a group may take longer to form than its engine states. */
 const FORM_SLACK_MS = 250;
 
+/**
+ * Part of a rest by which callers' return is spread after its end: those that
+ * were refused all through it would come back at one moment.
+ */
+const REST_SPREAD = 0.5;
+
 /** What is known of a group that takes nothing. */
 export interface ClosedGroup {
   /** Milliseconds since it was found closed. */
@@ -41,6 +47,15 @@
   return Math.min(random.jitter(OVERLOADED_MS), longest(leftMs));
 }
 
+/**
+ * Where all targets have asked for rest, the first of them for so long: after it,
+ * or as late as the caller heeds, never together.
+ */
+export function afterRest(restMs: number, leftMs: number): number {
+  const spread = restMs * (1 + REST_SPREAD * random.unit());
+  return Math.min(spread, longest(leftMs) * spreadShare());
+}
+
 /**
  * A group that has lost a rank opens when it has formed, and later than that
  * nobody knows when. One that has not been open since this process began may
@@ -53,8 +68,11 @@
   if (openIn > 0 && group.hasBeenOpen) {
     return Math.min(openIn, longest(leftMs));
   }
-  const spread = LEAST_SPREAD + (1 - LEAST_SPREAD) * random.unit();
-  return longest(leftMs) * spread;
+  return longest(leftMs) * spreadShare();
+}
+
+function spreadShare(): number {
+  return LEAST_SPREAD + (1 - LEAST_SPREAD) * random.unit();
 }
 
 function longest(leftMs: number): number {
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -9,6 +9,8 @@
 import type {ForwarderContext} from './forwarder';
 import * as outcomes from './outcomes';
 import type {RetryBudget} from './retry-budget';
+import type {ServiceRest} from './target-list';
+import {TRIAL_MS} from '../targets/rest';
 import * as types from './types';
 
 /** A request that may be sent to targets. */
@@ -31,6 +33,21 @@
 /** Least time left that makes another send worth while, in milliseconds. */
 const MIN_SEND_MS = 20;
 
+/**
+ * How long a request waits for targets that are all held back, in milliseconds.
+ * At rest they take nothing until a time that is known, and the caller is told;
+ * a stream that has begun can't be. Back from it they take one at a time.
+ */
+function restPatience(call: Call, rest: ServiceRest | undefined): number {
+  if (rest === undefined) {
+    return 0;
+  }
+  if (call.hasBegun) {
+    return Infinity;
+  }
+  return rest.isAtRest ? 0 : TRIAL_MS;
+}
+
 export abstract class Relay {
   constructor(
     protected readonly context: ForwarderContext,
@@ -52,8 +69,9 @@
     mayWait: boolean,
   ): Promise<Result<types.Target, types.Refusal>> {
     const {targets, loads, gate} = this.context;
+    const startedAt = performance.now();
     const waitsUntil = Math.min(
-      performance.now() + LONGEST_GATE_WAIT_MS,
+      startedAt + LONGEST_GATE_WAIT_MS,
       call.endsAt - MIN_SEND_MS,
     );
     for (;;) {
@@ -63,7 +81,16 @@
         tried,
       );
       if (known.length === 0) {
-        return fail(this.noTarget(request.service));
+        const rest = targets.restOf(request.service, now);
+        const patienceMs = restPatience(call, rest);
+        if (
+          call.hasLeft ||
+          now >= Math.min(startedAt + patienceMs, waitsUntil)
+        ) {
+          return fail(this.noneToChoose(call, request.service, rest));
+        }
+        await gate.waitForTurn(undefined, call.signal);
+        continue;
       }
       const groups = groupChoice.groupsOf(known);
       const open = groups.filter(one => gate.closedMs(one.name, now) === 0);
@@ -80,6 +107,7 @@
       if (chosen !== undefined) {
         // At once: others that wait choose in the same turn of the loop.
         loads.begin(chosen.lifetime);
+        targets.noteSent(chosen, now);
         return ok(chosen);
       }
       if (!mayWait || call.hasLeft || now >= waitsUntil) {
@@ -143,6 +171,7 @@
     const mayRepeat = types.isRepeatable(request.route);
     call.sends += 1;
     call.target = target.id;
+    const sentAt = performance.now();
     let said: types.AnswerHead | undefined;
     const outcome = await exchanges.exchange(wire, {
       agent: mayRepeat ? connections.kept : connections.fresh,
@@ -160,6 +189,7 @@
       signal: call.signal,
       onHead: head => {
         said = head;
+        this.noteAsked(target, head);
       },
     });
     if (outcome.kind === 'not-run' && outcome.status === outcomes.MISDIRECTED) {
@@ -169,7 +199,8 @@
     if (outcomes.hasAnswered(outcome)) {
       this.context.reach.note();
     }
-    this.noteGroup(target, outcome);
+    this.noteGroup(target, outcome, said);
+    this.noteTaken(target, outcome, sentAt);
     call.noteOutcome(outcome.kind === 'not-run');
     if (outcome.kind !== 'streaming') {
       // A group that is closed says nothing of the one rank.
@@ -240,7 +271,7 @@
       const now = performance.now();
       this.refuseUnsent(call, this.closedGroup(call, request, group, now));
     } else {
-      this.refuse(call, outcome);
+      this.refuse(call, target, outcome);
     }
   }
 
@@ -287,8 +318,48 @@
     return isDrawn;
   }
 
-  /** Learns from an outcome whether the target's group takes requests. */
-  private noteGroup(target: types.Target, outcome: exchanges.Outcome): void {
+  /** Holds what a target asks for besides, as soon as it has said so. */
+  private noteAsked(target: types.Target, head: types.AnswerHead): void {
+    const {targets, metrics, log} = this.context;
+    const {id, service} = target;
+    const {rest} = head;
+    if (head.isLeaving) {
+      targets.leave(target);
+    }
+    if (rest.kind !== 'rest') {
+      return;
+    }
+    metrics.count('rests_asked_total', {service});
+    if (targets.askRest(target, rest.ms, performance.now())) {
+      log.event('targetResting', {target: id, service, restMs: rest.ms});
+    }
+  }
+
+  /** A target that takes a request after its rest is used as before. */
+  private noteTaken(
+    target: types.Target,
+    outcome: exchanges.Outcome,
+    sentAt: number,
+  ): void {
+    const {targets, log} = this.context;
+    const {id, service} = target;
+    const hasTaken =
+      outcome.kind === 'streaming' || outcome.kind === 'answered';
+    if (hasTaken && targets.noteTaken(target, sentAt, performance.now())) {
+      log.event('targetRested', {target: id, service});
+    }
+  }
+
+  /**
+   * Learns from an outcome whether the target's group takes requests. Who asks
+   * for rest speaks for itself alone: taken for the group's word, four of twelve
+   * ranks that asked had all twelve held back for 6 to 90 ms again and again.
+   */
+  private noteGroup(
+    target: types.Target,
+    outcome: exchanges.Outcome,
+    said: types.AnswerHead | undefined,
+  ): void {
     const {gate, log} = this.context;
     const {group, service} = target;
     if (group === undefined) {
@@ -304,6 +375,7 @@
     } else if (
       outcome.kind === 'not-run' &&
       outcome.status === outcomes.UNAVAILABLE &&
+      said?.rest.kind !== 'rest' &&
       gate.noteRefused(group, target.id, now)
     ) {
       log.event('groupClosed', {service, group, target: target.id});
@@ -348,20 +420,61 @@
     return {kind: 'not-run', why: 'overloaded', retryMs};
   }
 
+  /** The last target turned the request away; others may take the next. */
+  private turnedAway(call: Call, service: string): types.Refusal {
+    const rest = this.context.targets.restOf(service, performance.now());
+    return rest === undefined
+      ? {
+          kind: 'not-run',
+          why: 'target-full',
+          retryMs: comeBack.afterFull(call.leftMs),
+        }
+      : this.resting(call, service, rest);
+  }
+
+  /** Why there is no target to choose. */
+  private noneToChoose(
+    call: Call,
+    service: string,
+    rest: ServiceRest | undefined,
+  ): types.Refusal {
+    return rest === undefined
+      ? this.noTarget(service)
+      : this.resting(call, service, rest);
+  }
+
+  /** All targets want nothing for a while: the caller is told for how long. */
+  private resting(
+    call: Call,
+    service: string,
+    rest: ServiceRest,
+  ): types.Refusal {
+    const retryMs = comeBack.afterRest(rest.ms, call.callerLeftMs);
+    this.context.metrics.count('rest_refusals_total', {service});
+    this.context.log.event('requestRefused', {
+      request: call.head?.id,
+      kind: 'targets-resting',
+      service,
+      restMs: Math.round(rest.ms),
+      retryMs: Math.round(retryMs),
+    });
+    return {kind: 'not-run', why: 'targets-resting', retryMs};
+  }
+
   private noTarget(service: string): types.Refusal {
     this.context.log.event('noTarget', {service});
     return {kind: 'not-run', why: 'no-target', retryMs: comeBack.NO_TARGET_MS};
   }
 
   /** Answers for an outcome that gave nothing to pass on. */
-  private refuse(call: Call, outcome: exchanges.Outcome): void {
+  private refuse(
+    call: Call,
+    target: types.Target,
+    outcome: exchanges.Outcome,
+  ): void {
     switch (outcome.kind) {
       case 'not-run':
-        call.refuse({
-          kind: 'not-run',
-          why: 'target-full',
-          retryMs: comeBack.afterFull(call.leftMs),
-        });
+        call.refuse(this.turnedAway(call, target.service));
         return;
       case 'unknown':
         call.refuse({kind: 'failed', why: outcome.why});
--- a/src/forwarding/stream-relay.ts
+++ b/src/forwarding/stream-relay.ts
@@ -54,6 +54,7 @@
         };
         const move = () =>
           this.isSlow(target) &&
+          this.hasOther(request, tried) &&
           this.mayResume(call, request, target, hasBegun, splitter);
         const end = await this.pump(
           call,
@@ -122,6 +123,16 @@
     return view !== undefined && mayMove(view, target.rank, target.slots);
   }
 
+  /**
+   * True where another target may be sent to now. A stream that leaves its rank
+   * while all others are at rest is cut.
+   */
+  private hasOther(request: RelayedRequest, tried: Tried): boolean {
+    return this.context.targets
+      .ofService(request.service, performance.now())
+      .some(({lifetime}) => !tried.has(lifetime));
+  }
+
   /** A stream that has begun can only be cut; nothing else is honest. */
   private giveUp(call: Call, hasBegun: boolean, refuse: () => void): void {
     if (hasBegun) {
--- a/src/forwarding/target-list.ts
+++ b/src/forwarding/target-list.ts
@@ -2,12 +2,14 @@
  * Targets that requests may be sent to. A target that says that it leaves is
  * out at once, and that lifetime of it for good. One that vanishes from the
  * list is out too, except while its entry may just have lapsed in an outage
- * of the store.
+ * of the store. One that has asked for rest in an answer is held back for it:
+ * whoever chooses gets targets from here, and so no other.
  *
  * Lifetimes of one target are told apart by its start and put in order by the
  * store's revisions: the time of day, which starts are told in, may jump back.
  */
 import * as grouping from '../grouping';
+import {RestBook} from '../targets/rest-book';
 import type {Target} from './types';
 
 /**
@@ -21,16 +23,31 @@
  */
 const MOST_ENDED = 4_096;
 
+/** Who says that a target leaves: its entry, or an answer of its own. */
+export type LeavingNews = 'entry' | 'answer';
+
 /** Why a target is in or out. */
 export type TargetChange =
   | {readonly kind: 'joined'; readonly target: Target}
-  | {readonly kind: 'leaving'; readonly target: Target}
+  | {
+      readonly kind: 'leaving';
+      readonly target: Target;
+      readonly by: LeavingNews;
+    }
   | {readonly kind: 'gone'; readonly target: Target}
   /** It has started again under the same id. */
   | {readonly kind: 'restarted'; readonly target: Target}
   /** Not on the list, but kept for a while after an outage. */
   | {readonly kind: 'missing'; readonly target: Target};
 
+/** All targets of a service are held back. */
+export interface ServiceRest {
+  /** Milliseconds until one of them may be sent something. */
+  readonly ms: number;
+  /** All are at rest; else one has come back and is being tried. */
+  readonly isAtRest: boolean;
+}
+
 interface Held {
   target: Target;
   /** Monotonic time at which a missing target is given up. */
@@ -39,6 +56,7 @@
 
 export class TargetList {
   private readonly held = new Map<string, Held>();
+  private readonly rests = new RestBook();
   /** Oldest first. */
   private readonly ended = new Set<string>();
   /** Services that the configuration names; undefined: not known yet. */
@@ -91,7 +109,7 @@
     }
     if (target.isLeaving) {
       this.end(target);
-      this.onChange({kind: 'leaving', target});
+      this.onChange({kind: 'leaving', target, by: 'entry'});
       return;
     }
     this.held.set(target.id, {target, goneAt: Infinity});
@@ -118,6 +136,35 @@
     }
   }
 
+  /** A target has said in an answer that it leaves: it gets nothing more. */
+  leave(target: Target): void {
+    if (this.isHeld(target.lifetime, target.id)) {
+      this.end(target);
+      this.onChange({kind: 'leaving', target, by: 'answer'});
+    }
+  }
+
+  /**
+   * A target has asked in an answer for so many milliseconds of rest. True where
+   * it was at none.
+   */
+  askRest(target: Target, ms: number, now: number): boolean {
+    return (
+      !this.ended.has(target.lifetime) &&
+      this.rests.ask(target.lifetime, ms, now)
+    );
+  }
+
+  /** Notes that a request goes to a target. */
+  noteSent(target: Target, now: number): void {
+    this.rests.noteSent(target.lifetime, now);
+  }
+
+  /** A target took a request; true where it is used as before its rest now. */
+  noteTaken(target: Target, sentAt: number, now: number): boolean {
+    return this.rests.noteTaken(target.lifetime, sentAt, now);
+  }
+
   get(id: string): Target | undefined {
     return this.held.get(id)?.target;
   }
@@ -137,11 +184,25 @@
   }
 
   /**
-   * Targets of a service that may get work. Where a process died, its entry
-   * stays for a while beside that of its next life at the same address.
+   * Targets of a service that may be sent something now. Where a process died,
+   * its entry stays for a while beside that of its next life at the same address.
    */
   ofService(service: string, now: number): readonly Target[] {
-    return this.listsAt(now).get(service) ?? [];
+    const listed = this.listsAt(now).get(service) ?? [];
+    return this.rests.awake(listed, target => target.lifetime, now);
+  }
+
+  /** Where all targets of a service are held back: until when, and for what. */
+  restOf(service: string, now: number): ServiceRest | undefined {
+    const listed = this.listsAt(now).get(service) ?? [];
+    const waits = listed.map(one => this.rests.waitMs(one.lifetime, now));
+    if (waits.length === 0 || waits.includes(0)) {
+      return undefined;
+    }
+    const isAtRest = listed.every(one =>
+      this.rests.isResting(one.lifetime, now),
+    );
+    return {ms: Math.min(...waits), isAtRest};
   }
 
   /** All targets that may get work. */
@@ -201,6 +262,7 @@
   /** A lifetime is over for good. */
   private end(target: Target): void {
     this.held.delete(target.id);
+    this.rests.forget(target.lifetime);
     this.forgetLists();
     this.ended.delete(target.lifetime);
     this.ended.add(target.lifetime);
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -113,6 +113,7 @@
   | 'no-target'
   | 'overloaded'
   | 'target-full'
+  | 'targets-resting'
   | 'group-closed'
   | 'timed-out';
 
--- a/src/observability/catalogue.ts
+++ b/src/observability/catalogue.ts
@@ -103,6 +103,16 @@
     level: 'warn',
     text: 'entry names no target',
   },
+  targetResting: {
+    id: 'FC6012',
+    level: 'info',
+    text: 'target is held back: it has asked for rest',
+  },
+  targetRested: {
+    id: 'FC6013',
+    level: 'info',
+    text: 'target is used as before its rest',
+  },
   targetUnreachable: {
     id: 'FC6004',
     level: 'warn',
--- a/src/roles/site-follower.ts
+++ b/src/roles/site-follower.ts
@@ -362,7 +362,7 @@
         log.event('targetJoined', {...fields, slots, group, rank});
         return;
       case 'leaving':
-        log.event('targetLeaving', fields);
+        log.event('targetLeaving', {...fields, by: change.by});
         return;
       case 'gone':
         log.event('targetGone', fields);
