--- a/src/http/retry-after.test.ts
+++ b/src/http/retry-after.test.ts
@@ -1,9 +1,7 @@
-import type * as http from 'node:http';
-import {LONGEST_REST_MS, readRest} from './retry-after';
+import {LONGEST_REST_MS, RestAsked, readRest} from './retry-after';
 
-function answer(statusCode: number, text?: string): http.IncomingMessage {
-  const headers = text === undefined ? {} : {'retry-after': text};
-  return {statusCode, headers} as unknown as http.IncomingMessage;
+function read(status: number, text?: string): RestAsked {
+  return readRest(status, text === undefined ? {} : {'retry-after': text});
 }
 
 describe('what an answer asks for', () => {
@@ -17,8 +15,8 @@
     ['86400', LONGEST_REST_MS],
     ['9'.repeat(400), LONGEST_REST_MS],
   ])('is rest: %s', (text, ms) => {
-    expect(readRest(answer(503, text))).toEqual({kind: 'rest', ms});
-    expect(readRest(answer(429, text))).toEqual({kind: 'rest', ms});
+    expect(read(503, text)).toEqual({kind: 'rest', ms});
+    expect(read(429, text)).toEqual({kind: 'rest', ms});
   });
 
   it.each([
@@ -36,20 +34,20 @@
     '.',
     'Wed, 21 Oct 2015 07:28:00 GMT',
   ])('is nothing that can be read: %j', text => {
-    expect(readRest(answer(503, text))).toEqual({kind: 'unread', text});
+    expect(read(503, text)).toEqual({kind: 'unread', text});
   });
 
   it('is nothing without the header, for no time, or with an answer', () => {
     const nothing = {kind: 'none'};
-    expect(readRest(answer(503))).toEqual(nothing);
-    expect(readRest(answer(503, '0'))).toEqual(nothing);
-    expect(readRest(answer(503, '0.0'))).toEqual(nothing);
-    expect(readRest(answer(200, '3'))).toEqual(nothing);
-    expect(readRest(answer(421, '3'))).toEqual(nothing);
+    expect(read(503)).toEqual(nothing);
+    expect(read(503, '0')).toEqual(nothing);
+    expect(read(503, '0.0')).toEqual(nothing);
+    expect(read(200, '3')).toEqual(nothing);
+    expect(read(421, '3')).toEqual(nothing);
   });
 
   it('keeps little of what it can not read', () => {
-    const read = readRest(answer(503, 'x'.repeat(5_000)));
-    expect(JSON.stringify(read).length).toBeLessThan(100);
+    const got = read(503, 'x'.repeat(5_000));
+    expect(JSON.stringify(got).length).toBeLessThan(100);
   });
 });
--- a/src/http/retry-after.ts
+++ b/src/http/retry-after.ts
@@ -1,6 +1,5 @@
 /** The header Retry-After as whoever gets it reads it. Source: RFC 9110. */
 import type * as http from 'node:http';
-import * as body from './body';
 
 /** Statuses of answers that may ask not to be sent more for a while. */
 const TURNED_AWAY = new Set([429, 503]);
@@ -26,9 +25,12 @@
 const MAX_UNREAD = 40;
 
 /** What an answer asks for; those that turned nobody away ask for nothing. */
-export function readRest(res: http.IncomingMessage): RestAsked {
-  const text = body.headerOf(res, 'retry-after')?.trim();
-  if (text === undefined || !TURNED_AWAY.has(res.statusCode ?? 0)) {
+export function readRest(
+  status: number,
+  headers: http.IncomingHttpHeaders,
+): RestAsked {
+  const text = headers['retry-after']?.trim();
+  if (text === undefined || !TURNED_AWAY.has(status)) {
     return {kind: 'none'};
   }
   if (!SECONDS.test(text)) {
