A request that another target may have run is never told not-run

Found on the way: where the first target broke its answer off and the next turned the request away, the caller got 503, which says that it hasn't run. Now 502, with when to come back (test failed first: 503). The same where a send ends for time before it left.

--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -474,13 +474,14 @@
   ): void {
     switch (outcome.kind) {
       case 'not-run':
-        call.refuse(this.turnedAway(call, target.service));
+        this.refuseUnsent(call, this.turnedAway(call, target.service));
         return;
       case 'unknown':
         call.refuse({kind: 'failed', why: outcome.why});
         return;
       case 'timed-out':
-        call.refuse(
+        this.refuseUnsent(
+          call,
           outcome.sent
             ? {kind: 'timed-out'}
             : {
