The own interface holds what targets ask for, in the sidecar's admission

A sidecar passed a target's 503 on and forgot what it asked for, and an entry took the target for idle. Before, by scenarios on real processes with stand-ins that ask for 2 s of rest: 40 of 57 chats reached the rank in its rest, 41 of 57 lookups and 13 of 19 top-ups the ledger behind two sidecars (2 a sidecar are allowed); looks of the engine's probe came four in 0.8 s of a rest of 0.9 s. Now at most that many, one look.

New work goes to the target through one function that hears each answer, and the admission, which all of it passes, refuses at once with when to come back, what is queued too; after the rest one at a time until one is taken. Calls that may be repeated and were turned away go to another target. Entries keep who rests beside their list of targets; where all do, callers are told at once. New kind of refusal: resting. Stand-ins turn away on demand.

It passed in the next run; runs with their output kept are under way.

--- /dev/null
+++ b/features/rests.steps.ts
@@ -0,0 +1,148 @@
+import * as path from 'node:path';
+import {StepDefinitions, autoBindSteps, loadFeature} from 'jest-cucumber';
+import {expectedText} from '../standins/engine';
+import * as fleets from './support/fleet';
+import * as testHttp from './support/http';
+import * as site from './support/site';
+
+const feature = loadFeature(path.join(__dirname, 'rests.feature'));
+/** What comes so soon after a target asked was under way. */
+const GRACE_MS = 500;
+const REST_MS = 2_000;
+const AT_ONCE_MS = 400;
+
+interface Sent {
+  readonly answer: testHttp.Answer;
+  readonly tookMs: number;
+}
+
+let fleet: fleets.Fleet;
+let resting = '';
+let chats: testHttp.EventStream[];
+let sent: Sent[];
+
+afterEach(async () => fleet.close());
+
+/** Does something at a rate for a while. */
+async function repeat<T>(
+  perSecond: number,
+  forMs: number,
+  send: (at: number) => Promise<T> | T,
+): Promise<T[]> {
+  const startedAt = Date.now();
+  const results: Array<Promise<T> | T> = [];
+  const count = (perSecond * forMs) / 1_000;
+  for (let at = 0; at < count; at += 1) {
+    const dueAt = startedAt + (at * 1_000) / perSecond;
+    await fleets.pause(Math.max(dueAt - Date.now(), 0));
+    results.push(send(at));
+  }
+  return Promise.all(results);
+}
+
+async function timed(call: Promise<testHttp.Answer>): Promise<Sent> {
+  const startedAt = Date.now();
+  const answer = await call;
+  return {answer, tookMs: Date.now() - startedAt};
+}
+
+function lookUp(at: number): Promise<Sent> {
+  return timed(
+    testHttp.call(
+      fleet.address(`entry-${at % 2}`),
+      'GET',
+      '/ledger/balances/member-1',
+      site.auth('alpha'),
+    ),
+  );
+}
+
+/** Those that came in the rest, but for what was under way as it began. */
+async function countInRest(): Promise<number> {
+  const arrivals = await fleet.turnedAway(resting);
+  const begunAt = arrivals[0]!;
+  return arrivals.filter(
+    at => at > begunAt + GRACE_MS && at < begunAt + REST_MS,
+  ).length;
+}
+
+async function expectAtMost(most: string): Promise<void> {
+  expect(await countInRest()).toBeLessThanOrEqual(Number(most));
+}
+
+const steps: StepDefinitions = ({given, when, then, and}) => {
+  given('a model of two ranks, one of which asks for 2 s of rest', async () => {
+    fleet = await fleets.Fleet.start({ranks: 2, ledgers: 0});
+    resting = fleet.engine[0]!;
+    await fleet.setFaults(resting, {retryAfter: '2'});
+  });
+
+  given('a ledger that asks for 2 s of rest', async () => {
+    fleet = await fleets.Fleet.start({ranks: 0, ledgers: 2});
+    resting = fleet.ledger;
+    await fleet.setFaults(resting, {retryAfter: '2'});
+  });
+
+  when(/^(\d+) chats a second are sent for (\d+) ms$/, async (rate, ms) => {
+    chats = await repeat(Number(rate), Number(ms), at =>
+      fleet.chat(`entry-${at % 2}`, 'alpha', `question ${at}`, 8),
+    );
+  });
+
+  when(/^(\d+) lookups a second are sent for (\d+) ms$/, async (rate, ms) => {
+    sent = await repeat(Number(rate), Number(ms), lookUp);
+  });
+
+  when(/^(\d+) top-ups a second are sent for (\d+) ms$/, async (rate, ms) => {
+    const count = (Number(rate) * Number(ms)) / 1_000;
+    const keys: string[] = [];
+    while (keys.length < count) {
+      keys.push(await fleet.mintKey('entry-0', 'alpha'));
+    }
+    sent = await repeat(Number(rate), Number(ms), at =>
+      timed(fleet.topUp(`entry-${at % 2}`, 'alpha', keys[at]!)),
+    );
+  });
+
+  then(/^at most (\d+) of them reach the rank while it rests$/, expectAtMost);
+  then(/^at most (\d+) of them reach the ledger while it rests$/, expectAtMost);
+
+  and('every chat is served whole', async () => {
+    for (const [at, chat] of chats.entries()) {
+      await chat.whenEnded();
+      const messages = [{role: 'user', content: `question ${at}`}];
+      expect(chat.text).toBe(expectedText(messages, 8));
+      expect(chat.isWhole).toBe(true);
+    }
+  });
+
+  and('the others are told at once when to come back', () => {
+    for (const {answer, tookMs} of sent) {
+      expect(answer.status).toBe(503);
+      expect(Number(answer.headers['retry-after'])).toBeGreaterThan(0);
+      expect(tookMs).toBeLessThan(AT_ONCE_MS);
+    }
+    const problems = sent.map(
+      ({answer}) => (JSON.parse(answer.text) as {type?: string}).type,
+    );
+    expect(new Set(problems)).toEqual(new Set(['/problems/resting']));
+  });
+
+  and('lookups after the rest are served', async () => {
+    await fleet.setFaults(resting, {retryAfter: null});
+    await fleets.pause(REST_MS);
+    const later = await repeat(10, 500, lookUp);
+    expect(later.map(({answer}) => answer.status)).toEqual(
+      later.map(() => 200),
+    );
+  });
+
+  and('top-ups with new keys after the rest are served', async () => {
+    await fleet.setFaults(resting, {retryAfter: null});
+    await fleets.pause(REST_MS);
+    const key = await fleet.mintKey('entry-0', 'alpha');
+    expect((await fleet.topUp('entry-0', 'alpha', key)).status).toBe(201);
+  });
+};
+
+autoBindSteps([feature], [steps]);
--- a/features/support/fleet.ts
+++ b/features/support/fleet.ts
@@ -156,6 +156,16 @@
     return testHttp.callJson(this.ledger, 'GET', '/runs');
   }
 
+  /** When a stand-in turned requests away, in Unix milliseconds. */
+  async turnedAway(address: string): Promise<readonly number[]> {
+    const {arrivals} = await testHttp.callJson<{arrivals: number[]}>(
+      address,
+      'GET',
+      '/standin/turned-away',
+    );
+    return arrivals;
+  }
+
   /** Sends a chat completion as a stream. */
   chat(
     entry: string,
--- a/src/forwarding/come-back.ts
+++ b/src/forwarding/come-back.ts
@@ -5,6 +5,7 @@
  * Pure.
  */
 import * as random from '../random';
+import * as rests from '../targets/rest';
 
 /** Where no target of the service is known. */
 export const NO_TARGET_MS = 300;
@@ -23,12 +24,6 @@
 /** What a group may take longer to form than its engine states. */
 const FORM_SLACK_MS = 250;
 
-/**
- * Part of a rest by which callers' return is spread after its end: those that
- * were refused all through it would come back at one moment.
- */
-const REST_SPREAD = 0.5;
-
 /** What is known of a group that takes nothing. */
 export interface ClosedGroup {
   /** Milliseconds since it was found closed. */
@@ -52,8 +47,7 @@
  * or as late as the caller heeds, never together.
  */
 export function afterRest(restMs: number, leftMs: number): number {
-  const spread = restMs * (1 + REST_SPREAD * random.unit());
-  return Math.min(spread, longest(leftMs) * spreadShare());
+  return Math.min(rests.spreadReturn(restMs), longest(leftMs) * spreadShare());
 }
 
 /**
--- a/src/observability/catalogue.ts
+++ b/src/observability/catalogue.ts
@@ -113,6 +113,11 @@
     level: 'info',
     text: 'target is used as before its rest',
   },
+  restUnread: {
+    id: 'FC6014',
+    level: 'warn',
+    text: 'target asked for something that is no time',
+  },
   targetUnreachable: {
     id: 'FC6004',
     level: 'warn',
--- a/src/requests/admission.ts
+++ b/src/requests/admission.ts
@@ -1,10 +1,12 @@
 /**
  * Admission to one target: run now, queue, or refuse at once. A request is
  * refused as soon as its deadline cannot be met any more, and is told when a
- * try will find room.
+ * try will find room. A target that has asked for rest gets nothing until it is
+ * over, and then one request at a time until it has taken one.
  */
 import {Result, fail, ok} from '../result';
 import * as fairQueue from './fair-queue';
+import {Rest} from '../targets/rest';
 import * as refusals from './refusals';
 import {ReturnBook} from './return-book';
 
@@ -60,10 +62,12 @@
   private readonly returns = new ReturnBook();
   private readonly rates = new Map<string, DecayingRate>();
   private stopped: refusals.Refusal | undefined;
+  /** What the target has asked for. */
+  private readonly rest = new Rest();
 
   constructor(private readonly settings: () => AdmissionSettings) {}
 
-  /** Asks for room. Fails with `overloaded`, `deadline-...` or `leaving`. */
+  /** Asks for room. Fails with `overloaded`, `deadline-...`, `resting`... */
   enter(
     applicant: Applicant,
     signal?: AbortSignal,
@@ -71,11 +75,14 @@
     if (this.stopped !== undefined) {
       return Promise.resolve(fail(this.stopped));
     }
+    if (this.rest.isResting(performance.now())) {
+      return Promise.resolve(fail(this.restRefusal()));
+    }
     const now = Date.now();
     const isDue =
       applicant.isReturning === true &&
       this.returns.takeDue(applicant.account, now);
-    if (this.running < this.settings().capacity && this.queue.size === 0) {
+    if (this.running < this.capacity && this.queue.size === 0) {
       return Promise.resolve(ok(this.start(applicant.account, 0)));
     }
     if (!isDue && this.mustLineUp(applicant, now)) {
@@ -94,6 +101,25 @@
     });
   }
 
+  /**
+   * The target asks for so many milliseconds of rest: what is queued is refused
+   * at once. True where it was at none.
+   */
+  askRest(ms: number): boolean {
+    const now = performance.now();
+    const isNew = !this.rest.isResting(now);
+    this.rest.ask(ms, now);
+    const refusal = this.restRefusal();
+    [...this.queue.items()].forEach(waiting => this.refuse(waiting, refusal));
+    return isNew;
+  }
+
+  /** The target has taken a request that was sent at a monotonic time. */
+  noteTaken(sentAt: number): void {
+    this.rest.noteTaken(sentAt);
+    this.startNext();
+  }
+
   get runningCount(): number {
     return this.running;
   }
@@ -115,6 +141,22 @@
     }
   }
 
+  /** Requests that the target may have now. */
+  private get capacity(): number {
+    const {capacity} = this.settings();
+    return this.rest.isReturning(performance.now())
+      ? Math.min(capacity, 1)
+      : capacity;
+  }
+
+  private restRefusal(): refusals.Refusal {
+    return refusals.notRun(
+      'resting',
+      'the target has asked for rest',
+      this.rest.waitMs(performance.now()),
+    );
+  }
+
   private admitToQueue(waiting: Waiting, signal?: AbortSignal): void {
     const waitMs = this.waitBehind(this.queue.countAhead(waiting));
     const slackMs = waiting.deadlineAt - Date.now() - this.serviceMs;
@@ -177,7 +219,7 @@
   }
 
   private startNext(): void {
-    while (this.running < this.settings().capacity) {
+    while (this.running < this.capacity) {
       const waiting = this.queue.shift();
       if (waiting === undefined) {
         return;
--- a/src/requests/entry-forward.ts
+++ b/src/requests/entry-forward.ts
@@ -8,6 +8,7 @@
 import {Result, fail, ok} from '../result';
 import type {Candidate, RoutedRequest} from '../routing/types';
 import type {Target} from '../targets/directory';
+import * as rests from '../targets/rest';
 import * as entry from './entry-context';
 import * as headers from './headers';
 import * as refusals from './refusals';
@@ -38,6 +39,7 @@
 const TRY_ELSEWHERE: ReadonlySet<refusals.RefusalKind> = new Set([
   'leaving',
   'overloaded',
+  'resting',
   'deadline-unreachable',
   'target-failed',
   'not-found',
@@ -73,9 +75,25 @@
       break;
     }
   }
-  return fail(
+  return fail(lastWord(context, call, last));
+}
+
+/** The refusal after all tries; where all targets rest, it tells for how long. */
+function lastWord(
+  context: entry.EntryContext,
+  call: Forwarded,
+  last: refusals.Refusal | undefined,
+): refusals.Refusal {
+  const restMs = context.targets.restMs(call.eligible());
+  if (restMs > 0 && (last === undefined || last.kind === 'resting')) {
+    const {outcome} = last ?? {outcome: 'not-run' as const};
+    const retryAfterMs = rests.spreadReturn(restMs);
+    const detail = 'all targets have asked for rest';
+    return {kind: 'resting', outcome, detail, retryAfterMs};
+  }
+  return (
     last ??
-      refusals.notRun('no-target', 'no target is live', NO_TARGET_RETRY_MS),
+    refusals.notRun('no-target', 'no target is live', NO_TARGET_RETRY_MS)
   );
 }
 
@@ -106,7 +124,8 @@
   tried: ReadonlySet<string>,
 ): Target | undefined {
   const now = Date.now();
-  const open = call.eligible().filter(target => !tried.has(target.id));
+  const untried = call.eligible().filter(target => !tried.has(target.id));
+  const open = context.targets.awake(untried);
   const probe = open.find(t => t.health.stateAt(now) === 'probing');
   const healthy = open.filter(t => t.health.stateAt(now) === 'healthy');
   const kept = open.find(target => target.id === returnTo(caller));
@@ -181,6 +200,8 @@
 ): Promise<Result<Forwarding, refusals.Refusal>> {
   const attempt = caller.entry.attempts[caller.entry.attempts.length - 1]!;
   target.inFlight += 1;
+  const sentAt = performance.now();
+  context.targets.noteSent(target.id);
   const cached = context.prefixes.tokensAt(call.routed.prefix, target.id);
   const tokens = Math.max(call.routed.promptTokens - cached, 0);
   target.sent.note(Date.now(), tokens);
@@ -211,6 +232,7 @@
   }
   attempt.result = `status ${sent.value.statusCode}`;
   noteSuccess(context, target);
+  context.targets.noteTaken(target.id, sentAt);
   return ok({target, res: sent.value, done});
 }
 
@@ -252,6 +274,12 @@
   if (refusal.kind === 'leaving') {
     context.targets.markLeaving(target.id);
     context.log.event('targetLeaving', {target: target.id, by: 'refusal'});
+  } else if (refusal.kind === 'resting') {
+    const {retryAfterMs = NO_TARGET_RETRY_MS} = refusal;
+    if (context.targets.askRest(target.id, retryAfterMs)) {
+      const fields = {target: target.id, restMs: retryAfterMs};
+      context.log.event('targetResting', fields);
+    }
   } else if (refusal.kind === 'target-failed') {
     noteFailure(context, caller, target);
   } else {
--- a/src/requests/refusals.ts
+++ b/src/requests/refusals.ts
@@ -41,6 +41,7 @@
   'account-limit': {status: 429, title: 'The client account is at its limit'},
   'target-failed': {status: 502, title: 'The target did not answer'},
   overloaded: {status: 503, title: 'The targets are overloaded'},
+  resting: {status: 503, title: 'The targets have asked for rest'},
   leaving: {status: 503, title: 'The target is leaving'},
   'no-target': {status: 503, title: 'No target is available'},
   'not-owner': {status: 503, title: 'Another target owns the key'},
--- a/src/requests/sidecar-assistant.ts
+++ b/src/requests/sidecar-assistant.ts
@@ -15,6 +15,8 @@
   Incoming,
   SidecarContext,
   abortOnClose,
+  restRefusal,
+  sendToTarget,
   timeLeft,
 } from './sidecar-context';
 
@@ -148,8 +150,7 @@
     signal: AbortSignal,
   ): Promise<Result<http.IncomingMessage, refusals.Refusal>> {
     const name = headers.streamNameOf(incoming.id, incoming.account);
-    const sent = await httpClient.send(this.context.agent, {
-      address: this.context.targetAddress,
+    const sent = await sendToTarget(this.context, {
       method: 'POST',
       path: assistant.CHAT_PATH,
       headers: {
@@ -164,6 +165,11 @@
       signal,
     });
     if (sent.ok) {
+      const rest = restRefusal(sent.value);
+      if (rest !== undefined) {
+        sent.value.resume();
+        return fail(rest);
+      }
       return this.checkOwn(incoming, name, sent.value);
     }
     const failed = sent.error.sent
--- a/src/requests/sidecar-context.ts
+++ b/src/requests/sidecar-context.ts
@@ -4,7 +4,11 @@
 import type {Log} from '../observability/log';
 import type {Metrics} from '../observability/metrics';
 import type * as targets from '../targets/types';
+import * as httpClient from '../http/client';
+import * as retryAfter from '../http/retry-after';
+import type {Result} from '../result';
 import type {Admission} from './admission';
+import * as refusals from './refusals';
 
 /** One sidecar and its target. */
 export interface SidecarContext {
@@ -50,3 +54,66 @@
   });
   return abort.signal;
 }
+
+/** What is sent to the target, but for where it is. */
+export type TargetCall = Omit<httpClient.Call, 'address'>;
+
+/**
+ * Sends new work to the target. What it asks for in its answer is held by the
+ * admission, which all new work passes, whatever becomes of the answer: one
+ * that wanted 2 s of rest got 40 chats in 1.5 s of them, 30 being sent a second.
+ */
+export async function sendToTarget(
+  context: SidecarContext,
+  call: TargetCall,
+): Promise<Result<http.IncomingMessage, httpClient.CallError>> {
+  const {agent, targetAddress} = context;
+  const sentAt = performance.now();
+  const sent = await httpClient.send(agent, {
+    ...call,
+    address: targetAddress,
+  });
+  if (sent.ok) {
+    hear(context, sent.value, sentAt);
+  }
+  return sent;
+}
+
+function hear(
+  context: SidecarContext,
+  res: http.IncomingMessage,
+  sentAt: number,
+): void {
+  const {admission, log, metrics, targetId, serves} = context;
+  const rest = readRest(res);
+  if (rest.kind === 'none') {
+    admission.noteTaken(sentAt);
+    return;
+  }
+  if (rest.kind === 'unread') {
+    log.event('restUnread', {target: targetId, text: rest.text});
+    return;
+  }
+  metrics.count('rests_asked_total', {service: serves.name});
+  if (admission.askRest(rest.ms)) {
+    const service = serves.name;
+    log.event('targetResting', {target: targetId, service, restMs: rest.ms});
+  }
+}
+
+function readRest(res: http.IncomingMessage): retryAfter.RestAsked {
+  return retryAfter.readRest(res.statusCode ?? 0, res.headers);
+}
+
+/**
+ * The refusal of a call that may be repeated and that the target turned away,
+ * asking for rest: another target may take it. Undefined where it did not.
+ */
+export function restRefusal(
+  res: http.IncomingMessage,
+): refusals.Refusal | undefined {
+  const rest = readRest(res);
+  return rest.kind === 'rest'
+    ? refusals.unknownOutcome('resting', 'the target asks for rest', rest.ms)
+    : undefined;
+}
--- a/src/requests/sidecar-service.ts
+++ b/src/requests/sidecar-service.ts
@@ -2,7 +2,7 @@
 import type * as http from 'node:http';
 import type {Service} from '../configuration/types';
 import * as body from '../http/body';
-import * as httpClient from '../http/client';
+import type * as httpClient from '../http/client';
 import * as keys from '../claims/keys';
 import type {KeptAnswer} from '../claims/records';
 import type {KeyRefusal, RunEnd, Runs} from '../claims/runs';
@@ -15,6 +15,8 @@
   Incoming,
   SidecarContext,
   abortOnClose,
+  restRefusal,
+  sendToTarget,
   timeLeft,
 } from './sidecar-context';
 
@@ -85,6 +87,13 @@
       answers.refuse(this.context, incoming, failed);
       return;
     }
+    const rest = restRefusal(sent.value);
+    if (rest !== undefined) {
+      ticket.value.release();
+      sent.value.resume();
+      answers.refuse(this.context, incoming, rest);
+      return;
+    }
     await answers.passOn(this.context, incoming, sent.value);
     ticket.value.release();
   }
@@ -179,8 +188,7 @@
     const {incoming} = call;
     const type = body.headerOf(incoming.req, 'content-type');
     const key = body.headerOf(incoming.req, headers.KEY_HEADER);
-    const sent = await httpClient.send(this.context.agent, {
-      address: this.context.targetAddress,
+    const sent = await sendToTarget(this.context, {
       method: call.method,
       path: call.path,
       headers: {
--- a/src/targets/directory.ts
+++ b/src/targets/directory.ts
@@ -6,6 +6,7 @@
 import type {Instance} from '../platform/types';
 import * as rendezvous from '../routing/rendezvous';
 import {Health} from './health';
+import {RestBook} from './rest-book';
 import {SentLog} from './sent-log';
 import * as types from './types';
 
@@ -64,6 +65,7 @@
   /** Where each target of the list is, by id: 3,200 at the size to build for. */
   private listed: ReadonlyMap<string, Known> = new Map();
   private readonly leavingAt = new Map<string, number>();
+  private readonly rests = new RestBook();
 
   constructor(
     private readonly entryId: string,
@@ -180,6 +182,36 @@
     return this.servingLive('service', name);
   }
 
+  /**
+   * A target has asked for so many milliseconds of rest, through its sidecar.
+   * True where it was at none.
+   */
+  askRest(id: string, ms: number): boolean {
+    return this.rests.ask(id, ms, performance.now());
+  }
+
+  /** Notes that a request goes to a target. */
+  noteSent(id: string): void {
+    this.rests.noteSent(id, performance.now());
+  }
+
+  /** A target has taken a request that was sent at a monotonic time. */
+  noteTaken(id: string, sentAt: number): void {
+    this.rests.noteTaken(id, sentAt, performance.now());
+  }
+
+  /** Those of some targets that are not held back. */
+  awake(targets: readonly Target[]): readonly Target[] {
+    return this.rests.awake(targets, ({id}) => id, performance.now());
+  }
+
+  /** Milliseconds for which all of some targets are held back; 0: not all. */
+  restMs(targets: readonly Target[]): number {
+    const now = performance.now();
+    const waits = targets.map(({id}) => this.rests.waitMs(id, now));
+    return waits.length === 0 ? 0 : Math.min(...waits);
+  }
+
   /** Every target of the subset, in any state. */
   all(): Target[] {
     return [...this.targets.values()];
--- a/src/targets/probe.ts
+++ b/src/targets/probe.ts
@@ -4,7 +4,10 @@
 import * as groups from '../groups/types';
 import * as body from '../http/body';
 import * as httpClient from '../http/client';
+import * as retryAfter from '../http/retry-after';
 import {Log} from '../observability/log';
+import type {Result} from '../result';
+import {Rest} from './rest';
 
 const PERIOD_MS = 250;
 const TIMEOUT_MS = 1_000;
@@ -16,6 +19,8 @@
   private misses = 0;
   private timer: NodeJS.Timeout | undefined;
   private closed = false;
+  /** What the engine asked for as it turned a look away. */
+  private readonly rest = new Rest();
 
   constructor(
     private readonly agent: http.Agent,
@@ -43,8 +48,11 @@
     clearTimeout(this.timer);
   }
 
-  /** Asks the engine now. */
+  /** Asks the engine now; one that wants rest tells nothing. */
   async ask(): Promise<groups.EngineRank | undefined> {
+    if (this.rest.isResting(performance.now())) {
+      return undefined;
+    }
     const answer = await httpClient.fetchWhole(
       this.agent,
       {
@@ -55,6 +63,7 @@
       },
       MAX_ANSWER_BYTES,
     );
+    this.hear(answer);
     const json = answer.ok
       ? body.parseJson(answer.value.body.toString('utf8'))
       : answer;
@@ -77,6 +86,15 @@
     this.timer = setTimeout(() => void this.read(), PERIOD_MS);
   }
 
+  private hear(answer: Result<httpClient.Answer, unknown>): void {
+    const rest = answer.ok
+      ? retryAfter.readRest(answer.value.status, answer.value.headers)
+      : undefined;
+    if (rest?.kind === 'rest') {
+      this.rest.ask(rest.ms, performance.now());
+    }
+  }
+
   private note(rank: groups.EngineRank | undefined): void {
     if (rank !== undefined) {
       this.latest = rank;
--- a/src/targets/rest.ts
+++ b/src/targets/rest.ts
@@ -19,6 +19,17 @@
  */
 export const RETURN_MS = 2_000;
 
+/**
+ * Part of a rest by which callers' return is spread after its end: those that
+ * were refused all through it would come back at one moment.
+ */
+const CALLERS_SPREAD = 0.5;
+
+/** When a caller should come back that is refused for a rest of so long. */
+export function spreadReturn(restMs: number): number {
+  return restMs * (1 + CALLERS_SPREAD * random.unit());
+}
+
 export class Rest {
   /** When it ends. */
   private until = -Infinity;
@@ -71,7 +82,10 @@
     this.isTaken ||= sentAt >= this.until;
   }
 
-  private isReturning(now: number): boolean {
-    return !this.isTaken && now < this.until + RETURN_MS;
+  /** True after its end while no request was taken, for some trials. */
+  isReturning(now: number): boolean {
+    return (
+      !this.isTaken && !this.isResting(now) && now < this.until + RETURN_MS
+    );
   }
 }
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -59,7 +59,9 @@
     lateMs: 0,
     slowness: 1,
     foreign: false,
+    retryAfter: null,
   };
+  readonly turnedAway = new faults.TurnedAway();
   readonly streams = new Map<string, Stream>();
   readonly counts: number[][];
   cancelled = 0;
@@ -270,6 +272,11 @@
     req: http.IncomingMessage,
     res: http.ServerResponse,
   ): Promise<void> {
+    const {retryAfter} = state.faults;
+    if (retryAfter !== null) {
+      state.turnedAway.answer(req, res, retryAfter);
+      return;
+    }
     const read = await body.readJson(req, MAX_BODY_BYTES);
     const chat = v.safeParse(chatSchema, read.ok ? read.value : undefined);
     const name = body.headerOf(req, 'ferrycleat-stream') ?? '';
@@ -468,6 +475,10 @@
       body.sendJson(res, 200, seen);
       return;
     }
+    if (path === '/standin/turned-away') {
+      state.turnedAway.tell(res);
+      return;
+    }
     if (path === '/standin/restart') {
       this.group.restart();
       body.sendJson(res, 200, {});
--- a/standins/faults.ts
+++ b/standins/faults.ts
@@ -1,5 +1,7 @@
 /** Faults that tests and trials set on a stand-in over `/standin/faults`. */
+import type * as http from 'node:http';
 import * as v from 'valibot';
+import * as body from '../src/http/body';
 
 export const platformFaultsSchema = v.partial(
   v.strictObject({
@@ -37,6 +39,8 @@
     slowness: v.number(),
     /** Answers name another request. */
     foreign: v.boolean(),
+    /** New chats are turned away with 503 and this Retry-After. */
+    retryAfter: v.nullable(v.string()),
   }),
 );
 export type EngineFaults = Required<v.InferOutput<typeof engineFaultsSchema>>;
@@ -49,6 +53,31 @@
     loseAnswers: v.number(),
     /** Calls answered with 500 without running. */
     failing: v.boolean(),
+    /** Calls are turned away with 503 and this Retry-After. */
+    retryAfter: v.nullable(v.string()),
   }),
 );
 export type ServiceFaults = Required<v.InferOutput<typeof serviceFaultsSchema>>;
+
+/** Requests that a stand-in has turned away, asking for rest. */
+export class TurnedAway {
+  /** When they came, in Unix milliseconds. */
+  private readonly arrivals: number[] = [];
+
+  /** Turns a request away. */
+  answer(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+    retryAfter: string,
+  ): void {
+    this.arrivals.push(Date.now());
+    req.resume();
+    const headers = {'retry-after': retryAfter};
+    body.sendJson(res, 503, {error: {message: 'rest is asked for'}}, headers);
+  }
+
+  /** Tells when they came. */
+  tell(res: http.ServerResponse): void {
+    body.sendJson(res, 200, {arrivals: this.arrivals});
+  }
+}
--- a/standins/service.ts
+++ b/standins/service.ts
@@ -24,7 +24,9 @@
     runMs: 0,
     loseAnswers: 0,
     failing: false,
+    retryAfter: null,
   };
+  private readonly turnedAway = new faults.TurnedAway();
   private listener: httpServer.Listener | undefined;
 
   constructor(private readonly runs: RunCounts = new Map()) {}
@@ -52,6 +54,10 @@
     };
     if (url.pathname === '/standin/faults') {
       await this.setFaults(req, res);
+    } else if (url.pathname === '/standin/turned-away') {
+      this.turnedAway.tell(res);
+    } else if (this.faults.retryAfter !== null) {
+      this.turnedAway.answer(req, res, this.faults.retryAfter);
     } else if (url.pathname === '/runs') {
       body.sendJson(res, 200, Object.fromEntries(this.runs), request);
     } else if (this.faults.failing) {
