--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -79,8 +79,8 @@
   }
 
   /** Notes how a send ended. */
-  noteOutcome(isNotRun: boolean): void {
-    this.runs += isNotRun ? 0 : 1;
+  noteOutcome(mayHaveRun: boolean): void {
+    this.runs += mayHaveRun ? 1 : 0;
   }
 
   /** Answers with a refusal or failure of our own. */
--- a/src/forwarding/outcomes.ts
+++ b/src/forwarding/outcomes.ts
@@ -33,6 +33,12 @@
   }
 }
 
+/** False where it is certain that the target did not run the request. */
+export function mayHaveRun(outcome: exchanges.Outcome): boolean {
+  const isUnsent = outcome.kind === 'timed-out' && !outcome.sent;
+  return outcome.kind !== 'not-run' && !isUnsent;
+}
+
 /** True where another run may do better than this one did. */
 export function hasRunBadly(outcome: exchanges.Outcome): boolean {
   return (
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -201,7 +201,7 @@
     }
     this.noteGroup(target, outcome, said);
     this.noteTaken(target, outcome, sentAt);
-    call.noteOutcome(outcome.kind === 'not-run');
+    call.noteOutcome(outcomes.mayHaveRun(outcome));
     if (outcome.kind !== 'streaming') {
       // A group that is closed says nothing of the one rank.
       const harm = this.isGroupClosed(target) ? 0 : outcomes.harmOf(outcome);
