--- /dev/null
+++ b/src/forwarding/outcome-observer.ts
@@ -0,0 +1,99 @@
+/** What the sends of an entry teach it of targets and their groups. */
+import type {GroupGate} from './group-gate';
+import type {Log} from '../observability/log';
+import type {Metrics} from '../observability/metrics';
+import type * as exchanges from './exchange';
+import * as outcomes from './outcomes';
+import type {TargetList} from './target-list';
+import type * as types from './types';
+
+/** What is taught. */
+export interface ObserverContext {
+  readonly targets: TargetList;
+  readonly gate: GroupGate;
+  readonly log: Log;
+  readonly metrics: Metrics;
+}
+
+export class OutcomeObserver {
+  constructor(private readonly context: ObserverContext) {}
+
+  /** Notes how a send ended; `said` is the head of its answer. */
+  note(
+    target: types.Target,
+    outcome: exchanges.Outcome,
+    said: types.AnswerHead | undefined,
+    sentAt: number,
+  ): void {
+    if (outcome.kind === 'not-run' && outcome.status === outcomes.MISDIRECTED) {
+      // Another life, or another service, has the address by now.
+      this.context.targets.drop(target);
+    }
+    this.noteGroup(target, outcome, said);
+    this.noteRest(target, outcome, sentAt);
+  }
+
+  /** Holds what a target asks for besides, as soon as it has said so. */
+  hear(target: types.Target, head: types.AnswerHead): void {
+    const {targets, metrics, log} = this.context;
+    const {id, service} = target;
+    const {rest} = head;
+    if (head.isLeaving) {
+      targets.leave(target);
+    }
+    if (rest.kind !== 'rest') {
+      return;
+    }
+    metrics.count('rests_asked_total', {service});
+    if (targets.askRest(target, rest.ms, performance.now())) {
+      log.event('targetResting', {target: id, service, restMs: rest.ms});
+    }
+  }
+
+  /** A target that takes a request after its rest is used as before. */
+  private noteRest(
+    target: types.Target,
+    outcome: exchanges.Outcome,
+    sentAt: number,
+  ): void {
+    const {targets, log} = this.context;
+    const {id, service} = target;
+    const hasTaken =
+      outcome.kind === 'streaming' || outcome.kind === 'answered';
+    if (hasTaken && targets.noteTaken(target, sentAt, performance.now())) {
+      log.event('targetRested', {target: id, service});
+    }
+  }
+
+  /**
+   * Learns from an outcome whether the target's group takes requests. Who asks
+   * for rest speaks for itself alone: taken for the group's word, four of twelve
+   * ranks that asked had all twelve held back for 6 to 90 ms again and again.
+   */
+  private noteGroup(
+    target: types.Target,
+    outcome: exchanges.Outcome,
+    said: types.AnswerHead | undefined,
+  ): void {
+    const {gate, log} = this.context;
+    const {group, service} = target;
+    if (group === undefined) {
+      return;
+    }
+    const now = performance.now();
+    if (outcome.kind === 'streaming' || outcome.kind === 'answered') {
+      const closedMs = Math.round(gate.closedMs(group, now));
+      gate.noteTaken(group, now);
+      if (closedMs > 0) {
+        log.event('groupOpen', {service, group, closedMs});
+      }
+    } else if (
+      outcome.kind === 'not-run' &&
+      outcome.status === outcomes.UNAVAILABLE &&
+      said?.rest.kind !== 'rest' &&
+      gate.noteRefused(group, target.id, now)
+    ) {
+      log.event('groupClosed', {service, group, target: target.id});
+    }
+  }
+}
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -7,7 +7,9 @@
 import * as groupChoice from './group-choice';
 import type {GroupRoom} from './group-views';
 import type {ForwarderContext} from './forwarder';
+import {OutcomeObserver} from './outcome-observer';
 import * as outcomes from './outcomes';
+import {Refuser} from './refuser';
 import type {RetryBudget} from './retry-budget';
 import type {ServiceRest} from './target-list';
 import {TRIAL_MS} from '../targets/rest';
@@ -33,26 +35,17 @@
 /** Least time left that makes another send worth while, in milliseconds. */
 const MIN_SEND_MS = 20;
 
-/**
- * How long a request waits for targets that are all held back, in milliseconds.
- * At rest they take nothing until a time that is known, and the caller is told;
- * a stream that has begun can't be. Back from it they take one at a time.
- */
-function restPatience(call: Call, rest: ServiceRest | undefined): number {
-  if (rest === undefined) {
-    return 0;
-  }
-  if (call.hasBegun) {
-    return Infinity;
-  }
-  return rest.isAtRest ? 0 : TRIAL_MS;
-}
-
 export abstract class Relay {
+  private readonly observer: OutcomeObserver;
+  private readonly refuser: Refuser;
+
   constructor(
     protected readonly context: ForwarderContext,
     private readonly budgetOf: (service: string) => RetryBudget,
-  ) {}
+  ) {
+    this.observer = new OutcomeObserver(context);
+    this.refuser = new Refuser(context);
+  }
 
   /** Serves a request to its end. */
   abstract relay(call: Call, request: RelayedRequest): Promise<void>;
@@ -87,7 +80,7 @@
           call.hasLeft ||
           now >= Math.min(startedAt + patienceMs, waitsUntil)
         ) {
-          return fail(this.noneToChoose(call, request.service, rest));
+          return fail(this.refuser.noneToChoose(call, request.service, rest));
         }
         await gate.waitForTurn(undefined, call.signal);
         continue;
@@ -113,12 +106,12 @@
       if (!mayWait || call.hasLeft || now >= waitsUntil) {
         return fail(
           closed === undefined
-            ? this.overloaded(
+            ? this.refuser.overloaded(
                 call,
                 request.service,
                 groupChoice.widest(options),
               )
-            : this.closedGroup(call, request, closed, now),
+            : this.refuser.closedGroup(call, request.service, closed, now),
         );
       }
       await gate.waitForTurn(closed, call.signal);
@@ -167,7 +160,7 @@
     target: types.Target,
     resumeAfter?: string,
   ): Promise<exchanges.Outcome> {
-    const {loads, connections, targets, wire} = this.context;
+    const {loads, connections, wire} = this.context;
     const mayRepeat = types.isRepeatable(request.route);
     call.sends += 1;
     call.target = target.id;
@@ -189,18 +182,13 @@
       signal: call.signal,
       onHead: head => {
         said = head;
-        this.noteAsked(target, head);
+        this.observer.hear(target, head);
       },
     });
-    if (outcome.kind === 'not-run' && outcome.status === outcomes.MISDIRECTED) {
-      // Another life, or another service, has the address by now.
-      targets.drop(target);
-    }
     if (outcomes.hasAnswered(outcome)) {
       this.context.reach.note();
     }
-    this.noteGroup(target, outcome, said);
-    this.noteTaken(target, outcome, sentAt);
+    this.observer.note(target, outcome, said, sentAt);
     call.noteOutcome(outcomes.mayHaveRun(outcome));
     if (outcome.kind !== 'streaming') {
       // A group that is closed says nothing of the one rank.
@@ -269,7 +257,11 @@
       this.isGroupClosed(target)
     ) {
       const now = performance.now();
-      this.refuseUnsent(call, this.closedGroup(call, request, group, now));
+      const {service} = request;
+      this.refuseUnsent(
+        call,
+        this.refuser.closedGroup(call, service, group, now),
+      );
     } else {
       this.refuse(call, target, outcome);
     }
@@ -318,154 +310,6 @@
     return isDrawn;
   }
 
-  /** Holds what a target asks for besides, as soon as it has said so. */
-  private noteAsked(target: types.Target, head: types.AnswerHead): void {
-    const {targets, metrics, log} = this.context;
-    const {id, service} = target;
-    const {rest} = head;
-    if (head.isLeaving) {
-      targets.leave(target);
-    }
-    if (rest.kind !== 'rest') {
-      return;
-    }
-    metrics.count('rests_asked_total', {service});
-    if (targets.askRest(target, rest.ms, performance.now())) {
-      log.event('targetResting', {target: id, service, restMs: rest.ms});
-    }
-  }
-
-  /** A target that takes a request after its rest is used as before. */
-  private noteTaken(
-    target: types.Target,
-    outcome: exchanges.Outcome,
-    sentAt: number,
-  ): void {
-    const {targets, log} = this.context;
-    const {id, service} = target;
-    const hasTaken =
-      outcome.kind === 'streaming' || outcome.kind === 'answered';
-    if (hasTaken && targets.noteTaken(target, sentAt, performance.now())) {
-      log.event('targetRested', {target: id, service});
-    }
-  }
-
-  /**
-   * Learns from an outcome whether the target's group takes requests. Who asks
-   * for rest speaks for itself alone: taken for the group's word, four of twelve
-   * ranks that asked had all twelve held back for 6 to 90 ms again and again.
-   */
-  private noteGroup(
-    target: types.Target,
-    outcome: exchanges.Outcome,
-    said: types.AnswerHead | undefined,
-  ): void {
-    const {gate, log} = this.context;
-    const {group, service} = target;
-    if (group === undefined) {
-      return;
-    }
-    const now = performance.now();
-    if (outcome.kind === 'streaming' || outcome.kind === 'answered') {
-      const closedMs = Math.round(gate.closedMs(group, now));
-      gate.noteTaken(group, now);
-      if (closedMs > 0) {
-        log.event('groupOpen', {service, group, closedMs});
-      }
-    } else if (
-      outcome.kind === 'not-run' &&
-      outcome.status === outcomes.UNAVAILABLE &&
-      said?.rest.kind !== 'rest' &&
-      gate.noteRefused(group, target.id, now)
-    ) {
-      log.event('groupClosed', {service, group, target: target.id});
-    }
-  }
-
-  /** Asks the caller to come back when the group may have formed. */
-  private closedGroup(
-    call: Call,
-    request: RelayedRequest,
-    group: string,
-    now: number,
-  ): types.Refusal {
-    const {configuration, gate} = this.context;
-    const service = configuration.table?.findService(request.service);
-    const retryMs = comeBack.afterClosing(
-      {
-        closedMs: gate.closedMs(group, now),
-        formMs: service?.engine?.experts?.formMs ?? 0,
-        hasBeenOpen: gate.hasBeenOpen(group),
-      },
-      call.leftMs,
-    );
-    return {kind: 'not-run', why: 'group-closed', retryMs};
-  }
-
-  /** Every target has as much from this entry as it should wait for. */
-  private overloaded(
-    call: Call,
-    service: string,
-    room: GroupRoom | undefined,
-  ): types.Refusal {
-    this.context.metrics.count('overloads_total', {service});
-    this.context.log.event('requestRefused', {
-      request: call.head?.id,
-      kind: 'overloaded',
-      service,
-      isLater: call.isLater,
-      ...room,
-    });
-    const retryMs = comeBack.afterOverload(call.leftMs);
-    return {kind: 'not-run', why: 'overloaded', retryMs};
-  }
-
-  /** The last target turned the request away; others may take the next. */
-  private turnedAway(call: Call, service: string): types.Refusal {
-    const rest = this.context.targets.restOf(service, performance.now());
-    return rest === undefined
-      ? {
-          kind: 'not-run',
-          why: 'target-full',
-          retryMs: comeBack.afterFull(call.leftMs),
-        }
-      : this.resting(call, service, rest);
-  }
-
-  /** Why there is no target to choose. */
-  private noneToChoose(
-    call: Call,
-    service: string,
-    rest: ServiceRest | undefined,
-  ): types.Refusal {
-    return rest === undefined
-      ? this.noTarget(service)
-      : this.resting(call, service, rest);
-  }
-
-  /** All targets want nothing for a while: the caller is told for how long. */
-  private resting(
-    call: Call,
-    service: string,
-    rest: ServiceRest,
-  ): types.Refusal {
-    const retryMs = comeBack.afterRest(rest.ms, call.callerLeftMs);
-    this.context.metrics.count('rest_refusals_total', {service});
-    this.context.log.event('requestRefused', {
-      request: call.head?.id,
-      kind: 'targets-resting',
-      service,
-      restMs: Math.round(rest.ms),
-      retryMs: Math.round(retryMs),
-    });
-    return {kind: 'not-run', why: 'targets-resting', retryMs};
-  }
-
-  private noTarget(service: string): types.Refusal {
-    this.context.log.event('noTarget', {service});
-    return {kind: 'not-run', why: 'no-target', retryMs: comeBack.NO_TARGET_MS};
-  }
-
   /** Answers for an outcome that gave nothing to pass on. */
   private refuse(
     call: Call,
@@ -474,7 +318,7 @@
   ): void {
     switch (outcome.kind) {
       case 'not-run':
-        this.refuseUnsent(call, this.turnedAway(call, target.service));
+        this.refuseUnsent(call, this.refuser.turnedAway(call, target.service));
         return;
       case 'unknown':
         call.refuse({kind: 'failed', why: outcome.why});
@@ -498,3 +342,18 @@
     }
   }
 }
+
+/**
+ * How long a request waits for targets that are all held back, in milliseconds.
+ * At rest they take nothing until a time that is known, and the caller is told;
+ * a stream that has begun can't be. Back from it they take one at a time.
+ */
+function restPatience(call: Call, rest: ServiceRest | undefined): number {
+  if (rest === undefined) {
+    return 0;
+  }
+  if (call.hasBegun) {
+    return Infinity;
+  }
+  return rest.isAtRest ? 0 : TRIAL_MS;
+}
