--- a/features/support/fleet.ts
+++ b/features/support/fleet.ts
@@ -2,6 +2,8 @@
  * A small fleet of real processes on loopback: platform, engine group,
  * ledger, sidecars and entries, with relays where a test cuts.
  */
+import * as fs from 'node:fs';
+import * as path from 'node:path';
 import type {Document, Service} from '../../src/configuration/types';
 import * as edit from '../../src/configuration/edit';
 import {HttpObjectApi} from '../../src/platform/client';
@@ -16,6 +18,8 @@
 const HALLS = ['hall-a', 'hall-b', 'hall-c'] as const;
 const READY_PATIENCE_MS = 15_000;
 const POLL_MS = 25;
+/** Names the folder in which each fleet leaves the logs of its processes. */
+const LOGS_VARIABLE = 'FERRYCLEAT_TEST_LOGS';
 
 /** What a fleet consists of. */
 export interface FleetOptions {
@@ -82,10 +86,25 @@
   }
 
   async close(): Promise<void> {
+    this.keepLogs();
     await Promise.all([...this.processes.values()].map(p => p.destroy()));
     await Promise.all([...this.relays.values()].map(relay => relay.close()));
   }
 
+  /** Keeps what all processes logged, where a folder is named for it. */
+  private keepLogs(): void {
+    const folder = process.env[LOGS_VARIABLE];
+    if (folder === undefined) {
+      return;
+    }
+    const lines = [...this.processes.values()].flatMap(({name, events}) =>
+      events.map(event => JSON.stringify({process: name, ...event})),
+    );
+    const file = `${Date.now()}-${process.pid}.log`;
+    fs.mkdirSync(folder, {recursive: true});
+    fs.writeFileSync(path.join(folder, file), lines.join('\n'));
+  }
+
   /** Address of a placed process. */
   address(id: string): string {
     return this.placed.get(id)!.own;
