Last words of targets off the list; who waits behind a trial that hangs

Read in the diff: a target that says that it leaves while it is off the list came back with its entry, and requests queued at a sidecar behind the one that tries a target after its rest waited for that one's end.

--- a/src/forwarding/target-list.test.ts
+++ b/src/forwarding/target-list.test.ts
@@ -142,4 +142,36 @@
     list.add({...target('a'), lifetime: `a@${ended - 1}`, revision: ended + 1});
     expect(list.get('a')?.lifetime).toBe(`a@${ended}`);
   });
+
+  it('takes a target at its word that it leaves, also one that is off the list', () => {
+    const list = new TargetList();
+    list.replaceAll([target('a'), target('b')], 0, false);
+    list.leave(target('a'));
+    list.remove('b', 1, false);
+    list.leave(target('b'));
+    list.replaceAll([target('a'), target('b')], 2, false);
+    expect(ids(list, 2)).toEqual([]);
+  });
+
+  it('takes a late word of a lifetime that has ended for that one alone', () => {
+    const list = new TargetList();
+    const next = {...target('a'), lifetime: 'a@2', revision: 2};
+    list.add(target('a'));
+    list.add(next);
+    list.leave(target('a'));
+    list.askRest(target('a'), 60_000, 0);
+    expect(ids(list, 1)).toEqual(['a']);
+    expect(list.restOf('s', 1)).toBeUndefined();
+  });
+
+  it('holds a target back that is off the list and back in its rest', () => {
+    const list = new TargetList();
+    list.add(target('a'));
+    list.askRest(target('a'), 3_000, 0);
+    list.remove('a', 100, false);
+    list.add(target('a'));
+    expect(ids(list, 2_999)).toEqual([]);
+    expect(list.restOf('s', 2_999)).toMatchObject({isAtRest: true});
+    expect(ids(list, 3_301)).toEqual(['a']);
+  });
 });
--- a/src/forwarding/target-list.ts
+++ b/src/forwarding/target-list.ts
@@ -141,6 +141,8 @@
     if (this.isHeld(target.lifetime, target.id)) {
       this.end(target);
       this.onChange({kind: 'leaving', target, by: 'answer'});
+    } else {
+      this.remember(target.lifetime);
     }
   }
 
@@ -262,10 +264,15 @@
   /** A lifetime is over for good. */
   private end(target: Target): void {
     this.held.delete(target.id);
-    this.rests.forget(target.lifetime);
     this.forgetLists();
-    this.ended.delete(target.lifetime);
-    this.ended.add(target.lifetime);
+    this.remember(target.lifetime);
+  }
+
+  /** A late word of a lifetime that has ended doesn't bring it back. */
+  private remember(lifetime: string): void {
+    this.rests.forget(lifetime);
+    this.ended.delete(lifetime);
+    this.ended.add(lifetime);
     const [oldest] = this.ended;
     if (this.ended.size > MOST_ENDED && oldest !== undefined) {
       this.ended.delete(oldest);
--- a/src/requests/admission.test.ts
+++ b/src/requests/admission.test.ts
@@ -1,6 +1,7 @@
 import {Admission, Applicant, Ticket} from './admission';
 import type {Refusal} from './refusals';
 import type {Result} from '../result';
+import {RETURN_MS} from '../targets/rest';
 
 function applicant(): Applicant {
   return {
@@ -74,4 +75,17 @@
       entering.map(() => 'let-in'),
     );
   });
+
+  it('lets the others in where the one that is tried hangs', async () => {
+    const admission = makeAdmission();
+    admission.askRest(1_000);
+    jest.advanceTimersByTime(1_101);
+    const entering = Array.from({length: 4}, () =>
+      admission.enter(applicant()),
+    );
+    expect(admission.runningCount).toBe(1);
+    jest.advanceTimersByTime(RETURN_MS);
+    expect(admission.runningCount).toBe(4);
+    await Promise.all(entering);
+  });
 });
--- a/src/requests/admission.ts
+++ b/src/requests/admission.ts
@@ -64,6 +64,7 @@
   private stopped: refusals.Refusal | undefined;
   /** What the target has asked for. */
   private readonly rest = new Rest();
+  private restTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly settings: () => AdmissionSettings) {}
 
@@ -109,6 +110,11 @@
     const now = performance.now();
     const isNew = !this.rest.isResting(now);
     this.rest.ask(ms, now);
+    // Who waits behind a trial that hangs is let in then.
+    clearTimeout(this.restTimer);
+    const leftMs = Math.ceil(this.rest.leftMs(now));
+    this.restTimer = setTimeout(() => this.startNext(), leftMs);
+    this.restTimer.unref();
     const refusal = this.restRefusal();
     [...this.queue.items()].forEach(waiting => this.refuse(waiting, refusal));
     return isNew;
@@ -136,6 +142,7 @@
   /** Refuses what is queued and all that comes. */
   stop(refusal: refusals.Refusal): void {
     this.stopped = refusal;
+    clearTimeout(this.restTimer);
     for (const waiting of this.queue.items()) {
       this.refuse(waiting, refusal);
     }
--- a/src/targets/rest.ts
+++ b/src/targets/rest.ts
@@ -67,6 +67,11 @@
     return !this.isResting(now) && !this.isReturning(now);
   }
 
+  /** Milliseconds until nothing is held back, whatever becomes of trials. */
+  leftMs(now: number): number {
+    return Math.max(this.until + RETURN_MS - now, 0);
+  }
+
   /** Notes that a request goes to the target. */
   noteSent(now: number): void {
     if (!this.isResting(now)) {
