Log: the limit that a target names stands in FC2008

No line told whether an answer had named a limit, so that nothing tells apart a limit that nobody reads from one that each process keeps by itself.

--- a/src/forwarding/outcomes.ts
+++ b/src/forwarding/outcomes.ts
@@ -79,11 +79,13 @@
 
 /** Fields of a log line: what the target asked for besides. */
 export function askedBy(head: AnswerHead | undefined): object {
-  const rest = head?.rest;
+  const {rest, limit} = head ?? {};
   return {
     ...(rest?.kind === 'rest' ? {restMs: rest.ms} : {}),
     ...(rest?.kind === 'unread' ? {unreadRest: rest.text} : {}),
     ...(head?.isLeaving === true ? {leaving: true} : {}),
+    ...(limit?.kind === 'limit' ? {limit: limit.perSecond} : {}),
+    ...(limit?.kind === 'unread' ? {unreadLimit: limit.text} : {}),
   };
 }
 
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -1,6 +1,7 @@
 /** What forwarding a request deals in, whatever is spoken on the wire. */
 import type * as http from 'node:http';
 import type {RestAsked} from '../http/retry-after';
+import type {LimitNamed} from '../http/server-limit';
 import type {Route} from '../routes/types';
 
 /** A process that serves requests of a service. */
@@ -80,6 +81,8 @@
   readonly rest: RestAsked;
   /** The target says that it leaves. */
   readonly isLeaving: boolean;
+  /** What the target names as its limit; undefined: it isn't its answer. */
+  readonly limit: LimitNamed | undefined;
   /** No length and no chunks: the end of the connection ends the body. */
   readonly isUnframed: boolean;
   /** Headers to pass on, names and values by turns. */
