What a target takes is lent among the entries that send to it

Callers of a target in need waited and failed: it named how many requests a second it takes from all entries together, and got its usual share.

Cause: no entry read the limit. Its class: a bound on a sum over processes, none of which knows what the others send.

Mend: a target that has named a limit is sent a request for a permit and no other, in the one place that all choosing passes, by lifetime. For each such lifetime one entry lends, the first by rendezvous hashing of the entries that are known and answer; the others borrow, a second at a time. Who is asked and knows of one that comes before names it and lends nothing; who lends tells the next two once a second, and some that come before; who begins waits 1.5 s, and again after a freeze; a newcomer that has met nobody lends nothing for 10 s. So two lend at once only while they can't reach each other. Where all targets are limited, requests wait a quarter of a second for permits that will come, the urgent ones first, and are else refused at once and told a place in the line.

--- a/src/forwarding/choose.ts
+++ b/src/forwarding/choose.ts
@@ -25,6 +25,11 @@
  * of all ranks by its slowness.
  */
 const SLOW_WEIGHT = 8;
+/**
+ * Places for which a permit makes up, to send to a target that has named a
+ * limit: unused it is lost, and with it the little that the target takes.
+ */
+const PERMIT_BONUS = 2;
 /** Places that another hall costs: a hop is little beside a request. */
 const HALL_WEIGHT = 0.4;
 
@@ -93,14 +98,20 @@
   }
 
   /** The target with the lowest score; undefined where none has room. */
-  choose(targets: readonly Target[], now: number): Target | undefined {
+  choose(
+    targets: readonly Target[],
+    now: number,
+    isLent: (target: Target) => boolean = () => false,
+  ): Target | undefined {
     let best: Target | undefined;
     let bestScore = Infinity;
     const free = targets.filter(
       target => this.inFlight(target.lifetime) < target.slots * MOST_PER_SLOT,
     );
-    for (const target of this.compared(free, now)) {
-      const score = this.score(target, now) + random.unit() * TIE_BREAK;
+    const lent = free.filter(isLent);
+    for (const target of [...lent, ...this.compared(free, now)]) {
+      const bonus = lent.includes(target) ? PERMIT_BONUS : 0;
+      const score = this.score(target, now) - bonus + random.unit() * TIE_BREAK;
       if (score < bestScore) {
         best = target;
         bestScore = score;
--- a/src/forwarding/come-back.ts
+++ b/src/forwarding/come-back.ts
@@ -50,6 +50,14 @@
   return Math.min(rests.spreadReturn(restMs), longest(leftMs) * spreadShare());
 }
 
+/**
+ * Where all targets are at the limits that they have named: at the caller's place
+ * in the line of those that come back, or as late as it heeds, never together.
+ */
+export function afterLimit(lineMs: number, leftMs: number): number {
+  return Math.min(lineMs, longest(leftMs) * spreadShare());
+}
+
 /**
  * A group that has lost a rank opens when it has formed, and later than that
  * nobody knows when. One that has not been open since this process began may
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -18,6 +18,7 @@
 import {TargetLoads} from './choose';
 import {GroupGate} from './group-gate';
 import {GroupViews} from './group-views';
+import {PermitLines} from './permit-lines';
 import {PlainRelay} from './plain-relay';
 import {RetryBudget} from './retry-budget';
 import {StreamRelay} from './stream-relay';
@@ -76,8 +77,9 @@
 
   constructor(private readonly context: ForwarderContext) {
     const budgetOf = (service: string) => this.budgetOf(service);
-    this.plain = new PlainRelay(context, budgetOf);
-    this.streams = new StreamRelay(context, budgetOf);
+    const lines = new PermitLines();
+    this.plain = new PlainRelay(context, budgetOf, lines);
+    this.streams = new StreamRelay(context, budgetOf, lines);
   }
 
   /** Requests that are being served. */
--- a/src/forwarding/outcome-observer.ts
+++ b/src/forwarding/outcome-observer.ts
@@ -34,10 +34,11 @@
   }
 
   /** Holds what a target asks for besides, as soon as it has said so. */
-  hear(target: types.Target, head: types.AnswerHead): void {
+  hear(target: types.Target, head: types.AnswerHead, sentAt: number): void {
     const {targets, metrics, log} = this.context;
     const {id, service} = target;
     const {rest} = head;
+    this.hearLimit(target, head, sentAt);
     if (head.isLeaving) {
       targets.leave(target);
     }
@@ -50,6 +51,25 @@
     }
   }
 
+  private hearLimit(
+    target: types.Target,
+    {limit}: types.AnswerHead,
+    sentAt: number,
+  ): void {
+    const {targets, log, metrics} = this.context;
+    const now = performance.now();
+    const change = limit && targets.hearLimit(target, limit, sentAt, now);
+    if (change !== undefined) {
+      metrics.count('limits_heard_total', {service: target.service, change});
+      log.event(change === 'ended' ? 'limitEnded' : 'targetLimited', {
+        target: target.id,
+        service: target.service,
+        limit: limit?.kind === 'limit' ? limit.perSecond : undefined,
+        by: 'answer',
+      });
+    }
+  }
+
   /** A target that takes a request after its rest is used as before. */
   private noteRest(
     target: types.Target,
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -11,7 +11,8 @@
 import * as outcomes from './outcomes';
 import {Refuser} from './refuser';
 import type {RetryBudget} from './retry-budget';
-import type {ServiceRest} from './target-list';
+import type {PermitLines, Place} from './permit-lines';
+import type {ServiceHold} from './target-list';
 import {TRIAL_MS} from '../targets/rest';
 import * as types from './types';
 
@@ -34,14 +35,19 @@
 const MOST_REFUSED_SENDS = 6;
 /** Least time left that makes another send worth while, in milliseconds. */
 const MIN_SEND_MS = 20;
+/** A stream that has begun can't be refused any more: it goes before others. */
+const BEGUN_PRIORITY = -1;
+const SECOND_MS = 1_000;
 
 export abstract class Relay {
   private readonly observer: OutcomeObserver;
   private readonly refuser: Refuser;
 
+  /** `lines` are those of all requests of the process. */
   constructor(
     protected readonly context: ForwarderContext,
     private readonly budgetOf: (service: string) => RetryBudget,
+    private readonly lines: PermitLines,
   ) {
     this.observer = new OutcomeObserver(context);
     this.refuser = new Refuser(context);
@@ -60,6 +66,22 @@
     request: RelayedRequest,
     tried: ReadonlyMap<string, exchanges.Outcome['kind']>,
     mayWait: boolean,
+  ): Promise<Result<types.Target, types.Refusal>> {
+    const priority = call.hasBegun ? BEGUN_PRIORITY : priorityOf(request);
+    const place = this.lines.placeFor(request.service, priority);
+    try {
+      return await this.chooseTarget(call, request, tried, mayWait, place);
+    } finally {
+      place.leave();
+    }
+  }
+
+  private async chooseTarget(
+    call: Call,
+    request: RelayedRequest,
+    tried: ReadonlyMap<string, exchanges.Outcome['kind']>,
+    mayWait: boolean,
+    place: Place,
   ): Promise<Result<types.Target, types.Refusal>> {
     const {targets, loads, gate} = this.context;
     const startedAt = performance.now();
@@ -67,20 +89,25 @@
       startedAt + LONGEST_GATE_WAIT_MS,
       call.endsAt - MIN_SEND_MS,
     );
+    targets.want(request.service, startedAt);
     for (;;) {
       const now = performance.now();
       const known = outcomes.untried(
         targets.ofService(request.service, now),
         tried,
       );
-      if (known.length === 0) {
-        const rest = targets.restOf(request.service, now);
-        const patienceMs = restPatience(call, rest);
+      // Permits that have come are for those that go first.
+      if (known.length <= place.ahead) {
+        const hold =
+          known.length > 0
+            ? targets.holdForOthers(request.service, now)
+            : targets.holdOf(request.service, now);
+        const patienceMs = holdPatience(call, hold, place);
         if (
           call.hasLeft ||
           now >= Math.min(startedAt + patienceMs, waitsUntil)
         ) {
-          return fail(this.refuser.noneToChoose(call, request.service, rest));
+          return fail(this.refuser.noneToChoose(call, request.service, hold));
         }
         await gate.waitForTurn(undefined, call.signal);
         continue;
@@ -96,7 +123,9 @@
         room: this.roomFor(request, one.targets, isUrgent, now),
       }));
       const group = groupChoice.chooseGroup(options);
-      const chosen = group && loads.choose(group.targets, now);
+      const chosen =
+        group &&
+        loads.choose(group.targets, now, one => targets.hasPermit(one, now));
       if (chosen !== undefined) {
         // At once: others that wait choose in the same turn of the loop.
         loads.begin(chosen.lifetime);
@@ -182,7 +211,7 @@
       signal: call.signal,
       onHead: head => {
         said = head;
-        this.observer.hear(target, head);
+        this.observer.hear(target, head, sentAt);
       },
     });
     if (outcomes.hasAnswered(outcome)) {
@@ -346,14 +375,29 @@
 /**
  * How long a request waits for targets that are all held back, in milliseconds.
  * At rest they take nothing until a time that is known, and the caller is told;
- * a stream that has begun can't be. Back from it they take one at a time.
+ * a stream that has begun can't be. Back from it they take one at a time. Where
+ * they have named limits, a request waits that will have its permit by then.
  */
-function restPatience(call: Call, rest: ServiceRest | undefined): number {
-  if (rest === undefined) {
+function holdPatience(
+  call: Call,
+  hold: ServiceHold | undefined,
+  place: Place,
+): number {
+  if (hold === undefined) {
     return 0;
   }
+  if (hold.why === 'limited') {
+    place.join();
+    const places = Math.ceil((hold.perSecond * TRIAL_MS) / SECOND_MS);
+    return call.hasBegun ? Infinity : place.ahead < places ? TRIAL_MS : 0;
+  }
   if (call.hasBegun) {
     return Infinity;
   }
-  return rest.isAtRest ? 0 : TRIAL_MS;
+  return hold.why === 'resting' ? 0 : TRIAL_MS;
+}
+
+/** 0 is the most urgent. */
+function priorityOf({route, account}: RelayedRequest): number {
+  return account?.priority ?? route.priority;
 }
--- a/src/forwarding/target-list.test.ts
+++ b/src/forwarding/target-list.test.ts
@@ -161,7 +161,7 @@
     list.leave(target('a'));
     list.askRest(target('a'), 60_000, 0);
     expect(ids(list, 1)).toEqual(['a']);
-    expect(list.restOf('s', 1)).toBeUndefined();
+    expect(list.holdOf('s', 1)).toBeUndefined();
   });
 
   it('holds a target back that is off the list and back in its rest', () => {
@@ -171,7 +171,7 @@
     list.remove('a', 100, false);
     list.add(target('a'));
     expect(ids(list, 2_999)).toEqual([]);
-    expect(list.restOf('s', 2_999)).toMatchObject({isAtRest: true});
+    expect(list.holdOf('s', 2_999)).toMatchObject({why: 'resting'});
     expect(ids(list, 3_301)).toEqual(['a']);
   });
 });
--- a/src/forwarding/target-list.ts
+++ b/src/forwarding/target-list.ts
@@ -2,13 +2,16 @@
  * Targets that requests may be sent to. A target that says that it leaves is
  * out at once, and that lifetime of it for good. One that vanishes from the
  * list is out too, except while its entry may just have lapsed in an outage
- * of the store. One that has asked for rest in an answer is held back for it:
- * whoever chooses gets targets from here, and so no other.
+ * of the store. One that has asked for rest in an answer is held back for it,
+ * and one that has named a limit while there is no permit to send to it: whoever
+ * chooses gets targets from here, and so no other.
  *
  * Lifetimes of one target are told apart by its start and put in order by the
  * store's revisions: the time of day, which starts are told in, may jump back.
  */
 import * as grouping from '../grouping';
+import type {LimitNamed} from '../http/server-limit';
+import {LimitBook, LimitChange} from '../targets/limit-book';
 import {RestBook} from '../targets/rest-book';
 import type {Target} from './types';
 
@@ -41,11 +44,16 @@
   | {readonly kind: 'missing'; readonly target: Target};
 
 /** All targets of a service are held back. */
-export interface ServiceRest {
+export interface ServiceHold {
   /** Milliseconds until one of them may be sent something. */
   readonly ms: number;
-  /** All are at rest; else one has come back and is being tried. */
-  readonly isAtRest: boolean;
+  /**
+   * All are at rest; one has come back and is being tried; or some could be sent
+   * to but for the limits that they have named.
+   */
+  readonly why: 'resting' | 'returning' | 'limited';
+  /** Requests a second that the limited ones take from all together. */
+  readonly perSecond: number;
 }
 
 interface Held {
@@ -56,6 +64,7 @@
 
 export class TargetList {
   private readonly held = new Map<string, Held>();
+  readonly limits = new LimitBook();
   private readonly rests = new RestBook();
   /** Oldest first. */
   private readonly ended = new Set<string>();
@@ -157,9 +166,39 @@
     );
   }
 
+  /** Takes what an answer says of its target's limit; tells what it changes. */
+  hearLimit(
+    target: Target,
+    named: LimitNamed,
+    sentAt: number,
+    now: number,
+  ): LimitChange | undefined {
+    return this.ended.has(target.lifetime)
+      ? undefined
+      : this.limits.hear(target.lifetime, named, sentAt, now);
+  }
+
+  /** True where a permit is held to send to a target that named a limit. */
+  hasPermit(target: Target, now: number): boolean {
+    return this.limits.hasPermit(target.lifetime, now);
+  }
+
+  /** A request of a service looks for a target. */
+  want(service: string, now: number): void {
+    if (this.limits.size > 0) {
+      const listed = this.listsAt(now).get(service) ?? [];
+      const awake = this.rests.awake(listed, one => one.lifetime, now);
+      this.limits.want(
+        awake.map(one => one.lifetime),
+        now,
+      );
+    }
+  }
+
   /** Notes that a request goes to a target. */
   noteSent(target: Target, now: number): void {
     this.rests.noteSent(target.lifetime, now);
+    this.limits.noteSent(target.lifetime, now);
   }
 
   /** A target took a request; true where it is used as before its rest now. */
@@ -191,20 +230,45 @@
    */
   ofService(service: string, now: number): readonly Target[] {
     const listed = this.listsAt(now).get(service) ?? [];
-    return this.rests.awake(listed, target => target.lifetime, now);
+    const awake = this.rests.awake(listed, target => target.lifetime, now);
+    return this.limits.open(awake, target => target.lifetime, now);
   }
 
   /** Where all targets of a service are held back: until when, and for what. */
-  restOf(service: string, now: number): ServiceRest | undefined {
+  holdOf(service: string, now: number): ServiceHold | undefined {
     const listed = this.listsAt(now).get(service) ?? [];
-    const waits = listed.map(one => this.rests.waitMs(one.lifetime, now));
+    const waits = listed.map(({lifetime}) =>
+      Math.max(
+        this.rests.waitMs(lifetime, now),
+        this.limits.waitMs(lifetime, now),
+      ),
+    );
     if (waits.length === 0 || waits.includes(0)) {
       return undefined;
     }
+    const ms = Math.min(...waits);
+    const awake = this.rests.awake(listed, one => one.lifetime, now);
+    if (awake.length > 0) {
+      return {ms, why: 'limited', perSecond: this.limitOf(awake)};
+    }
     const isAtRest = listed.every(one =>
       this.rests.isResting(one.lifetime, now),
     );
-    return {ms: Math.min(...waits), isAtRest};
+    return {ms, why: isAtRest ? 'resting' : 'returning', perSecond: 0};
+  }
+
+  /** For a request that leaves the permits to those that go before it. */
+  holdForOthers(service: string, now: number): ServiceHold {
+    const perSecond = this.limitOf(this.ofService(service, now));
+    return {ms: 0, why: 'limited', perSecond};
+  }
+
+  /** Requests a second that some targets have said that they take. */
+  private limitOf(some: readonly Target[]): number {
+    return some.reduce(
+      (sum, one) => sum + (this.limits.perSecond(one.lifetime) ?? 0),
+      0,
+    );
   }
 
   /** All targets that may get work. */
@@ -271,6 +335,7 @@
   /** A late word of a lifetime that has ended doesn't bring it back. */
   private remember(lifetime: string): void {
     this.rests.forget(lifetime);
+    this.limits.forget(lifetime);
     this.ended.delete(lifetime);
     this.ended.add(lifetime);
     const [oldest] = this.ended;
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -117,6 +117,7 @@
   | 'overloaded'
   | 'target-full'
   | 'targets-resting'
+  | 'targets-limited'
   | 'group-closed'
   | 'timed-out';
 
--- a/src/observability/catalogue.ts
+++ b/src/observability/catalogue.ts
@@ -118,6 +118,26 @@
     level: 'warn',
     text: 'target asked for something that is no time',
   },
+  targetLimited: {
+    id: 'FC6015',
+    level: 'info',
+    text: 'target has named how many requests a second it takes',
+  },
+  limitEnded: {
+    id: 'FC6016',
+    level: 'info',
+    text: 'target names no limit any more',
+  },
+  limitLent: {
+    id: 'FC6017',
+    level: 'info',
+    text: 'permits to send to a limited target are lent here',
+  },
+  limitLeft: {
+    id: 'FC6018',
+    level: 'info',
+    text: 'another process lends permits to send to a limited target',
+  },
   targetUnreachable: {
     id: 'FC6004',
     level: 'warn',
--- a/src/roles/site-follower.ts
+++ b/src/roles/site-follower.ts
@@ -3,6 +3,7 @@
  * as the store tells them, or peers while the store is silent.
  */
 import * as rxjs from 'rxjs';
+import {LimitExchange} from '../targets/limit-exchange';
 import {TargetChange, TargetList} from '../forwarding/target-list';
 import type {Target} from '../forwarding/types';
 import type {Log} from '../observability/log';
@@ -77,6 +78,7 @@
   private readonly targetsCopy: KindCopy;
   private readonly book: PeerBook;
   private readonly peers: PeerFollower;
+  private readonly limits: LimitExchange;
   /** Emits once requests can be routed, now or at any time before. */
   private readonly completed = new rxjs.ReplaySubject<void>(1);
   private isLost = false;
@@ -90,6 +92,17 @@
     this.configurationCopy = new KindCopy(configurationKind);
     this.targetsCopy = new KindCopy(targetsKind);
     this.book = new PeerBook(context.rpcAddress, cfg.seeds);
+    this.limits = new LimitExchange({
+      rpc: context.rpc,
+      book: this.book,
+      own: context.rpcAddress,
+      limits: this.targets.limits,
+      log: context.log,
+      onChange: (lifetime, change) => {
+        const event = change === 'ended' ? 'limitEnded' : 'targetLimited';
+        context.log.event(event, {target: lifetime, by: 'peer'});
+      },
+    });
     this.peers = new PeerFollower({
       rpc: context.rpc,
       book: this.book,
@@ -153,12 +166,14 @@
       });
       return {kinds, peers: this.book.toTell()};
     });
+    this.limits.open(server);
     this.watch();
     this.peers.start();
   }
 
   close(): void {
     this.stopWatching();
+    this.limits.close();
     this.peers.close();
   }
 
--- /dev/null
+++ b/src/targets/limit-exchange.test.ts
@@ -0,0 +1,324 @@
+/** Many entries that send to one target, on a network of the test's own. */
+import * as random from '../random';
+import type {Log} from '../observability/log';
+import {PeerBook} from '../peers/peer-book';
+import {fail, ok} from '../result';
+import type {RpcClient} from '../rpc/client';
+import {LimitBook} from './limit-book';
+import {LimitExchange} from './limit-exchange';
+
+const TARGET = 'target-1';
+const WINDOW_MS = 4_000;
+const SECOND_MS = 1_000;
+const CONTACT_MS = 3_000;
+/** Who was told is bound so much later. */
+const TOLD_MS = 500;
+/** Between one look and the next at what entries may send. */
+const STEP_MS = 10;
+
+type Handler = (params: unknown, peer: unknown) => unknown;
+
+/** One entry: it sends whenever it may. */
+class SimulatedEntry {
+  readonly limits = new LimitBook();
+  /** From when on it is calm; only then it is bound by the limit. */
+  calmFrom = -Infinity;
+  isFrozen = false;
+  /** When it first heard of the limit. */
+  toldAt = Infinity;
+  handler: Handler | undefined;
+  readonly book: PeerBook;
+  readonly exchange: LimitExchange;
+
+  constructor(
+    readonly address: string,
+    seeds: readonly string[],
+    network: Network,
+  ) {
+    this.book = new PeerBook(address, seeds);
+    this.exchange = new LimitExchange({
+      rpc: {call: network.callFrom(this)},
+      book: this.book,
+      own: address,
+      limits: this.limits,
+      log: {event: () => undefined} satisfies Log,
+      onChange: () => undefined,
+    });
+    this.exchange.open({
+      handle: (_, handler) => void (this.handler = handler as Handler),
+    });
+  }
+
+  /** Something happens to it that lasts for so long. */
+  trouble(ms: number): void {
+    const calmFrom = performance.now() + ms + CONTACT_MS;
+    this.calmFrom = Math.max(this.calmFrom, calmFrom);
+  }
+}
+
+class Network {
+  readonly entries = new Map<string, SimulatedEntry>();
+  /** Monotonic time until which nothing gets to or from an entry. */
+  private readonly cutUntil = new Map<string, number>();
+  calls = 0;
+  lossShare = 0;
+
+  add(address: string, seeds: readonly string[]): SimulatedEntry {
+    const entry = new SimulatedEntry(address, seeds, this);
+    this.entries.set(address, entry);
+    return entry;
+  }
+
+  cut(address: string, ms: number): void {
+    const until = performance.now() + ms;
+    const before = this.cutUntil.get(address) ?? 0;
+    this.cutUntil.set(address, Math.max(before, until));
+    this.entries.get(address)!.trouble(ms);
+  }
+
+  private isCut(address: string): boolean {
+    return performance.now() < (this.cutUntil.get(address) ?? 0);
+  }
+
+  callFrom(from: SimulatedEntry): RpcClient['call'] {
+    return async (address, _method, params, timeoutMs = SECOND_MS) => {
+      const sleep = (ms: number) =>
+        new Promise(resolve => setTimeout(resolve, ms));
+      const startedAt = performance.now();
+      this.calls += 1;
+      await sleep(1 + random.unit() * 10);
+      const to = this.entries.get(address);
+      const isLost =
+        to === undefined ||
+        to.isFrozen ||
+        this.isCut(from.address) ||
+        this.isCut(address) ||
+        random.unit() < this.lossShare;
+      if (!isLost) {
+        const result = to.handler!(params, {address: ''});
+        await sleep(1 + random.unit() * 10);
+        if (!from.isFrozen && random.unit() >= this.lossShare) {
+          return ok(result as never);
+        }
+      }
+      await sleep(Math.max(timeoutMs - (performance.now() - startedAt), 0));
+      return fail({kind: 'unreachable', sent: true});
+    };
+  }
+}
+
+/** When calm entries sent to the target. */
+class Site {
+  readonly network = new Network();
+  readonly sent: number[] = [];
+  perSecond = 2;
+  private readonly addresses: string[];
+
+  constructor(count: number, seedsOf: (all: readonly string[]) => string[]) {
+    this.addresses = Array.from({length: count}, (_, at) => `10.0.${at}.1:7`);
+    this.addresses.forEach(address =>
+      this.network.add(address, seedsOf(this.addresses)),
+    );
+  }
+
+  get all(): SimulatedEntry[] {
+    return [...this.network.entries.values()];
+  }
+
+  async run(ms: number, perEntryASecond = 20): Promise<void> {
+    const endsAt = performance.now() + ms;
+    while (performance.now() < endsAt) {
+      for (const entry of this.all) {
+        const isDue = random.unit() < (perEntryASecond * STEP_MS) / SECOND_MS;
+        if (isDue && !entry.isFrozen) {
+          this.sendOne(entry);
+        }
+      }
+      await jest.advanceTimersByTimeAsync(STEP_MS);
+    }
+  }
+
+  close(): void {
+    this.all.forEach(entry => entry.exchange.close());
+  }
+
+  private sendOne(entry: SimulatedEntry): void {
+    const now = performance.now();
+    entry.limits.want([TARGET], now);
+    if (entry.limits.waitMs(TARGET, now) > 0) {
+      return;
+    }
+    entry.limits.noteSent(TARGET, now);
+    const limit = {kind: 'limit', perSecond: this.perSecond} as const;
+    entry.limits.hear(TARGET, limit, now, now + 1);
+    if (now >= entry.calmFrom && now >= entry.toldAt + TOLD_MS) {
+      this.sent.push(now);
+    }
+    entry.toldAt = Math.min(entry.toldAt, now);
+  }
+}
+
+function expectHeld(site: Site, from: number): void {
+  const counted = site.sent.filter(at => at >= from);
+  const most = Math.max(
+    0,
+    ...counted.map(
+      start =>
+        counted.filter(at => at >= start && at - start < WINDOW_MS).length,
+    ),
+  );
+  const allowed = (1.5 * site.perSecond * WINDOW_MS) / SECOND_MS + 5;
+  expect(most).toBeLessThanOrEqual(allowed);
+}
+
+function usedShare(site: Site, from: number, until: number): number {
+  const got = site.sent.filter(at => at >= from && at < until).length;
+  return (got * SECOND_MS) / (site.perSecond * (until - from));
+}
+
+describe('entries that send to a target with a limit', () => {
+  let site: Site;
+
+  beforeEach(() => jest.useFakeTimers());
+
+  afterEach(() => {
+    site.close();
+    jest.useRealTimers();
+  });
+
+  it.each([
+    [1, 2],
+    [4, 1],
+    [35, 0.5],
+    [35, 2],
+    [35, 40],
+    [100, 3],
+  ])(
+    'keep it together, and use it: %d entries, %d a second',
+    async (count, perSecond) => {
+      random.seed(count);
+      site = new Site(count, all => [...all]);
+      site.perSecond = perSecond;
+      const startedAt = performance.now();
+      await site.run(CONTACT_MS + 20_000);
+      const from = startedAt + CONTACT_MS;
+      expectHeld(site, from);
+      const used = usedShare(site, from + SECOND_MS, performance.now());
+      expect(used).toBeGreaterThan(0.85);
+    },
+  );
+
+  it('keep it where each knows a few of the others', async () => {
+    random.seed(7);
+    site = new Site(35, all => [...all.slice(0, 3), ...random.sample(all, 8)]);
+    const startedAt = performance.now();
+    await site.run(CONTACT_MS + 10_000);
+    expectHeld(site, startedAt + CONTACT_MS);
+    const from = performance.now() - 6_000;
+    expect(usedShare(site, from, performance.now())).toBeGreaterThan(0.85);
+  });
+
+  it('keep it where as many again come that know three of them', async () => {
+    random.seed(8);
+    site = new Site(20, all => [...all]);
+    const startedAt = performance.now();
+    await site.run(CONTACT_MS + 5_000);
+    const seeds = site.all.slice(0, 3).map(one => one.address);
+    for (let at = 0; at < 20; at += 1) {
+      site.network.add(`10.1.${at}.1:7`, seeds);
+    }
+    await site.run(15_000);
+    expectHeld(site, startedAt + CONTACT_MS);
+    const from = performance.now() - 8_000;
+    expect(usedShare(site, from, performance.now())).toBeGreaterThan(0.85);
+  });
+
+  it.each([1_200, 3_000, 9_000])(
+    'keep it where the one that lends is frozen for %d ms',
+    async frozenMs => {
+      random.seed(frozenMs);
+      site = new Site(6, all => [...all]);
+      const startedAt = performance.now();
+      await site.run(CONTACT_MS + 4_000);
+      // Each in turn, so that the one that lends is among them.
+      for (const entry of site.all) {
+        entry.isFrozen = true;
+        entry.trouble(frozenMs);
+        await site.run(frozenMs);
+        entry.isFrozen = false;
+        await site.run(CONTACT_MS + 2_000);
+      }
+      expectHeld(site, startedAt + CONTACT_MS);
+      const used = usedShare(site, startedAt + CONTACT_MS, performance.now());
+      expect(used).toBeGreaterThan(0.5);
+    },
+  );
+
+  it('keep it, and use it, where one can reach none of the others', async () => {
+    random.seed(9);
+    site = new Site(6, all => [...all]);
+    const startedAt = performance.now();
+    await site.run(CONTACT_MS + 4_000);
+    for (const {address} of site.all) {
+      site.network.cut(address, 8_000);
+      await site.run(8_000 + CONTACT_MS);
+    }
+    expectHeld(site, startedAt + CONTACT_MS);
+    const used = usedShare(site, startedAt + CONTACT_MS, performance.now());
+    expect(used).toBeGreaterThan(0.6);
+  });
+
+  it('keep it where one in ten calls is lost', async () => {
+    random.seed(10);
+    site = new Site(12, all => [...all]);
+    const startedAt = performance.now();
+    await site.run(CONTACT_MS);
+    site.network.lossShare = 0.1;
+    await site.run(20_000);
+    expectHeld(site, startedAt + CONTACT_MS);
+    const used = usedShare(site, startedAt + CONTACT_MS, performance.now());
+    expect(used).toBeGreaterThan(0.5);
+  });
+
+  // Whatever happens to some of them, in series that overlap.
+  it.each(Array.from({length: 50}, (_, seed) => seed))(
+    'keep it whatever comes: seed %d',
+    async seed => {
+      random.seed(seed);
+      site = new Site(8, all => all.slice(0, 3));
+      site.perSecond = random.pick([0.5, 1, 2, 5]);
+      const startedAt = performance.now();
+      await site.run(CONTACT_MS + 4_000);
+      for (let turn = 0; turn < 12; turn += 1) {
+        const troubled = random.pick(site.all);
+        const {address} = troubled;
+        const what = random.below(4);
+        const lastsMs = 300 + random.below(6_000);
+        if (what === 0) {
+          troubled.isFrozen = true;
+          troubled.trouble(lastsMs);
+          setTimeout(() => (troubled.isFrozen = false), lastsMs);
+        } else if (what === 1) {
+          site.network.cut(address, lastsMs);
+        } else if (what === 2) {
+          troubled.exchange.close();
+          const seeds = site.all.slice(0, 3).map(one => one.address);
+          site.network.add(address, seeds).trouble(0);
+        } else {
+          site.network.add(`10.2.${turn}.1:7`, [site.all[0]!.address]);
+        }
+        await site.run(random.below(4_000));
+      }
+      await site.run(8_000);
+      expectHeld(site, startedAt + CONTACT_MS);
+    },
+  );
+
+  it('ask nothing of each other where nothing is limited', async () => {
+    random.seed(11);
+    site = new Site(4, all => [...all]);
+    site.all.forEach(entry => entry.limits.want([TARGET], performance.now()));
+    await jest.advanceTimersByTimeAsync(5_000);
+    expect(site.network.calls).toBe(0);
+  });
+});
