A hall that the operator has emptied gets nothing more

Entries follow that kind as they follow targets, tell it to peers that can't reach the store, and leave the hall's targets out where all choosing gets its targets from. One call of the store more in 30 s for each entry that watches it.

--- a/src/forwarding/target-list.ts
+++ b/src/forwarding/target-list.ts
@@ -70,6 +70,8 @@
   private readonly ended = new Set<string>();
   /** Services that the configuration names; undefined: not known yet. */
   private services: ReadonlySet<string> | undefined;
+  /** Halls to which the operator wants nothing sent. */
+  private emptied: ReadonlySet<string> = new Set();
   /** By service; undefined since something changed. */
   private lists: ReadonlyMap<string, readonly Target[]> | undefined;
   private listedRanks: readonly Target[] | undefined;
@@ -224,6 +226,15 @@
     this.forgetLists();
   }
 
+  /**
+   * Halls that the operator has emptied, all of them: their targets go on, and
+   * get nothing until the hall is taken back.
+   */
+  emptyHalls(halls: Iterable<string>): void {
+    this.emptied = new Set(halls);
+    this.forgetLists();
+  }
+
   /**
    * Targets of a service that may be sent something now. Where a process died,
    * its entry stays for a while beside that of its next life at the same address.
@@ -297,7 +308,7 @@
         ...[...this.held.values()].map(({goneAt}) => goneAt),
       );
       this.lists = grouping.groupBy(
-        this.newestAtAddresses(),
+        this.newestAtAddresses().filter(one => !this.emptied.has(one.hall)),
         target => target.service,
       );
     }
--- a/src/observability/catalogue.ts
+++ b/src/observability/catalogue.ts
@@ -138,6 +138,16 @@
     level: 'info',
     text: 'another process lends permits to send to a limited target',
   },
+  hallEmptied: {
+    id: 'FC6019',
+    level: 'info',
+    text: 'the operator has emptied a hall: its targets get nothing more',
+  },
+  hallTakenBack: {
+    id: 'FC6020',
+    level: 'info',
+    text: 'the operator has taken a hall back',
+  },
   targetUnreachable: {
     id: 'FC6004',
     level: 'warn',
--- a/src/roles/site-documents.ts
+++ b/src/roles/site-documents.ts
@@ -13,6 +13,8 @@
   readonly configurationKind: string;
   readonly configurationKey: string;
   readonly targetsKind: string;
+  /** Kind of the objects that name halls which the operator has emptied. */
+  readonly emptiedHallsKind: string;
   /** Kind of the objects that hold planners' seats. */
   readonly seatKind: string;
   /** Path at which an entry is asked whether it is ready. */
--- a/src/roles/site-follower.ts
+++ b/src/roles/site-follower.ts
@@ -36,6 +36,8 @@
  * store is out of reach: the other watch does.
  */
 const TARGETS_WAIT_MS = 20_000;
+/** And a watch of the halls that the operator has emptied; the store's longest. */
+const EMPTIED_HALLS_WAIT_MS = 30_000;
 /** Time after an outage in which entries may still be coming back. */
 const OUTAGE_GRACE_MS = 1_000;
 /**
@@ -53,6 +55,7 @@
 interface WatchLoops {
   readonly configuration: WatchLoop;
   readonly targets: WatchLoop;
+  readonly emptiedHalls: WatchLoop;
 }
 
 /** What following a site needs of its process. */
@@ -76,6 +79,8 @@
   private readonly duty: watchDuty.WatchDuty;
   private readonly configurationCopy: KindCopy;
   private readonly targetsCopy: KindCopy;
+  private readonly emptiedHallsCopy: KindCopy;
+  private emptiedHalls = new Set<string>();
   private readonly book: PeerBook;
   private readonly peers: PeerFollower;
   private readonly limits: LimitExchange;
@@ -87,10 +92,11 @@
 
   constructor(private readonly context: SiteFollowerContext) {
     const {documents, cfg} = context;
-    const {configurationKind, targetsKind} = documents;
+    const {configurationKind, targetsKind, emptiedHallsKind} = documents;
     this.duty = new watchDuty.WatchDuty(context.rpcAddress);
     this.configurationCopy = new KindCopy(configurationKind);
     this.targetsCopy = new KindCopy(targetsKind);
+    this.emptiedHallsCopy = new KindCopy(emptiedHallsKind);
     this.book = new PeerBook(context.rpcAddress, cfg.seeds);
     this.limits = new LimitExchange({
       rpc: context.rpc,
@@ -197,12 +203,17 @@
       return;
     }
     const {store, documents, log} = this.context;
-    const {configurationKind, targetsKind} = documents;
+    const {configurationKind, targetsKind, emptiedHallsKind} = documents;
     const isShared = () => this.book.known.length >= watchDuty.WATCHERS;
     const configuration = new WatchLoop(store, configurationKind, () =>
       isShared() ? SHARED_WAIT_MS : CONFIGURATION_WAIT_MS,
     );
     const targets = new WatchLoop(store, targetsKind, () => TARGETS_WAIT_MS);
+    const emptiedHalls = new WatchLoop(
+      store,
+      emptiedHallsKind,
+      () => EMPTIED_HALLS_WAIT_MS,
+    );
     configuration.events.subscribe(event => {
       if (this.configurationCopy.take(event)) {
         this.onConfiguration(event);
@@ -213,10 +224,16 @@
         this.onTargets(event, performance.now() < this.graceUntil);
       }
     });
-    this.loops = {configuration, targets};
+    emptiedHalls.events.subscribe(event => {
+      if (this.emptiedHallsCopy.take(event)) {
+        this.takeEmptiedHalls(event);
+      }
+    });
+    this.loops = {configuration, targets, emptiedHalls};
     log.event('watchTaken', {peers: this.book.known.length});
     void configuration.run();
     void targets.run();
+    void emptiedHalls.run();
   }
 
   private stopWatching(): void {
@@ -225,6 +242,7 @@
     }
     this.loops.configuration.close();
     this.loops.targets.close();
+    this.loops.emptiedHalls.close();
     this.loops = undefined;
     this.isLost = false;
     if (this.graceUntil === Infinity) {
@@ -234,7 +252,7 @@
   }
 
   private get copies(): readonly KindCopy[] {
-    return [this.configurationCopy, this.targetsCopy];
+    return [this.configurationCopy, this.targetsCopy, this.emptiedHallsCopy];
   }
 
   /** True where the peer has heard from the store lately. */
@@ -250,6 +268,10 @@
         this.targetsCopy
           .offer(one, askedAt)
           .forEach(event => this.takeTargetsEvent(event, one.isSettling));
+      } else if (one.kind === this.emptiedHallsCopy.kind) {
+        this.emptiedHallsCopy
+          .offer(one, askedAt)
+          .forEach(event => this.takeEmptiedHalls(event));
       }
     }
     return isFresh;
@@ -263,6 +285,7 @@
         error: event.error.kind,
       });
       this.loops?.targets.restart();
+      this.loops?.emptiedHalls.restart();
     } else {
       this.takeConfigurationEvent(event, 'store');
     }
@@ -350,6 +373,26 @@
     this.context.onTargets();
   }
 
+  private takeEmptiedHalls(event: WatchEvent): void {
+    if (event.kind !== 'listed' && event.kind !== 'changed') {
+      return;
+    }
+    const {items, removed} = event.listing;
+    const before = this.emptiedHalls;
+    const halls = new Set(event.kind === 'listed' ? [] : before);
+    items.forEach(({key}) => halls.add(objects.nameOf(key)));
+    removed.forEach(key => halls.delete(objects.nameOf(key)));
+    this.emptiedHalls = halls;
+    this.targets.emptyHalls(halls);
+    const {log} = this.context;
+    [...halls]
+      .filter(hall => !before.has(hall))
+      .forEach(hall => log.event('hallEmptied', {hall}));
+    [...before]
+      .filter(hall => !halls.has(hall))
+      .forEach(hall => log.event('hallTakenBack', {hall}));
+  }
+
   /** `unread`: names of entries that tell of no target. */
   private readTargets(items: readonly objects.StoredObject[]) {
     const {documents, log} = this.context;
