A store that comes back from an older copy is ordered by its era

After a store had come back from a copy some seconds old, the next configuration was in force nowhere (401 for its key), a target that said that it leaves went on getting requests, and a newer planner would have ranked below an older one.

Cause: revisions were compared that the store gives out again.

--- a/src/forwarding/choose-failing.test.ts
+++ b/src/forwarding/choose-failing.test.ts
@@ -25,6 +25,7 @@
   hall: `hall-${at % GROUPS}`,
   slots: 7,
   isLeaving: false,
+  sequence: 1,
   revision: 1,
   group: `g${at % GROUPS}`,
   rank: Math.floor(at / GROUPS),
--- a/src/forwarding/target-list.ts
+++ b/src/forwarding/target-list.ts
@@ -7,11 +7,14 @@
  * chooses gets targets from here, and so no other.
  *
  * Lifetimes of one target are told apart by its start and put in order by the
- * store's revisions: the time of day, which starts are told in, may jump back.
+ * store's revisions: the time of day, which starts are told in, may jump back. A
+ * store that comes back from an older copy may list one that has gone: it counts
+ * only once it has written its entry again.
  */
 import * as grouping from '../grouping';
 import type {LimitNamed} from '../http/server-limit';
 import {LimitBook, LimitChange} from '../targets/limit-book';
+import * as revisions from '../platform/revisions';
 import {RestBook} from '../targets/rest-book';
 import type {Target} from './types';
 
@@ -68,6 +71,8 @@
   private readonly rests = new RestBook();
   /** Oldest first. */
   private readonly ended = new Set<string>();
+  /** Last entries of lifetimes that are off the list; oldest first. */
+  private readonly gone = new Map<string, Target>();
   /** Services that the configuration names; undefined: not known yet. */
   private services: ReadonlySet<string> | undefined;
   /** Halls to which the operator wants nothing sent. */
@@ -108,6 +113,7 @@
     const before = this.held.get(target.id)?.target;
     const isStale =
       this.ended.has(target.lifetime) ||
+      this.isOfOldCopy(target) ||
       (before !== undefined && before.revision > target.revision);
     if (isStale) {
       return;
@@ -123,6 +129,7 @@
       this.onChange({kind: 'leaving', target, by: 'entry'});
       return;
     }
+    this.gone.delete(target.lifetime);
     this.held.set(target.id, {target, goneAt: Infinity});
     this.forgetLists();
     if (before === undefined || isRestarted) {
@@ -143,10 +150,26 @@
     if (this.isHeld(target.lifetime, target.id)) {
       this.held.delete(target.id);
       this.forgetLists();
+      this.gone.delete(target.lifetime);
+      this.gone.set(target.lifetime, target);
+      const [oldest] = this.gone.keys();
+      if (this.gone.size > MOST_ENDED && oldest !== undefined) {
+        this.gone.delete(oldest);
+      }
       this.onChange({kind: 'gone', target});
     }
   }
 
+  /** True for an entry that was gone, listed by an older copy of the store. */
+  private isOfOldCopy(target: Target): boolean {
+    const last = this.gone.get(target.lifetime);
+    return (
+      last !== undefined &&
+      revisions.eraOf(target.revision) > revisions.eraOf(last.revision) &&
+      target.sequence <= last.sequence
+    );
+  }
+
   /** A target has said in an answer that it leaves: it gets nothing more. */
   leave(target: Target): void {
     if (this.isHeld(target.lifetime, target.id)) {
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -2,6 +2,7 @@
 import type * as http from 'node:http';
 import type {RestAsked} from '../http/retry-after';
 import type {LimitNamed} from '../http/server-limit';
+import type {StoreRevision} from '../platform/revisions';
 import type {Route} from '../routes/types';
 
 /** A process that serves requests of a service. */
@@ -21,7 +22,9 @@
   readonly slots: number;
   readonly isLeaving: boolean;
   /** The store's revision of its entry; a later life has a higher one. */
-  readonly revision: number;
+  readonly revision: StoreRevision;
+  /** Rises each time that it writes its entry, whatever the store's era. */
+  readonly sequence: number;
   /** Group of ranks in lock-step that it belongs to; undefined: none. */
   readonly group: string | undefined;
   /** Its rank there; undefined: not told. */
--- a/src/observability/catalogue.ts
+++ b/src/observability/catalogue.ts
@@ -70,6 +70,11 @@
     level: 'info',
     text: 'peers watch the store for this process',
   },
+  storeSetBack: {
+    id: 'FC4006',
+    level: 'warn',
+    text: 'the store has come back from an older copy of itself',
+  },
   cellTaken: {id: 'FC5001', level: 'info', text: 'claim cell taken'},
   cellLost: {id: 'FC5002', level: 'warn', text: 'claim cell lost'},
   cellCut: {
--- a/src/peers/kind-copy.ts
+++ b/src/peers/kind-copy.ts
@@ -2,6 +2,10 @@
  * What the store has told of one kind of objects, by whichever way it came:
  * by this process's own watch or by a peer's. Newer revisions go before older
  * ones, so the order in which both are heard doesn't matter.
+ *
+ * Objects that say themselves which one is newer are held by that: a store that
+ * came back from an older copy may list an older one until it is written again,
+ * and who starts in between hears of the newer one from here.
  */
 import * as murmurhash from 'murmurhash';
 import type * as objects from '../platform/types';
@@ -18,7 +22,13 @@
   /** Of the items; undefined since they changed. */
   private digest: number | undefined;
 
-  constructor(readonly kind: string) {}
+  /** `orderOf`: which of two objects of a key is newer, where they say so. */
+  constructor(
+    readonly kind: string,
+    private readonly orderOf: (
+      object: objects.StoredObject,
+    ) => number | undefined = () => undefined,
+  ) {}
 
   /** What this process tells a peer that it holds. */
   get held(): HeldKind {
@@ -63,7 +73,7 @@
    */
   offer(news: KindNews, askedAt: number): WatchEvent[] {
     if (news.revision < (this.revision ?? 0)) {
-      return [];
+      return this.takeNewer(news.items ?? []);
     }
     const events: WatchEvent[] = [];
     const {revision, items} = news;
@@ -81,6 +91,32 @@
     return events;
   }
 
+  /** Objects of an older revision that say that they are newer all the same. */
+  private takeNewer(items: readonly objects.StoredObject[]): WatchEvent[] {
+    const newer = items.filter(item =>
+      this.isNewer(item, this.items.get(item.key)),
+    );
+    if (newer.length === 0) {
+      return [];
+    }
+    newer.forEach(item => this.items.set(item.key, item));
+    this.digest = undefined;
+    const listing = {revision: this.revision!, items: newer, removed: []};
+    return [{kind: 'changed', listing}];
+  }
+
+  /** True where an object says that it is newer than another one. */
+  private isNewer(
+    one: objects.StoredObject | undefined,
+    other: objects.StoredObject | undefined,
+  ): boolean {
+    const order = one && this.orderOf(one);
+    const otherOrder = other && this.orderOf(other);
+    return (
+      order !== undefined && otherOrder !== undefined && order > otherOrder
+    );
+  }
+
   private takeListing(
     kind: 'listed' | 'changed',
     listing: objects.Listing,
@@ -88,11 +124,15 @@
     if (listing.revision < (this.revision ?? 0)) {
       return false;
     }
+    const before = new Map(this.items);
     if (kind === 'listed') {
       this.items.clear();
     }
     listing.removed.forEach(key => this.items.delete(key));
-    listing.items.forEach(item => this.items.set(item.key, item));
+    for (const item of listing.items) {
+      const held = before.get(item.key);
+      this.items.set(item.key, this.isNewer(held, item) ? held! : item);
+    }
     this.revision = listing.revision;
     this.digest = undefined;
     return true;
--- a/src/roles/site-follower.ts
+++ b/src/roles/site-follower.ts
@@ -15,6 +15,8 @@
 import * as watchDuty from '../peers/watch-duty';
 import type {KindNews} from '../peers/types';
 import type {ObjectApi} from '../platform/client';
+import * as revisions from '../platform/revisions';
+import type {StoreRevision} from '../platform/revisions';
 import * as objects from '../platform/types';
 import {WatchEvent, WatchLoop} from '../platform/watch-loop';
 import type {RpcClient} from '../rpc/client';
@@ -38,6 +40,11 @@
 const TARGETS_WAIT_MS = 20_000;
 /** And a watch of the halls that the operator has emptied; the store's longest. */
 const EMPTIED_HALLS_WAIT_MS = 30_000;
+/**
+ * Time in which the operator has written again what an older copy of the store
+ * lacks, in milliseconds.
+ */
+const WRITTEN_AGAIN_MS = 4_000;
 /** Time after an outage in which entries may still be coming back. */
 const OUTAGE_GRACE_MS = 1_000;
 /**
@@ -80,7 +87,17 @@
   private readonly configurationCopy: KindCopy;
   private readonly targetsCopy: KindCopy;
   private readonly emptiedHallsCopy: KindCopy;
-  private emptiedHalls = new Set<string>();
+  /** Halls that get nothing. */
+  private emptiedHalls: ReadonlySet<string> = new Set();
+  /** Those that the store lists. */
+  private listedHalls: ReadonlySet<string> = new Set();
+  /** Those that it listed before it was set back, and until when they count. */
+  private keptHalls: ReadonlySet<string> = new Set();
+  private keptUntil = 0;
+  /** Of the store's last word on them. */
+  private emptiedHallsEra = 0;
+  /** Of the store's last word on targets; undefined before the first. */
+  private era: number | undefined;
   private readonly book: PeerBook;
   private readonly peers: PeerFollower;
   private readonly limits: LimitExchange;
@@ -94,7 +111,10 @@
     const {documents, cfg} = context;
     const {configurationKind, targetsKind, emptiedHallsKind} = documents;
     this.duty = new watchDuty.WatchDuty(context.rpcAddress);
-    this.configurationCopy = new KindCopy(configurationKind);
+    this.configurationCopy = new KindCopy(configurationKind, ({value}) => {
+      const read = documents.readSnapshot(value);
+      return read.ok ? read.value.version : undefined;
+    });
     this.targetsCopy = new KindCopy(targetsKind);
     this.emptiedHallsCopy = new KindCopy(emptiedHallsKind);
     this.book = new PeerBook(context.rpcAddress, cfg.seeds);
@@ -358,10 +378,13 @@
       return;
     }
     const now = performance.now();
-    const {items, removed} = event.listing;
+    const {items, removed, revision} = event.listing;
     const {found, unread} = this.readTargets(items);
+    const isSetBack = this.isSetBack(revision, now);
     if (event.kind === 'listed') {
-      this.targets.replaceAll(found, now, inGrace, unread);
+      // An older copy lacks targets that will write there again.
+      const mayComeBack = inGrace || isSetBack;
+      this.targets.replaceAll(found, now, mayComeBack, unread);
     } else {
       found.forEach(target => this.targets.add(target));
       removed.forEach(key =>
@@ -373,18 +396,48 @@
     this.context.onTargets();
   }
 
+  /** True where the store came back from an older copy since the last word. */
+  private isSetBack(revision: StoreRevision, now: number): boolean {
+    const era = revisions.eraOf(revision);
+    const isSetBack = this.era !== undefined && era > this.era;
+    if (isSetBack) {
+      this.graceUntil = Math.max(this.graceUntil, now + OUTAGE_GRACE_MS);
+      this.context.log.event('storeSetBack', {era, before: this.era});
+    }
+    this.era = Math.max(era, this.era ?? era);
+    return isSetBack;
+  }
+
   private takeEmptiedHalls(event: WatchEvent): void {
     if (event.kind !== 'listed' && event.kind !== 'changed') {
       return;
     }
-    const {items, removed} = event.listing;
+    const {items, removed, revision} = event.listing;
+    const listed = new Set(event.kind === 'listed' ? [] : this.listedHalls);
+    items.forEach(({key}) => listed.add(objects.nameOf(key)));
+    removed.forEach(key => listed.delete(objects.nameOf(key)));
+    this.listedHalls = listed;
+    const now = performance.now();
+    const era = revisions.eraOf(revision);
+    if (era > this.emptiedHallsEra && this.emptiedHalls.size > 0) {
+      // An older copy lacks what the operator will write again.
+      this.keptHalls = this.emptiedHalls;
+      this.keptUntil = now + WRITTEN_AGAIN_MS;
+      setTimeout(() => this.emptyHalls(), WRITTEN_AGAIN_MS).unref();
+    }
+    this.emptiedHallsEra = era;
+    this.emptyHalls();
+  }
+
+  /** Those that are listed, and for a while those before a set-back. */
+  private emptyHalls(): void {
     const before = this.emptiedHalls;
-    const halls = new Set(event.kind === 'listed' ? [] : before);
-    items.forEach(({key}) => halls.add(objects.nameOf(key)));
-    removed.forEach(key => halls.delete(objects.nameOf(key)));
+    const isKept = performance.now() < this.keptUntil;
+    const kept = isKept ? this.keptHalls : [];
+    const halls = new Set([...this.listedHalls, ...kept]);
+    const {log} = this.context;
     this.emptiedHalls = halls;
     this.targets.emptyHalls(halls);
-    const {log} = this.context;
     [...halls]
       .filter(hall => !before.has(hall))
       .forEach(hall => log.event('hallEmptied', {hall}));
