A request that crashes the targets that run it is refused by all entries

A caller's request crashed target after target, and a fifth of all others failed. Cause: a lost connection was held against its target alone, and the request went on to the next one, at every entry anew.

Now its digest (method, host, path, key, body) is noted where a target has crashed with it under way: its connection lost, and nothing listening at its address right after. One entry judges a request, the first by hashing; what was under way in the crashes of three lifetimes more than it was served is told to all, and refused at once for two minutes since it last came. Peers tell it to who starts. No digest is made where nothing crashes. A request whose sends were lost twice isn't sent again. Weighed: telling all entries of each suspect (each crash would cost entries x entries calls); counting at each entry alone (three entries see one crash each).

--- /dev/null
+++ b/src/crashes/suspect-book.ts
@@ -0,0 +1,83 @@
+/**
+ * Requests that were under way as targets crashed, known in the field as queries of
+ * death where they are the cause. A target dies with several requests in flight, so
+ * one crash proves nothing of any of them: a request is guilty that was under way in
+ * the crashes of several lifetimes and is hardly ever served. One that many callers
+ * send is served meanwhile. Pure over a clock reading.
+ */
+
+/** Crashes of different lifetimes, beyond what was served, that make guilty. */
+const GUILTY_CRASHES = 3;
+/** What is known of a request is forgotten after so long, in milliseconds. */
+const FORGET_MS = 60_000;
+/** Requests that are kept; the one suspected longest ago goes first. */
+const MOST_SUSPECTS = 2_048;
+
+interface Suspect {
+  readonly lifetimes: Set<string>;
+  served: number;
+  at: number;
+}
+
+export class SuspectBook {
+  private readonly suspects = new Map<string, Suspect>();
+  /** When a request was last under way in a crash. */
+  private crashAt = -Infinity;
+
+  /** A request was under way as a lifetime of a target crashed. */
+  noteCrash(digest: string, lifetime: string, now: number): void {
+    const suspect = this.fresh(digest, now) ?? {
+      lifetimes: new Set(),
+      served: 0,
+      at: now,
+    };
+    suspect.lifetimes.add(lifetime);
+    suspect.at = now;
+    this.crashAt = now;
+    this.suspects.delete(digest);
+    this.suspects.set(digest, suspect);
+    const [oldest] = this.suspects.keys();
+    if (this.suspects.size > MOST_SUSPECTS && oldest !== undefined) {
+      this.suspects.delete(oldest);
+    }
+  }
+
+  /** A suspected request was served. */
+  noteServed(digest: string, now: number): void {
+    const suspect = this.fresh(digest, now);
+    if (suspect !== undefined) {
+      suspect.served += 1;
+    }
+  }
+
+  /** True where a request was under way in a crash lately. */
+  isSuspect(digest: string, now: number): boolean {
+    return this.fresh(digest, now) !== undefined;
+  }
+
+  isGuilty(digest: string, now: number): boolean {
+    const suspect = this.fresh(digest, now);
+    return (
+      suspect !== undefined &&
+      suspect.lifetimes.size - suspect.served >= GUILTY_CRASHES
+    );
+  }
+
+  /** True where nothing has crashed lately. */
+  isEmpty(now: number): boolean {
+    return now - this.crashAt > FORGET_MS;
+  }
+
+  get size(): number {
+    return this.suspects.size;
+  }
+
+  private fresh(digest: string, now: number): Suspect | undefined {
+    const suspect = this.suspects.get(digest);
+    if (suspect !== undefined && now - suspect.at > FORGET_MS) {
+      this.suspects.delete(digest);
+      return undefined;
+    }
+    return suspect;
+  }
+}
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -17,6 +17,8 @@
   sends = 0;
   /** Sends that may have run. */
   runs = 0;
+  /** Sends that were lost with their connection. */
+  losses = 0;
   /** True where the caller has likely tried before. */
   isLater = false;
   target = '';
--- a/src/forwarding/come-back.ts
+++ b/src/forwarding/come-back.ts
@@ -58,6 +58,11 @@
   return Math.min(lineMs, longest(leftMs) * spreadShare());
 }
 
+/** Where nothing helps the caller: as late as it heeds. */
+export function afterConviction(leftMs: number): number {
+  return longest(leftMs) * spreadShare();
+}
+
 /**
  * A group that has lost a rank opens when it has formed, and later than that
  * nobody knows when. One that has not been open since this process began may
--- a/src/forwarding/outcomes.ts
+++ b/src/forwarding/outcomes.ts
@@ -39,6 +39,14 @@
   return outcome.kind !== 'not-run' && !isUnsent;
 }
 
+/** True where the target was gone before it had answered. */
+export function isLost(outcome: exchanges.Outcome): boolean {
+  return (
+    outcome.kind === 'unknown' &&
+    (outcome.why === 'connection-lost' || outcome.why === 'broken-answer')
+  );
+}
+
 /** True where another run may do better than this one did. */
 export function hasRunBadly(outcome: exchanges.Outcome): boolean {
   return (
--- a/src/forwarding/refuser.ts
+++ b/src/forwarding/refuser.ts
@@ -50,6 +50,19 @@
     return {kind: 'not-run', why: 'group-closed', retryMs};
   }
 
+  /** The request has crashed the targets that ran it. */
+  convicted(call: Call, service: string, digest: string): types.Refusal {
+    this.context.metrics.count('crash_refusals_total', {service});
+    this.context.log.event('requestRefused', {
+      request: call.head?.id,
+      kind: 'crashes-targets',
+      service,
+      digest,
+    });
+    const retryMs = comeBack.afterConviction(call.callerLeftMs);
+    return {kind: 'not-run', why: 'crashes-targets', retryMs};
+  }
+
   /** Every target has as much from this entry as it should wait for. */
   overloaded(
     call: Call,
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -6,6 +6,7 @@
 import * as exchanges from './exchange';
 import * as groupChoice from './group-choice';
 import type {GroupRoom} from './group-views';
+import {digestOf} from './request-digest';
 import type {ForwarderContext} from './forwarder';
 import {OutcomeObserver} from './outcome-observer';
 import * as outcomes from './outcomes';
@@ -33,6 +34,11 @@
 const LONGEST_GATE_WAIT_MS = 1_200;
 /** Sends of one request to a group that refuses them all. */
 const MOST_REFUSED_SENDS = 6;
+/**
+ * Sends of one request that are lost with their connection: what crashes a
+ * target crashes the next one too.
+ */
+const MOST_LOSSES = 2;
 /** Least time left that makes another send worth while, in milliseconds. */
 const MIN_SEND_MS = 20;
 /** A stream that has begun can't be refused any more: it goes before others. */
@@ -67,6 +73,10 @@
     tried: ReadonlyMap<string, exchanges.Outcome['kind']>,
     mayWait: boolean,
   ): Promise<Result<types.Target, types.Refusal>> {
+    const refused = this.convicted(request);
+    if (refused !== undefined) {
+      return fail(this.refuser.convicted(call, request.service, refused));
+    }
     const priority = call.hasBegun ? BEGUN_PRIORITY : priorityOf(request);
     const place = this.lines.placeFor(request.service, priority);
     try {
@@ -76,6 +86,30 @@
     }
   }
 
+  /** The digest of a request that crashes targets; undefined: it is not known. */
+  private convicted(request: RelayedRequest): string | undefined {
+    const {crashes} = this.context;
+    const digest = crashes.isActive ? digestOf(request) : undefined;
+    return digest !== undefined && crashes.refuses(digest) ? digest : undefined;
+  }
+
+  /** A request and the connection that carried it were lost. */
+  protected noteLost(
+    call: Call,
+    request: RelayedRequest,
+    target: types.Target,
+  ): void {
+    call.losses += 1;
+    this.context.crashes.noteLost(target, digestOf(request));
+  }
+
+  protected noteServed(request: RelayedRequest): void {
+    const {crashes} = this.context;
+    if (crashes.isActive) {
+      crashes.noteServed(digestOf(request));
+    }
+  }
+
   private async chooseTarget(
     call: Call,
     request: RelayedRequest,
@@ -219,6 +253,11 @@
     }
     this.observer.note(target, outcome, said, sentAt);
     call.noteOutcome(outcomes.mayHaveRun(outcome));
+    if (outcomes.isLost(outcome)) {
+      this.noteLost(call, request, target);
+    } else if (outcome.kind === 'answered') {
+      this.noteServed(request);
+    }
     if (outcome.kind !== 'streaming') {
       // A group that is closed says nothing of the one rank.
       const harm = this.isGroupClosed(target) ? 0 : outcomes.harmOf(outcome);
@@ -324,6 +363,7 @@
     // Refusals of a group that is closed leave the request's tries alone.
     const used = this.isGroupClosed(target) ? call.runs : call.sends;
     if (
+      call.losses >= MOST_LOSSES ||
       used >= request.route.attempts ||
       call.sends >= MOST_REFUSED_SENDS ||
       call.leftMs < MIN_SEND_MS
--- a/src/forwarding/stream-relay.ts
+++ b/src/forwarding/stream-relay.ts
@@ -68,6 +68,7 @@
           continue;
         }
         if (end === 'done') {
+          this.noteServed(request);
           call.end('answered', outcome.head.status);
           return;
         }
@@ -79,6 +80,7 @@
           this.giveUp(call, hasBegun, () => call.refuse({kind: 'timed-out'}));
           return;
         }
+        this.noteLost(call, request, target);
         if (this.mayResume(call, request, target, hasBegun, splitter)) {
           continue;
         }
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -121,6 +121,7 @@
   | 'target-full'
   | 'targets-resting'
   | 'targets-limited'
+  | 'crashes-targets'
   | 'group-closed'
   | 'timed-out';
 
--- a/src/observability/catalogue.ts
+++ b/src/observability/catalogue.ts
@@ -41,6 +41,11 @@
     level: 'info',
     text: 'stream goes on at a faster rank',
   },
+  requestConvicted: {
+    id: 'FC2012',
+    level: 'error',
+    text: 'request crashes the targets that run it: refused from now on',
+  },
   platformUnavailable: {
     id: 'FC3001',
     level: 'warn',
@@ -153,6 +158,11 @@
     level: 'info',
     text: 'the operator has taken a hall back',
   },
+  targetCrashed: {
+    id: 'FC6021',
+    level: 'warn',
+    text: 'target has crashed with requests under way',
+  },
   targetUnreachable: {
     id: 'FC6004',
     level: 'warn',
--- a/src/peers/app.ts
+++ b/src/peers/app.ts
@@ -1,5 +1,6 @@
 /** Calls between processes that follow the store. */
 import * as v from 'valibot';
+import {convictionSchema} from '../crashes/app';
 import * as rpc from '../rpc/types';
 import * as types from './types';
 
@@ -18,5 +19,7 @@
     kinds: v.array(types.kindNewsSchema),
     /** Where other processes of the same role take calls. */
     peers: v.array(v.string()),
+    /** Requests that crash the targets that run them. */
+    convicted: v.array(convictionSchema),
   }),
 );
--- a/src/peers/peer-follower.ts
+++ b/src/peers/peer-follower.ts
@@ -5,6 +5,7 @@
  * watches, nothing is asked in calm but a greeting now and then, so that peers
  * know of each other when it is needed.
  */
+import type {ConvictionTold} from '../crashes/convictions';
 import type {RpcClient} from '../rpc/client';
 import * as app from './app';
 import type {PeerBook} from './peer-book';
@@ -32,6 +33,13 @@
  */
 const GREETING_MS = 3_000;
 
+/**
+ * Time in which a process that has just started goes on asking until a peer has
+ * answered, in milliseconds: it knows of no request that crashes targets, and
+ * of no configuration that is newer than the store's.
+ */
+const MEETING_MS = 10_000;
+
 /** What asking peers needs of its process. */
 export interface FollowerContext {
   readonly rpc: RpcClient;
@@ -45,6 +53,8 @@
   held(): types.HeldKind[];
   /** Takes what a peer told. True where it has heard lately. */
   take(news: readonly types.KindNews[], askedAt: number): boolean;
+  /** Takes what a peer knows of requests that crash targets. */
+  takeConvicted(convicted: readonly ConvictionTold[]): void;
   /** A peer answered. */
   onAnswer(): void;
 }
@@ -53,6 +63,9 @@
   private isClosed = false;
   private greetedAt = -Infinity;
   private timer: NodeJS.Timeout | undefined;
+  private readonly startedAt = performance.now();
+  /** A peer has answered. */
+  private hasMet = false;
 
   constructor(private readonly context: FollowerContext) {}
 
@@ -74,7 +87,7 @@
       await this.ask(watcher, WATCHER_ANSWER_MS);
     } else if (this.context.needsNews(now)) {
       await Promise.all(book.toAsk(ASKED).map(peer => this.ask(peer)));
-    } else if (now - this.greetedAt > GREETING_MS) {
+    } else if (now - this.greetedAt > GREETING_MS || this.isNew(now)) {
       this.greetedAt = now;
       await Promise.all(book.toGreet().map(peer => this.ask(peer)));
     }
@@ -83,6 +96,11 @@
     }
   }
 
+  /** True for a while where no peer has answered since the start. */
+  private isNew(now: number): boolean {
+    return !this.hasMet && now - this.startedAt < MEETING_MS;
+  }
+
   private async ask(peer: string, answerMs = ANSWER_MS): Promise<void> {
     const {rpc, book, from} = this.context;
     const askedAt = performance.now();
@@ -94,7 +112,9 @@
     let isHelpful = false;
     if (answer.ok) {
       this.context.onAnswer();
+      this.hasMet = true;
       book.learn(answer.value.peers);
+      this.context.takeConvicted(answer.value.convicted);
       isHelpful = this.context.take(answer.value.kinds, askedAt);
     }
     book.note(peer, answer.ok, isHelpful);
--- a/src/roles/site-entry.ts
+++ b/src/roles/site-entry.ts
@@ -92,6 +92,7 @@
       views: this.views,
       reach: this.reach,
       connections: this.connections,
+      crashes: this.site.crashes,
       knownEntries: () => this.site.knownEntries,
       whenComplete: waitMs => this.site.whenComplete(waitMs),
       isCutOff: () => this.site.isCutOff(performance.now()),
--- a/src/roles/site-follower.ts
+++ b/src/roles/site-follower.ts
@@ -3,6 +3,7 @@
  * as the store tells them, or peers while the store is silent.
  */
 import * as rxjs from 'rxjs';
+import {CrashExchange} from '../crashes/crash-exchange';
 import {LimitExchange} from '../targets/limit-exchange';
 import {TargetChange, TargetList} from '../forwarding/target-list';
 import type {Target} from '../forwarding/types';
@@ -11,6 +12,7 @@
 import {KindCopy} from '../peers/kind-copy';
 import {PeerBook} from '../peers/peer-book';
 import {PeerFollower} from '../peers/peer-follower';
+import {PeerOrder} from '../peers/peer-order';
 import type {Reach} from '../peers/reach';
 import * as watchDuty from '../peers/watch-duty';
 import type {KindNews} from '../peers/types';
@@ -101,6 +103,8 @@
   private readonly book: PeerBook;
   private readonly peers: PeerFollower;
   private readonly limits: LimitExchange;
+  /** Requests that crash targets. */
+  readonly crashes: CrashExchange;
   /** Emits once requests can be routed, now or at any time before. */
   private readonly completed = new rxjs.ReplaySubject<void>(1);
   private isLost = false;
@@ -118,10 +122,15 @@
     this.targetsCopy = new KindCopy(targetsKind);
     this.emptiedHallsCopy = new KindCopy(emptiedHallsKind);
     this.book = new PeerBook(context.rpcAddress, cfg.seeds);
+    const peers = new PeerOrder(context.rpcAddress, this.book);
+    this.crashes = new CrashExchange({
+      rpc: context.rpc,
+      peers,
+      log: context.log,
+    });
     this.limits = new LimitExchange({
       rpc: context.rpc,
-      book: this.book,
-      own: context.rpcAddress,
+      peers,
       limits: this.targets.limits,
       log: context.log,
       onChange: (lifetime, change) => {
@@ -138,6 +147,7 @@
       watchers: now => this.watchersFor(now),
       held: () => this.copies.map(copy => copy.held),
       take: (news, askedAt) => this.takeNews(news, askedAt),
+      takeConvicted: convicted => this.crashes.take(convicted),
       onAnswer: () => context.reach.note(),
     });
   }
@@ -190,9 +200,11 @@
         const held = call.held.find(one => one.kind === copy.kind);
         return copy.tell(held, isSettling, now) ?? [];
       });
-      return {kinds, peers: this.book.toTell()};
+      const convicted = this.crashes.toTell();
+      return {kinds, peers: this.book.toTell(), convicted};
     });
     this.limits.open(server);
+    this.crashes.open(server);
     this.watch();
     this.peers.start();
   }
@@ -200,6 +212,7 @@
   close(): void {
     this.stopWatching();
     this.limits.close();
+    this.crashes.close();
     this.peers.close();
   }
 
--- a/src/targets/limit-exchange.test.ts
+++ b/src/targets/limit-exchange.test.ts
@@ -2,6 +2,7 @@
 import * as random from '../random';
 import type {Log} from '../observability/log';
 import {PeerBook} from '../peers/peer-book';
+import {PeerOrder} from '../peers/peer-order';
 import {fail, ok} from '../result';
 import type {RpcClient} from '../rpc/client';
 import {LimitBook} from './limit-book';
@@ -38,8 +39,7 @@
     this.book = new PeerBook(address, seeds);
     this.exchange = new LimitExchange({
       rpc: {call: network.callFrom(this)},
-      book: this.book,
-      own: address,
+      peers: new PeerOrder(address, this.book),
       limits: this.limits,
       log: {event: () => undefined} satisfies Log,
       onChange: () => undefined,
--- a/src/targets/limit-exchange.ts
+++ b/src/targets/limit-exchange.ts
@@ -7,11 +7,9 @@
  * called where no target has a limit, nor where there are no peers.
  */
 import type {Log} from '../observability/log';
-import type {PeerBook} from '../peers/peer-book';
-import {SilentPeers} from '../peers/silent-peers';
+import type {PeerOrder} from '../peers/peer-order';
 import * as grouping from '../grouping';
 import * as random from '../random';
-import * as rendezvous from '../routing/rendezvous';
 import type {RpcClient} from '../rpc/client';
 import type {RpcServer} from '../rpc/server';
 import * as app from './limit-app';
@@ -37,9 +35,7 @@
 /** What agreeing with peers needs of its process. */
 export interface ExchangeContext {
   readonly rpc: Pick<RpcClient, 'call'>;
-  readonly book: PeerBook;
-  /** Where this process takes calls. */
-  readonly own: string;
+  readonly peers: PeerOrder;
   readonly limits: LimitBook;
   readonly log: Log;
   /** A peer knew more of a target's limit. */
@@ -48,7 +44,6 @@
 
 export class LimitExchange {
   private readonly lender = new LimitLender();
-  private readonly silent = new SilentPeers();
   private askTimer: NodeJS.Timeout | undefined;
   /** Monotonic time at which the timer fires. */
   private askTimerAt = Infinity;
@@ -68,8 +63,7 @@
   open(server: Pick<RpcServer, 'handle'>): void {
     server.handle(app.borrow, ({from, asks}) => {
       const now = performance.now();
-      this.context.book.learn([from]);
-      this.silent.noteHeard(from);
+      this.context.peers.noteHeard(from);
       this.hasMet = true;
       return {answers: asks.map(ask => this.answer(ask, now))};
     });
@@ -88,11 +82,13 @@
   ) {
     const {lifetime, wanted} = ask;
     const word = wordFrom(ask.word, now);
+    const {peers} = this.context;
     const order = this.order(lifetime, word, now).slice(0, 1 + TOLD);
-    const silent = this.ranked(lifetime)
+    const silent = peers
+      .ranked(lifetime)
       .slice(0, 1 + TOLD)
-      .filter(one => this.silent.isSilent(one));
-    const isOwn = order[0] === this.context.own;
+      .filter(one => peers.isSilent(one));
+    const isOwn = order[0] === peers.own;
     if (isOwn && (wanted > 0 || this.lends(lifetime))) {
       const lent = this.lend(lifetime, word, wanted, now);
       return {...lent, order, silent, word: wordFor(lent.word, now)};
@@ -129,7 +125,7 @@
       ({lifetime, word}) => this.order(lifetime, word, now)[0]!,
     );
     for (const [lender, some] of byLender) {
-      if (lender === this.context.own) {
+      if (lender === this.context.peers.own) {
         some.forEach(wish => this.askOneself(wish, now));
       } else {
         void this.askPeer(lender, some);
@@ -154,8 +150,7 @@
 
   /** True while it knows of peers and has not met one yet, for some time. */
   private isNewcomer(now: number): boolean {
-    const {book} = this.context;
-    const isAlone = !this.hasMet && !book.isEmpty;
+    const isAlone = !this.hasMet && !this.context.peers.book.isEmpty;
     return isAlone && now - this.startedAt < ALONE_MS;
   }
 
@@ -186,25 +181,25 @@
 
   /** Undefined where the peer does not answer. */
   private async call(peer: string, wishes: readonly Wish[]) {
-    const {rpc, book, own} = this.context;
+    const {rpc, peers} = this.context;
     const now = performance.now();
     const asks = wishes.map(({lifetime, word, wanted}) => ({
       lifetime,
       word: wordFor(word, now),
       wanted,
     }));
-    const params = {from: own, asks};
+    const params = {from: peers.own, asks};
     const answer = await rpc.call(peer, app.borrow, params, ANSWER_MS);
     if (!answer.ok) {
-      this.silent.noteSilent(peer, performance.now());
+      peers.noteSilent(peer);
       return undefined;
     }
-    this.silent.noteHeard(peer);
+    peers.noteHeard(peer);
     this.hasMet = true;
     for (const {order, silent} of answer.value.answers) {
       // The peer hears from them; where it is wrong, the next call shows.
-      book.learn([...order, ...silent]);
-      order.forEach(one => this.silent.noteHeard(one));
+      peers.noteHeard(...order);
+      peers.book.learn(silent);
     }
     return answer.value.answers;
   }
@@ -221,20 +216,12 @@
    * before are tried beside, so that they come back.
    */
   private order(lifetime: string, word: LimitWord, now: number): string[] {
-    const all = this.ranked(lifetime);
-    const answering = all.filter(one => !this.silent.isSilent(one));
-    all
-      .slice(0, all.indexOf(answering[0]!))
-      .filter(one => this.silent.takeTrial(one, now))
+    const {peers} = this.context;
+    peers
+      .takeTrials(lifetime, now)
       .slice(0, MOST_TRIED)
       .forEach(one => void this.call(one, [{lifetime, word, wanted: 0}]));
-    return answering;
-  }
-
-  /** This process and all peers that are known, silent ones among them. */
-  private ranked(lifetime: string): string[] {
-    const {own, book} = this.context;
-    return rendezvous.rankByKey(lifetime, [own, ...book.known], one => one);
+    return peers.answering(lifetime);
   }
 
   private lends(lifetime: string): boolean {
@@ -253,7 +240,7 @@
       this.context.log.event('limitLent', {
         lifetime,
         limit: word.perSecond,
-        peers: this.context.book.known.length,
+        peers: this.context.peers.book.known.length,
       });
       this.tell(lifetime, word, now);
       this.beatTimer ??= this.nextBeat();
@@ -295,13 +282,13 @@
     told: Set<string>,
   ): Promise<void> {
     const [first, ...others] = this.order(lifetime, word, now);
-    const {own} = this.context;
+    const {own} = this.context.peers;
     if (first !== own) {
       this.leave(lifetime);
       return;
     }
     // Silent ones too: those that this process lost as it froze may be lending.
-    const all = this.ranked(lifetime);
+    const all = this.context.peers.ranked(lifetime);
     const place = all.indexOf(own);
     const next = new Set([
       ...random.sample(all.slice(0, place), MOST_TRIED),
