An entry that was suspended takes what it believes for as old as it is

A key that had been taken away while an entry's instance was suspended worked until the store's next word: the runtime's monotonic clock had stood still.

One place compares it with the time since boot and the time of day before each request is read, and by itself twice a second. What both have counted beyond it was lost: the configuration, copies of the store and the last answer of peers age by it, views of groups and permits are dropped, lending begins anew. Weighed: the time since boot alone (it runs apart where time is simulated: 0.3 to 1.1 s a second were seen, which would have had entries refuse their callers); the time of day alone (it may be set). Reading the time since boot costs a file, so requests compare the other two first.

--- a/src/forwarding/group-views.ts
+++ b/src/forwarding/group-views.ts
@@ -105,6 +105,11 @@
     }
   }
 
+  /** This instance was suspended: what was told tells nothing any more. */
+  forget(): void {
+    this.held.clear();
+  }
+
   close(): void {
     this.isClosed = true;
     this.updates.complete();
--- a/src/observability/catalogue.ts
+++ b/src/observability/catalogue.ts
@@ -22,6 +22,11 @@
   stopForced: {id: 'FC1006', level: 'warn', text: 'second signal: forced stop'},
   settingsReloaded: {id: 'FC1007', level: 'info', text: 'settings read anew'},
   linesDropped: {id: 'FC1008', level: 'warn', text: 'log lines left out'},
+  instanceSuspended: {
+    id: 'FC1009',
+    level: 'warn',
+    text: 'this instance was suspended: all that is believed is older',
+  },
   requestRefused: {id: 'FC2001', level: 'info', text: 'request refused'},
   requestRetried: {id: 'FC2002', level: 'info', text: 'request retried'},
   streamResumed: {id: 'FC2003', level: 'warn', text: 'stream resumed'},
--- a/src/peers/kind-copy.ts
+++ b/src/peers/kind-copy.ts
@@ -50,6 +50,11 @@
     }
   }
 
+  /** This instance was suspended: the last word is older by so much. */
+  age(lostMs: number): void {
+    this.confirmedAt -= lostMs;
+  }
+
   /** What a peer that holds this should hear; undefined: nothing is known. */
   tell(
     asked: HeldKind | undefined,
--- a/src/peers/reach.ts
+++ b/src/peers/reach.ts
@@ -7,6 +7,11 @@
     this.at = performance.now();
   }
 
+  /** This instance was suspended: the last answer is older by so much. */
+  age(lostMs: number): void {
+    this.at -= lostMs;
+  }
+
   /** Milliseconds of silence from all others; `now` is monotonic. */
   silentMs(now: number): number {
     return now - this.at;
--- a/src/roles/site-entry.ts
+++ b/src/roles/site-entry.ts
@@ -7,6 +7,7 @@
 import {GroupViews} from '../forwarding/group-views';
 import type {Wire} from '../forwarding/types';
 import * as httpServer from '../http/server';
+import {LostTime} from '../lost-time';
 import type {Log} from '../observability/log';
 import {Metrics} from '../observability/metrics';
 import {Reach} from '../peers/reach';
@@ -36,6 +37,7 @@
   private readonly rpc = new RpcClient();
   private readonly rpcServer: RpcServer;
   private readonly reach = new Reach();
+  private readonly lostTime = new LostTime();
   private readonly views: GroupViews;
   private readonly connections = new TargetConnections();
   private readonly forwarder: Forwarder;
@@ -59,6 +61,7 @@
       rpc: this.rpc,
       rpcAddress: this.rpcAddress,
       reach: this.reach,
+      lostTime: this.lostTime,
       log,
       onLimits: limits => this.applyLimits(limits),
       onTargets: () => this.onTargets(),
@@ -82,6 +85,10 @@
       inFlight: lifetime => this.loads.inFlight(lifetime),
     });
     this.loads = new TargetLoads(cfg.hall, this.views);
+    this.lostTime.lost.subscribe(lostMs => {
+      this.site.age(lostMs);
+      this.views.forget();
+    });
     this.forwarder = new Forwarder({
       cfg,
       wire,
@@ -162,6 +169,7 @@
 
   /** Ends at once. */
   close(): void {
+    this.lostTime.close();
     this.site.close();
     for (const server of this.servers) {
       server.close();
@@ -176,6 +184,7 @@
   }
 
   private answer(req: http.IncomingMessage, res: http.ServerResponse): void {
+    this.lostTime.look();
     this.forwarder.answer(req, res).catch(err => {
       this.log.event('requestFault', {error: String((err as Error).stack)});
       res.destroy();
--- a/src/roles/site-follower.ts
+++ b/src/roles/site-follower.ts
@@ -7,6 +7,7 @@
 import {LimitExchange} from '../targets/limit-exchange';
 import {TargetChange, TargetList} from '../forwarding/target-list';
 import type {Target} from '../forwarding/types';
+import type {LostTime} from '../lost-time';
 import type {Log} from '../observability/log';
 import * as peersApp from '../peers/app';
 import {KindCopy} from '../peers/kind-copy';
@@ -76,6 +77,7 @@
   /** Where this process takes calls. */
   readonly rpcAddress: string;
   readonly reach: Reach;
+  readonly lostTime: LostTime;
   readonly log: Log;
   onLimits(limits: CallerLimits): void;
   onTargets(): void;
@@ -190,9 +192,19 @@
     );
   }
 
+  /** This instance was suspended: all that is believed is older by so much. */
+  age(lostMs: number): void {
+    this.configuration.age(lostMs);
+    this.copies.forEach(copy => copy.age(lostMs));
+    this.context.reach.age(lostMs);
+    this.limits.beginAgain();
+    this.context.log.event('instanceSuspended', {lostMs: Math.round(lostMs)});
+  }
+
   /** Starts to follow, and to answer peers on `server`. */
   open(server: RpcServer): void {
     server.handle(peersApp.news, call => {
+      this.context.lostTime.look();
       this.book.learn([call.from]);
       const now = performance.now();
       const isSettling = now < this.graceUntil;
--- a/src/routes/current.ts
+++ b/src/routes/current.ts
@@ -40,6 +40,11 @@
     this.confirmedAt = Math.max(this.confirmedAt, at);
   }
 
+  /** This instance was suspended: the last word is older by so much. */
+  age(lostMs: number): void {
+    this.confirmedAt -= lostMs;
+  }
+
   /**
    * True where the store was silent for so long that callers are better
    * served by another entry.
--- a/src/targets/limit-book.ts
+++ b/src/targets/limit-book.ts
@@ -216,6 +216,11 @@
     }
   }
 
+  /** This instance was suspended: permits of before may be others' by now. */
+  dropPermits(): void {
+    this.held.forEach(held => (held.permits = []));
+  }
+
   /** A lifetime is over. */
   forget(lifetime: string): void {
     this.held.delete(lifetime);
--- a/src/targets/limit-exchange.ts
+++ b/src/targets/limit-exchange.ts
@@ -69,6 +69,12 @@
     });
   }
 
+  /** This instance was suspended. */
+  beginAgain(): void {
+    this.context.limits.dropPermits();
+    this.lender.beginAgain(performance.now());
+  }
+
   close(): void {
     this.isClosed = true;
     clearTimeout(this.askTimer);
--- a/src/targets/limit-lender.ts
+++ b/src/targets/limit-lender.ts
@@ -116,15 +116,16 @@
     return [...this.loans].map(([lifetime, {word}]) => [lifetime, word]);
   }
 
-  get size(): number {
-    return this.loans.size;
-  }
-
-  private beginAgain(now: number): void {
+  /** Others may have begun to lend: whoever was suspended waits as at first. */
+  beginAgain(now: number): void {
     this.beatAt = now;
     this.loans.forEach(loan => close(loan, now));
   }
 
+  get size(): number {
+    return this.loans.size;
+  }
+
   private loanOf(lifetime: string, word: LimitWord, now: number): Loan {
     let loan = this.loans.get(lifetime);
     if (loan === undefined) {
