--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -19,10 +19,10 @@
 import {TargetLoads} from './choose';
 import {GroupGate} from './group-gate';
 import {GroupViews} from './group-views';
-import {PermitLines} from './permit-lines';
 import {PlainRelay} from './plain-relay';
 import {RetryBudget} from './retry-budget';
 import {StreamRelay} from './stream-relay';
+import {TargetFinder} from './target-finder';
 import {TargetList} from './target-list';
 import * as types from './types';
 
@@ -79,9 +79,9 @@
 
   constructor(private readonly context: ForwarderContext) {
     const budgetOf = (service: string) => this.budgetOf(service);
-    const lines = new PermitLines();
-    this.plain = new PlainRelay(context, budgetOf, lines);
-    this.streams = new StreamRelay(context, budgetOf, lines);
+    const finder = new TargetFinder(context);
+    this.plain = new PlainRelay(context, budgetOf, finder);
+    this.streams = new StreamRelay(context, budgetOf, finder);
   }
 
   /** Requests that are being served. */
--- a/src/forwarding/plain-relay.ts
+++ b/src/forwarding/plain-relay.ts
@@ -2,14 +2,15 @@
 import type {Call} from './call';
 import type * as exchanges from './exchange';
 import type {Tried} from './outcomes';
-import {Relay, RelayedRequest} from './relay';
+import {Relay} from './relay';
+import type {RelayedRequest} from './relayed-request';
 
 export class PlainRelay extends Relay {
   async relay(call: Call, request: RelayedRequest): Promise<void> {
     const tried: Tried = new Map();
     let last: exchanges.Outcome | undefined;
     for (;;) {
-      const found = await this.findTarget(call, request, tried, call.isLater);
+      const found = await this.finder.find(call, request, tried, call.isLater);
       if (!found.ok) {
         this.refuseUnsent(call, found.error, last);
         return;
--- a/src/forwarding/stream-relay.ts
+++ b/src/forwarding/stream-relay.ts
@@ -10,7 +10,8 @@
 import {EventSplitter} from './event-splitter';
 import * as exchanges from './exchange';
 import type {Tried} from './outcomes';
-import {Relay, RelayedRequest} from './relay';
+import {Relay} from './relay';
+import type {RelayedRequest} from './relayed-request';
 import type {Target} from './types';
 import {isRepeatable} from './types';
 
@@ -28,7 +29,7 @@
     let hasBegun = false;
     for (;;) {
       const mayWait = hasBegun || call.isLater;
-      const found = await this.findTarget(call, request, tried, mayWait);
+      const found = await this.finder.find(call, request, tried, mayWait);
       if (!found.ok) {
         this.giveUp(call, hasBegun, () =>
           this.refuseUnsent(call, found.error, last),
--- a/src/roles/site-follower.ts
+++ b/src/roles/site-follower.ts
@@ -26,6 +26,7 @@
 import type {RpcServer} from '../rpc/server';
 import {CurrentConfiguration} from '../routes/current';
 import type {CallerLimits} from '../routes/types';
+import {EmptiedHalls} from './emptied-halls';
 import type {SiteDocuments} from './site-documents';
 import type {SiteSettings} from './site-settings';
 
@@ -43,11 +44,6 @@
 const TARGETS_WAIT_MS = 20_000;
 /** And a watch of the halls that the operator has emptied; the store's longest. */
 const EMPTIED_HALLS_WAIT_MS = 30_000;
-/**
- * Time in which the operator has written again what an older copy of the store
- * lacks, in milliseconds.
- */
-const WRITTEN_AGAIN_MS = 4_000;
 /** Time after an outage in which entries may still be coming back. */
 const OUTAGE_GRACE_MS = 1_000;
 /**
@@ -90,16 +86,7 @@
   private readonly duty: watchDuty.WatchDuty;
   private readonly configurationCopy: KindCopy;
   private readonly targetsCopy: KindCopy;
-  private readonly emptiedHallsCopy: KindCopy;
-  /** Halls that get nothing. */
-  private emptiedHalls: ReadonlySet<string> = new Set();
-  /** Those that the store lists. */
-  private listedHalls: ReadonlySet<string> = new Set();
-  /** Those that it listed before it was set back, and until when they count. */
-  private keptHalls: ReadonlySet<string> = new Set();
-  private keptUntil = 0;
-  /** Of the store's last word on them. */
-  private emptiedHallsEra = 0;
+  private readonly emptiedHalls: EmptiedHalls;
   /** Of the store's last word on targets; undefined before the first. */
   private era: number | undefined;
   private readonly book: PeerBook;
@@ -122,7 +109,11 @@
       return read.ok ? read.value.version : undefined;
     });
     this.targetsCopy = new KindCopy(targetsKind);
-    this.emptiedHallsCopy = new KindCopy(emptiedHallsKind);
+    this.emptiedHalls = new EmptiedHalls(
+      emptiedHallsKind,
+      halls => this.targets.emptyHalls(halls),
+      context.log,
+    );
     this.book = new PeerBook(context.rpcAddress, cfg.seeds);
     const peers = new PeerOrder(context.rpcAddress, this.book);
     this.crashes = new CrashExchange({
@@ -269,11 +260,7 @@
         this.onTargets(event, performance.now() < this.graceUntil);
       }
     });
-    emptiedHalls.events.subscribe(event => {
-      if (this.emptiedHallsCopy.take(event)) {
-        this.takeEmptiedHalls(event);
-      }
-    });
+    emptiedHalls.events.subscribe(event => this.emptiedHalls.take(event));
     this.loops = {configuration, targets, emptiedHalls};
     log.event('watchTaken', {peers: this.book.known.length});
     void configuration.run();
@@ -297,7 +284,7 @@
   }
 
   private get copies(): readonly KindCopy[] {
-    return [this.configurationCopy, this.targetsCopy, this.emptiedHallsCopy];
+    return [this.configurationCopy, this.targetsCopy, this.emptiedHalls.copy];
   }
 
   /** True where the peer has heard from the store lately. */
@@ -313,10 +300,8 @@
         this.targetsCopy
           .offer(one, askedAt)
           .forEach(event => this.takeTargetsEvent(event, one.isSettling));
-      } else if (one.kind === this.emptiedHallsCopy.kind) {
-        this.emptiedHallsCopy
-          .offer(one, askedAt)
-          .forEach(event => this.takeEmptiedHalls(event));
+      } else if (one.kind === this.emptiedHalls.copy.kind) {
+        this.emptiedHalls.offer(one, askedAt);
       }
     }
     return isFresh;
@@ -433,44 +418,6 @@
     return isSetBack;
   }
 
-  private takeEmptiedHalls(event: WatchEvent): void {
-    if (event.kind !== 'listed' && event.kind !== 'changed') {
-      return;
-    }
-    const {items, removed, revision} = event.listing;
-    const listed = new Set(event.kind === 'listed' ? [] : this.listedHalls);
-    items.forEach(({key}) => listed.add(objects.nameOf(key)));
-    removed.forEach(key => listed.delete(objects.nameOf(key)));
-    this.listedHalls = listed;
-    const now = performance.now();
-    const era = revisions.eraOf(revision);
-    if (era > this.emptiedHallsEra && this.emptiedHalls.size > 0) {
-      // An older copy lacks what the operator will write again.
-      this.keptHalls = this.emptiedHalls;
-      this.keptUntil = now + WRITTEN_AGAIN_MS;
-      setTimeout(() => this.emptyHalls(), WRITTEN_AGAIN_MS).unref();
-    }
-    this.emptiedHallsEra = era;
-    this.emptyHalls();
-  }
-
-  /** Those that are listed, and for a while those before a set-back. */
-  private emptyHalls(): void {
-    const before = this.emptiedHalls;
-    const isKept = performance.now() < this.keptUntil;
-    const kept = isKept ? this.keptHalls : [];
-    const halls = new Set([...this.listedHalls, ...kept]);
-    const {log} = this.context;
-    this.emptiedHalls = halls;
-    this.targets.emptyHalls(halls);
-    [...halls]
-      .filter(hall => !before.has(hall))
-      .forEach(hall => log.event('hallEmptied', {hall}));
-    [...before]
-      .filter(hall => !halls.has(hall))
-      .forEach(hall => log.event('hallTakenBack', {hall}));
-  }
-
   /** `unread`: names of entries that tell of no target. */
   private readTargets(items: readonly objects.StoredObject[]) {
     const {documents, log} = this.context;
