--- a/src/experts/branch.ts
+++ b/src/experts/branch.ts
@@ -13,9 +13,8 @@
 import type {GroupView, OrderResult, ReadAnswer, ReadWish} from './types';
 
 /**
- * Branches that one process calls at a time. With 129 ranks in five halls,
- * sums of counters of 2 KB each bring 11 KB to every head: 0.02 s of a link of
- * 4.2 Mbit/s. Fewer branches would make a tree with more levels.
+ * Branches that one process calls at a time: their sums of counters come over one
+ * narrow link, and fewer branches would make a tree with more levels.
  */
 export const FAN_OUT = 5;
 /** Longest wait for a sidecar's own reading, in milliseconds. */
@@ -71,9 +70,8 @@
 
 /**
  * Reads the sidecars of one branch, in their order. Where its head does not
- * answer, the others are read in branches of their own, all at a time: a hall
- * of 26 sidecars that is cut off costs 0.75 s, once, and not 0.3 s for each
- * head that is tried after another.
+ * answer, the others are read in branches of their own, all at a time: a hall that
+ * is cut off costs the wait for an answer once, and not for each of its sidecars.
  */
 export async function readBranch(
   rpc: RpcClient,
--- a/src/experts/demand.ts
+++ b/src/experts/demand.ts
@@ -11,10 +11,8 @@
 /** Age at which growth counts for half, in milliseconds. */
 const HALF_LIFE_MS = 1_500;
 /**
- * What is held against the average: the newest readings, so many at a time.
- * Measured on a fleet of 12 ranks, 0.1 s a reading: one reading is 0.07 to
- * 0.17 away from the average while demand is steady, two are 0.06 to 0.15;
- * after a change one is 0.34 to 0.48 away, two 0.3 to 0.45.
+ * What is held against the average: the newest readings, so many at a time. The
+ * more of them, the less their noise, and the later a drift is seen.
  */
 const WINDOWS = [
   {readings: 1, noise: 0.14, factor: 1.8, margin: 0.06},
@@ -25,17 +23,14 @@
  * drifts of a large group, whose readings hardly differ, count too.
  */
 const FULL_MARGIN_NOISE = 0.07;
-/**
- * Least distance that is a drift. A map that is planned for demand 0.04 away
- * is about as good as one that is planned anew.
- */
+/** Least distance that is a drift: under it a new map is hardly a better one. */
 const LEAST_DRIFT = 0.04;
 /** Weight of the newest distance in the usual one. */
 const NOISE_WEIGHT = 0.05;
 /**
  * Distances after which their mean goes before what is written above: groups
- * differ by how much they work on. With 129 ranks one reading is 0.01 to 0.02
- * away, and 0.13 after a drift, which would pass for noise of 12 ranks.
+ * differ by how much they work on, and a drift of a large one would pass for the
+ * noise of a small one.
  */
 const LEARNT_DISTANCES = 5;
 /**
--- a/src/experts/group-links.ts
+++ b/src/experts/group-links.ts
@@ -26,10 +26,8 @@
 const HELPER_TIMEOUT_MS = 250;
 /**
  * Ranks whose counters are read at most. Requests are spread over all ranks
- * alike, so a part of them tells what all are asked for: with 129 ranks, two
- * readings in a row differ in 0.01 to 0.02 of their tokens, and a drift of
- * demand changes 0.13 of them. Counters are the most of what a reading brings;
- * from all 129 ranks it takes 0.13 s, mostly of links of 4.2 Mbit/s.
+ * alike, so a part of them tells what all are asked for, and counters are the most
+ * of what a reading brings over narrow links.
  */
 export const SAMPLED_RANKS = 32;
 /** Pause before a silent sidecar is called again, in milliseconds. */
@@ -214,8 +212,7 @@
   /**
    * Orders some members' engines past their sidecars. Few are ordered from
    * here. Of many the first of each branch are, and then their sidecars order
-   * the rest: 128 calls one after the other take a planner on 0.4 of a core
-   * 0.2 s or more, in which the group is held; in two steps it makes 24.
+   * the rest: the group is held until the last has its order.
    */
   async orderPast(
     members: readonly Member[],
@@ -363,10 +360,9 @@
 
   /**
    * Sidecars in branches of one hall each, so that halls exchange one answer
-   * and one sum of counters instead of one a rank: for 12 ranks in 3 halls the
-   * price of bytes between halls falls from 0.0143 of worth to 0.0091 (mean of
-   * 8 simulated days). Those of one hall are divided like those behind any
-   * head. Sidecars that are heard come first.
+   * and one sum of counters instead of one a rank: bytes between halls are paid
+   * for. Those of one hall are divided like those behind any head. Sidecars that
+   * are heard come first.
    */
   private branchesOf(members: readonly Member[]): string[][] {
     const byHall = new Map<string, string[]>();
--- a/src/experts/map-changer.ts
+++ b/src/experts/map-changer.ts
@@ -15,7 +15,7 @@
 /** Copies may take this much longer than computed. */
 const COPY_SLACK = 2;
 const COPY_SLACK_MS = 400;
-/** Time that arming takes before it was measured, in milliseconds. */
+/** Time that arming is taken to need at first, in milliseconds. */
 const FIRST_ARM_MS = 30;
 /** Part of the longest time that still counts at the next change. */
 const ARM_KEEP = 0.85;
@@ -174,9 +174,6 @@
    * Follows the own rank closely while the map is changed, so that the group
    * is held before a pass that has just enough time before it. A map that
    * takes effect a pass sooner spares the group one of its longest passes.
-   * Together with readings each 50 ms instead of each 100: mean worth 0.684 to
-   * 0.707 over 16 simulated days in which demand drifts every 3 s; readings
-   * alone gave about a third of it.
    */
   private watchPasses(): () => void {
     const timer = setInterval(() => void this.notePass(), PASS_WATCH_MS);
--- a/src/experts/packing.ts
+++ b/src/experts/packing.ts
@@ -46,9 +46,8 @@
 /**
  * A map as what is different in it from `base`, another one of the same shape:
  * sets, ranks and experts; then for each rank and set that differs the two,
- * the number of its experts and the experts themselves. With 129 ranks and 258
- * experts in 16 sets a map of which 300 experts moved takes 2 KB instead of
- * 22 KB, which is 0.04 s of a link of 4.2 Mbit/s.
+ * the number of its experts and the experts themselves: a change moves few of a
+ * large group's, and links are narrow.
  */
 export function packMap(map: ExpertMap, base: ExpertMap): string {
   const {sets, ranks, experts} = shapeOf(map);
@@ -157,18 +156,14 @@
   }
 }
 
-/**
- * Bytes that a packed growth should take at most: with five of them, a link of
- * 4.2 Mbit/s is busy for 0.02 s.
- */
+/** Bytes that a packed growth should take at most; some share a narrow link. */
 const GROWTH_BYTES = 2_200;
 const BITS_PER_BYTE = 8;
 
 /**
  * Steps that a growth of so many experts is told in, so that it keeps to its
- * bytes: 255, or 31 for 16 sets of 258 experts, where they save 1.4 KB of 3.5
- * and single experts are 5 in 100 off. A step takes about a bit less than it
- * seems to, since most experts are asked for far less than the first.
+ * bytes. A step takes about a bit less than it seems to, since most experts are
+ * asked for far less than the first.
  */
 function stepsFor(length: number): number {
   const bits = Math.floor((GROWTH_BYTES * BITS_PER_BYTE) / length) + 1;
--- a/src/experts/plan.ts
+++ b/src/experts/plan.ts
@@ -34,7 +34,7 @@
 
 /**
  * Where packing leaves ranks as even as this, single copies are not searched
- * for: with 129 ranks that takes 110 ms of a core, and packing takes 10.
+ * for, which takes many times as long.
  */
 const EVEN_ENOUGH = 1.3;
 
@@ -42,10 +42,7 @@
  * Plans a map; undefined where no change is worth its copies. Whole sets are
  * packed, which is quick and gets far where a change may bring much. Where it
  * may bring little, copies are chosen one by one, each the one that relieves
- * most, and the better plan of the two counts. Together with a least relief
- * that follows from the size of the group, a drift leaves 129 ranks at an
- * imbalance of 1.19 instead of 1.71, and 63 ranks at 1.19 instead of 1.50
- * (`npm run bench -- planning`).
+ * most, and the better plan of the two counts.
  */
 export function planMap(
   map: ExpertMap,
--- a/src/experts/planner.ts
+++ b/src/experts/planner.ts
@@ -47,9 +47,7 @@
 /**
  * Least relief of a copy, in loads of a rank that has its fair part: a copy is
  * made by one rank, and what it relieves all ranks gain, so that it is worth
- * the more the larger the group is. Measured with 12 ranks, where 0.36 of one
- * load is 0.03 of the mean; that share of the mean leaves 129 ranks at an
- * imbalance of 1.71 where 1.19 can be had (`npm run bench -- planning`).
+ * the more the larger the group is.
  */
 const MIN_RELIEF = 0.36;
 /** Least gain of a whole change, in shares of the mean load. */
--- a/src/experts/set-packing.ts
+++ b/src/experts/set-packing.ts
@@ -24,11 +24,8 @@
 
 /**
  * Largest share of an expert at one of its holders, and load up to which a rank
- * keeps what it holds, in loads of a rank that has its fair part. After a drift
- * these leave 24, 63 and 129 ranks at an imbalance of 1.18 to 1.20 with 215,
- * 220 and 845 copies; evener ranks (1.1) cost half as many copies again, and
- * fewer copies (1.3: a fourth less) make each pass a twelfth longer
- * (`npm run bench -- planning`).
+ * keeps what it holds, in loads of a rank that has its fair part: evener ranks cost
+ * more copies, and fewer copies make each pass longer.
  */
 const LARGEST_SHARE = 0.9;
 const KEEP_UP_TO = 1.2;
--- a/src/forwarding/choose.ts
+++ b/src/forwarding/choose.ts
@@ -12,10 +12,7 @@
 const NEW_USUAL_SHARE = 0.02;
 /**
  * A share of failures beyond the service's usual one counts like this many
- * requests in flight. What fails at once always looks idle: where one failure
- * cost 1.5 places, 9 of 72 ranks that failed all they got were sent 0.35 of all
- * requests, and 0.13 of the requests failed twice (14 entries, 118 requests a
- * second, 7 s; the test plays it); with these figures 0.13 and 0.02.
+ * requests in flight: what fails at once always looks idle.
  */
 const FAILURE_WEIGHT = 24;
 /** A share of failures is halved in this time, in milliseconds. */
@@ -61,9 +58,7 @@
 /**
  * Targets that are compared where news of them is shared. All entries are told
  * the same, some tenths of a second late, and whoever compares many finds the
- * same few idle ones as all others: with 35 entries, 129 ranks and news 0.2 s
- * old, 4 in 100 requests come to a rank as its sixth or later where 17 are
- * compared, and 0.2 in 100 where 4 are (the test plays it).
+ * same few idle ones as all others.
  */
 const COMPARED = 4;
 
--- a/src/forwarding/come-back.ts
+++ b/src/forwarding/come-back.ts
@@ -66,9 +66,8 @@
 /**
  * A group that has lost a rank opens when it has formed, and later than that
  * nobody knows when. One that has not been open since this process began may
- * be without all of its ranks: the whole site is coming back, 1.7 s after the
- * entries with 72 ranks. Callers who were told 0.85 s then, and had one more
- * try, failed: 160 of a day's 8,250.
+ * be without all of its ranks: the whole site is coming back, and callers who
+ * have one more try should not spend it early.
  */
 export function afterClosing(group: ClosedGroup, leftMs: number): number {
   const openIn = group.formMs + FORM_SLACK_MS - group.closedMs;
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -63,8 +63,8 @@
 const NO_CONFIGURATION_RETRY_MS = 500;
 /**
  * Longest wait of a request for what a process that has just started lacks, in
- * milliseconds: it has configuration and targets after 0.1 to 0.3 s. A caller
- * who is refused instead comes back later and has spent a try.
+ * milliseconds. A caller who is refused instead comes back later and has spent a
+ * try.
  */
 const FIRST_WAIT_MS = 350;
 const DEFAULT_TIME_LEFT_MS = 60_000;
--- a/src/forwarding/group-choice.ts
+++ b/src/forwarding/group-choice.ts
@@ -31,11 +31,6 @@
  * A group with room, drawn by how much of it is left: all entries are told the
  * same some tenths of a second late, and the emptiest one would get all of what
  * comes meanwhile. Undefined where none has room.
- *
- * Where the room of the first group on the list decided for all, the one that
- * opened first after a loss of power was sent 420 requests for its 168 places
- * while two others had 30 each: 207 callers left after 2 s without an event, and
- * 126 were refused, of 8,250 of a day.
  */
 export function chooseGroup(
   options: readonly GroupOption[],
--- a/src/forwarding/group-gate.ts
+++ b/src/forwarding/group-gate.ts
@@ -3,9 +3,8 @@
  * that has lost a rank refuses everything at every rank until it has formed
  * anew; asking them one after the other only costs tries. So requests stop
  * going there. Sidecars tell when the group opens; while none of them does, one
- * request now and then finds out. After a loss of power 14 entries that all
- * found out spent the retries of 10 s within 0.5 s, and 230 requests of a day
- * of 8,250 were refused for it, half of them for good.
+ * request now and then finds out. Entries that all found out for themselves would
+ * spend the retries of all at once.
  */
 
 /** Two ranks that refuse within this time close a group, in milliseconds. */
@@ -16,7 +15,7 @@
 const FORGET_MS = 1_000;
 /**
  * While a sidecar's word that the group is closed is no older, nothing is sent
- * there to find out. Sidecars answer at least each 0.4 s.
+ * there to find out: longer than sidecars are silent.
  */
 const TOLD_MS = 700;
 
--- a/src/forwarding/group-views.ts
+++ b/src/forwarding/group-views.ts
@@ -38,8 +38,7 @@
 
 /**
  * Imbalance of a group that has just formed: its experts are dealt out in turn.
- * With 24 ranks it is 3.3 to 3.8 then; taken for 2, a group took in more after a
- * loss of power than it could begin, and 76 callers of a day's 8,250 left.
+ * Taken for less, it would be sent more than it can begin.
  */
 const FORMED_IMBALANCE = 3.5;
 /** Time in which a planner has told of a group that formed, in milliseconds. */
--- a/src/forwarding/outcome-observer.ts
+++ b/src/forwarding/outcome-observer.ts
@@ -87,8 +87,7 @@
 
   /**
    * Learns from an outcome whether the target's group takes requests. Who asks
-   * for rest speaks for itself alone: taken for the group's word, four of twelve
-   * ranks that asked had all twelve held back for 6 to 90 ms again and again.
+   * for rest speaks for itself alone, and not for the other ranks.
    */
   private noteGroup(
     target: types.Target,
--- a/src/forwarding/outcomes.ts
+++ b/src/forwarding/outcomes.ts
@@ -9,8 +9,7 @@
 
 /**
  * What a refusal counts beside a failure: who refuses is full, or the first
- * rank of a group that closes. Where it counted as much, what had waited for a
- * group of two ranks went to the other one, 7 of 10 requests.
+ * rank of a group that closes, and is as good as the others once it opens.
  */
 const REFUSAL_HARM = 0.125;
 
@@ -99,8 +98,8 @@
 
 /**
  * Targets that were not tried yet. Where there are none left, those that gave
- * an answer of their own may give a better one: of a service with one target
- * whose runs fail by 0.14, a request that may be repeated was refused instead.
+ * an answer of their own may give a better one: a service may have one target,
+ * whose runs fail now and then.
  */
 export function untried(
   targets: readonly Target[],
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -114,8 +114,8 @@
   /**
    * Notes a target as tried, but for a rank whose group took nothing at all:
    * that says nothing of the rank, and whoever waits for the group may be the
-   * one that finds out at each of its ranks. With two ranks that caller was
-   * refused after 130 ms of its 500, while those beside it were served.
+   * one that finds out at each of its ranks; it would be refused while those
+   * beside it are served.
    */
   protected noteTried(
     tried: outcomes.Tried,
--- a/src/forwarding/retry-budget.ts
+++ b/src/forwarding/retry-budget.ts
@@ -11,8 +11,7 @@
 const LEAST_PARTS = 24;
 /**
  * And so many times those that are known: a process that has just started may
- * know of few. With 35 entries, 24 parts would let all of them together draw
- * 283 extra retries where 194 are allowed.
+ * know of few.
  */
 const UNKNOWN_FACTOR = 2;
 
--- a/src/forwarding/slow-ranks.ts
+++ b/src/forwarding/slow-ranks.ts
@@ -1,10 +1,8 @@
 /**
  * Streams on ranks that have turned slow. All ranks of a group make each pass
  * together, so the work of a slow rank's own requests lengthens the passes of
- * everybody's: with one rank of 129 twelve times as slow and six streams on
- * it, passes took 0.95 s, and 0.35 to 0.5 s when those had ended. A stream of
- * 15 passes that has 8 s fails with the former and is served with the latter.
- * So such streams go on at other ranks, where that is allowed. Pure.
+ * everybody's, until all of the group's streams miss their time. So such streams
+ * go on at other ranks, where that is allowed. Pure.
  */
 import type {GroupView} from '../experts/types';
 
--- a/src/http/resets.ts
+++ b/src/http/resets.ts
@@ -5,9 +5,7 @@
  * end instead of the error. A socket that was reset has no peer any more.
  *
  * Every answer is watched from its head on, before anything reads it, so that
- * no reader can take a half for a whole: on a simulated day whose targets break
- * off half of such answers, 127 were passed on as whole without the question
- * for the peer, and none with it.
+ * no reader can take a half for a whole.
  */
 import type * as http from 'node:http';
 import type * as net from 'node:net';
--- a/src/lost-time.ts
+++ b/src/lost-time.ts
@@ -2,8 +2,8 @@
  * Time in which this instance was suspended. The runtime's monotonic clock stands
  * still then, so what was believed before looks as fresh as it did, and a key that was
  * taken away meanwhile would work. The time since boot and the time of day go on. The
- * latter may be set by anybody, and the former needn't run as the others do where time
- * is simulated: only what both have counted beyond the monotonic clock was lost.
+ * latter may be set by anybody, and the former may be counted elsewhere than the
+ * others: only what both have counted beyond the monotonic clock was lost.
  */
 import * as os from 'node:os';
 import {Subject} from 'rxjs';
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -2,8 +2,8 @@
  * Histograms by client account and class, and counters. Histograms are
  * bounded in number: accounts beyond the cap share one named `other`.
  */
-// Not the library's index: what reads and writes logs of histograms takes each
-// process 0.03 s of a core to load.
+// Not the library's index: loading what reads and writes logs of histograms would
+// lengthen each start.
 import * as hdr from 'hdr-histogram-js/dist/Int32Histogram';
 
 /** Accounts with histograms of their own. */
--- a/src/requests/sidecar-context.ts
+++ b/src/requests/sidecar-context.ts
@@ -60,8 +60,7 @@
 
 /**
  * Sends new work to the target. What it asks for in its answer is held by the
- * admission, which all new work passes, whatever becomes of the answer: one
- * that wanted 2 s of rest got 40 chats in 1.5 s of them, 30 being sent a second.
+ * admission, which all new work passes, whatever becomes of the answer.
  */
 export async function sendToTarget(
   context: SidecarContext,
--- a/src/roles/site-follower.ts
+++ b/src/roles/site-follower.ts
@@ -220,9 +220,8 @@
   }
 
   /**
-   * Watches the store or leaves that to others, and tells to whom. With 35
-   * entries that all watched, a day without trouble took 2,058 calls of the
-   * store, 0.029 of its worth.
+   * Watches the store or leaves that to others, and tells to whom: its calls are
+   * paid for, and would grow with the entries.
    */
   private watchersFor(now: number): readonly string[] {
     const peers = this.book.known;
--- a/src/rpc/coding.ts
+++ b/src/rpc/coding.ts
@@ -8,8 +8,8 @@
 import {MAX_RPC_BYTES} from './types';
 
 /**
- * Shorter texts go as they are, in bytes. A text of this length saves about
- * 0.5 KB, which a link of 4.2 Mbit/s carries in 1 ms; deflating costs 0.1 ms.
+ * Shorter texts go as they are, in bytes: deflating them costs more than the link
+ * gains.
  */
 const LEAST_BYTES = 1_024;
 /** Most of the gain at the least processor time. */
--- a/src/targets/rest-book.ts
+++ b/src/targets/rest-book.ts
@@ -1,9 +1,8 @@
 /**
  * What targets have asked for in their answers, by lifetime: who starts again
  * has asked for nothing. Whoever chooses among targets asks here, whatever the
- * request and however often it was sent before. One that was not held back for
- * its 3 s of rest got 143 requests in 2.5 s of them, at 60 a second beside a busy
- * one; what fails at once looks idle. Two are allowed.
+ * request and however often it was sent before: what fails at once looks idle, and
+ * would get the more the busier the others are.
  */
 import {Rest} from './rest';
 
