Scenario of a rank that rests: both ranks are known before the load

Traced by the second one's logs: the load began 0.05 s after rank-1 was ready, neither entry had heard of it, and for 0.36 s each refused, truly, what rank-0 turned away. The scenario is about a model of two ranks; its first step waits now until both have served a chat of each entry. The checks are as they were.

--- a/features/rests.steps.ts
+++ b/features/rests.steps.ts
@@ -57,6 +57,22 @@
   );
 }
 
+/**
+ * An entry is ready once it knows any target. One that hears of the other rank some
+ * tenths of a second later refuses meanwhile, rightly, what the first one turns away.
+ */
+async function whenKnowsBoth(entry: string): Promise<void> {
+  const KNOWN_WITHIN_MS = 10_000;
+  const served = new Set<string>();
+  const endsAt = performance.now() + KNOWN_WITHIN_MS;
+  while (served.size < 2 && performance.now() < endsAt) {
+    const chat = fleet.chat(entry, 'alpha', 'who serves', 2);
+    await chat.whenEnded();
+    chat.ids.forEach(id => served.add(id.split('.', 1)[0]!));
+  }
+  expect(served.size).toBe(2);
+}
+
 /** Those that came in the rest, but for what was under way as it began. */
 async function countInRest(): Promise<number> {
   const arrivals = await fleet.turnedAway(resting);
@@ -73,6 +89,7 @@
 const steps: StepDefinitions = ({given, when, then, and}) => {
   given('a model of two ranks, one of which asks for 2 s of rest', async () => {
     fleet = await fleets.Fleet.start({ranks: 2, ledgers: 0});
+    await Promise.all(['entry-0', 'entry-1'].map(whenKnowsBoth));
     resting = fleet.engine[0]!;
     await fleet.setFaults(resting, {retryAfter: '2'});
   });
