--- a/src/crashes/convictions.ts
+++ b/src/crashes/convictions.ts
@@ -2,6 +2,7 @@
  * Requests that are refused because they crash the targets that run them, for a
  * time that each return of them renews. Pure over a clock reading.
  */
+import * as bounded from '../bounded';
 
 /** Time for which a request is refused, in milliseconds, since it last came. */
 export const CONVICTED_MS = 120_000;
@@ -38,10 +39,7 @@
       until: Math.max(until, before?.until ?? 0),
       toldAt: now,
     });
-    const [oldest] = this.held.keys();
-    if (this.held.size > MOST_CONVICTED && oldest !== undefined) {
-      this.held.delete(oldest);
-    }
+    bounded.dropOldest(this.held, MOST_CONVICTED);
     return isNew;
   }
 
--- a/src/crashes/suspect-book.ts
+++ b/src/crashes/suspect-book.ts
@@ -5,6 +5,7 @@
  * the crashes of several lifetimes and is hardly ever served. One that many callers
  * send is served meanwhile. Pure over a clock reading.
  */
+import * as bounded from '../bounded';
 
 /** Crashes of different lifetimes, beyond what was served, that make guilty. */
 const GUILTY_CRASHES = 3;
@@ -36,10 +37,7 @@
     this.crashAt = now;
     this.suspects.delete(digest);
     this.suspects.set(digest, suspect);
-    const [oldest] = this.suspects.keys();
-    if (this.suspects.size > MOST_SUSPECTS && oldest !== undefined) {
-      this.suspects.delete(oldest);
-    }
+    bounded.dropOldest(this.suspects, MOST_SUSPECTS);
   }
 
   /** A suspected request was served. */
--- a/src/forwarding/choose.ts
+++ b/src/forwarding/choose.ts
@@ -96,15 +96,13 @@
   choose(
     targets: readonly Target[],
     now: number,
-    isLent: (target: Target) => boolean = () => false,
+    lent: readonly Target[] = [],
   ): Target | undefined {
     let best: Target | undefined;
     let bestScore = Infinity;
-    const free = targets.filter(
-      target => this.inFlight(target.lifetime) < target.slots * MOST_PER_SLOT,
-    );
-    const lent = free.filter(isLent);
-    for (const target of [...lent, ...this.compared(free, now)]) {
+    const free = targets.filter(target => this.hasRoom(target));
+    const freeLent = lent.filter(target => this.hasRoom(target));
+    for (const target of [...freeLent, ...this.compared(free, now)]) {
       const bonus = lent.includes(target) ? PERMIT_BONUS : 0;
       const score = this.score(target, now) - bonus + random.unit() * TIE_BREAK;
       if (score < bestScore) {
@@ -115,6 +113,10 @@
     return best;
   }
 
+  private hasRoom({lifetime, slots}: Target): boolean {
+    return this.inFlight(lifetime) < slots * MOST_PER_SLOT;
+  }
+
   /** Forgets lifetimes that are gone and have nothing in flight. */
   retain(isKnown: (lifetime: string) => boolean): void {
     for (const [lifetime, record] of this.records) {
--- a/src/forwarding/relayed-request.ts
+++ b/src/forwarding/relayed-request.ts
@@ -14,12 +14,23 @@
 
 /** Characters of a digest that are kept: 96 bits. */
 const DIGEST_LENGTH = 16;
+/** A body is read once for it, however often the request is sent. */
+const digests = new WeakMap<RelayedRequest, string>();
 
 /**
  * What makes two requests the same one: the digest of method, host, path, caller's
  * key and body.
  */
-export function digestOf({head, body}: RelayedRequest): string {
+export function digestOf(request: RelayedRequest): string {
+  let digest = digests.get(request);
+  if (digest === undefined) {
+    digest = makeDigest(request);
+    digests.set(request, digest);
+  }
+  return digest;
+}
+
+function makeDigest({head, body}: RelayedRequest): string {
   const {method, host, path, key} = head;
   const hash = crypto.createHash('sha256');
   hash.update(JSON.stringify([method, host, path, key ?? '']));
--- a/src/forwarding/target-finder.ts
+++ b/src/forwarding/target-finder.ts
@@ -117,7 +117,7 @@
       const group = groupChoice.chooseGroup(options);
       const chosen =
         group &&
-        loads.choose(group.targets, now, one => targets.hasPermit(one, now));
+        loads.choose(group.targets, now, targets.lent(group.targets, now));
       if (chosen !== undefined) {
         // At once: others that wait choose in the same turn of the loop.
         loads.begin(chosen.lifetime);
--- a/src/forwarding/target-list.ts
+++ b/src/forwarding/target-list.ts
@@ -11,6 +11,7 @@
  * store that comes back from an older copy may list one that has gone: it counts
  * only once it has written its entry again.
  */
+import * as bounded from '../bounded';
 import * as grouping from '../grouping';
 import type {LimitNamed} from '../http/server-limit';
 import {LimitBook, LimitChange} from '../targets/limit-book';
@@ -152,10 +153,7 @@
       this.forgetLists();
       this.gone.delete(target.lifetime);
       this.gone.set(target.lifetime, target);
-      const [oldest] = this.gone.keys();
-      if (this.gone.size > MOST_ENDED && oldest !== undefined) {
-        this.gone.delete(oldest);
-      }
+      bounded.dropOldest(this.gone, MOST_ENDED);
       this.onChange({kind: 'gone', target});
     }
   }
@@ -203,20 +201,18 @@
       : this.limits.hear(target.lifetime, named, sentAt, now);
   }
 
-  /** True where a permit is held to send to a target that named a limit. */
-  hasPermit(target: Target, now: number): boolean {
-    return this.limits.hasPermit(target.lifetime, now);
+  /** Those of some targets that named a limit and to which a permit is held. */
+  lent(some: readonly Target[], now: number): readonly Target[] {
+    return this.limits.size === 0
+      ? []
+      : some.filter(({lifetime}) => this.limits.hasPermit(lifetime, now));
   }
 
   /** A request of a service looks for a target. */
   want(service: string, now: number): void {
     if (this.limits.size > 0) {
-      const listed = this.listsAt(now).get(service) ?? [];
-      const awake = this.rests.awake(listed, one => one.lifetime, now);
-      this.limits.want(
-        awake.map(one => one.lifetime),
-        now,
-      );
+      const lifetimes = this.awake(service, now).map(one => one.lifetime);
+      this.limits.want(lifetimes, now);
     }
   }
 
@@ -263,11 +259,16 @@
    * its entry stays for a while beside that of its next life at the same address.
    */
   ofService(service: string, now: number): readonly Target[] {
-    const listed = this.listsAt(now).get(service) ?? [];
-    const awake = this.rests.awake(listed, target => target.lifetime, now);
+    const awake = this.awake(service, now);
     return this.limits.open(awake, target => target.lifetime, now);
   }
 
+  /** Those of a service that are at no rest. */
+  private awake(service: string, now: number): readonly Target[] {
+    const listed = this.listsAt(now).get(service) ?? [];
+    return this.rests.awake(listed, target => target.lifetime, now);
+  }
+
   /** Where all targets of a service are held back: until when, and for what. */
   holdOf(service: string, now: number): ServiceHold | undefined {
     const listed = this.listsAt(now).get(service) ?? [];
@@ -281,7 +282,7 @@
       return undefined;
     }
     const ms = Math.min(...waits);
-    const awake = this.rests.awake(listed, one => one.lifetime, now);
+    const awake = this.awake(service, now);
     if (awake.length > 0) {
       return {ms, why: 'limited', perSecond: this.limitOf(awake)};
     }
@@ -372,10 +373,7 @@
     this.limits.forget(lifetime);
     this.ended.delete(lifetime);
     this.ended.add(lifetime);
-    const [oldest] = this.ended;
-    if (this.ended.size > MOST_ENDED && oldest !== undefined) {
-      this.ended.delete(oldest);
-    }
+    bounded.dropOldest(this.ended, MOST_ENDED);
   }
 
   private miss(held: Held, now: number, inGrace: boolean): void {
--- a/src/http/retry-after.ts
+++ b/src/http/retry-after.ts
@@ -1,10 +1,9 @@
 /** The header Retry-After as whoever gets it reads it. Source: RFC 9110. */
 import type * as http from 'node:http';
+import * as decimal from './decimal';
 
 /** Statuses of answers that may ask not to be sent more for a while. */
 const TURNED_AWAY = new Set([429, 503]);
-/** Seconds, fractions included; a sign, an exponent or a date is none. */
-const SECONDS = /^(\d+\.?\d*|\.\d+)$/;
 const SECOND_MS = 1_000;
 /**
  * Longest rest that is kept, in milliseconds: what asks for more is taken for a
@@ -19,10 +18,7 @@
   /** To send nothing more for so long. */
   | {readonly kind: 'rest'; readonly ms: number}
   /** Something that can't be read. */
-  | {readonly kind: 'unread'; readonly text: string};
-
-/** Longest part of a text that can't be read that is kept, in characters. */
-const MAX_UNREAD = 40;
+  | decimal.UnreadText;
 
 /** What an answer asks for; those that turned nobody away ask for nothing. */
 export function readRest(
@@ -33,9 +29,10 @@
   if (text === undefined || !TURNED_AWAY.has(status)) {
     return {kind: 'none'};
   }
-  if (!SECONDS.test(text)) {
-    return {kind: 'unread', text: text.slice(0, MAX_UNREAD)};
+  const seconds = decimal.readDecimal(text);
+  if (seconds === undefined) {
+    return decimal.unread(text);
   }
-  const ms = Math.min(Number(text) * SECOND_MS, LONGEST_REST_MS);
+  const ms = Math.min(seconds * SECOND_MS, LONGEST_REST_MS);
   return ms > 0 ? {kind: 'rest', ms} : {kind: 'none'};
 }
--- a/src/http/server-limit.ts
+++ b/src/http/server-limit.ts
@@ -1,11 +1,9 @@
 /** How many requests a target takes a second, as its answers name it. */
 
-/** A decimal number; a sign or an exponent makes it none. */
-const DECIMAL = /^(\d+\.?\d*|\.\d+)$/;
+import * as decimal from './decimal';
+
 /** Requests a second from which on a limit is taken for a mistake. */
-export const LARGEST_LIMIT = 1_000_000;
-/** Longest part of a text that can't be read that is kept, in characters. */
-const MAX_UNREAD = 40;
+const LARGEST_LIMIT = 1_000_000;
 
 /** What an answer names as its target's limit. */
 export type LimitNamed =
@@ -14,7 +12,7 @@
   /** Requests a second from all senders together; 0 for none at all. */
   | {readonly kind: 'limit'; readonly perSecond: number}
   /** Something that can't be read. */
-  | {readonly kind: 'unread'; readonly text: string};
+  | decimal.UnreadText;
 
 /** Reads a header's text; undefined where the answer has none. */
 export function readLimit(header: string | undefined): LimitNamed {
@@ -22,8 +20,8 @@
   if (text === undefined) {
     return {kind: 'none'};
   }
-  const perSecond = DECIMAL.test(text) ? Number(text) : NaN;
-  return perSecond < LARGEST_LIMIT
+  const perSecond = decimal.readDecimal(text);
+  return perSecond !== undefined && perSecond < LARGEST_LIMIT
     ? {kind: 'limit', perSecond}
-    : {kind: 'unread', text: text.slice(0, MAX_UNREAD)};
+    : decimal.unread(text);
 }
--- a/src/peers/kind-copy.ts
+++ b/src/peers/kind-copy.ts
@@ -129,15 +129,15 @@
     if (listing.revision < (this.revision ?? 0)) {
       return false;
     }
-    const before = new Map(this.items);
+    const items = listing.items.map(item => {
+      const held = this.items.get(item.key);
+      return this.isNewer(held, item) ? held! : item;
+    });
     if (kind === 'listed') {
       this.items.clear();
     }
     listing.removed.forEach(key => this.items.delete(key));
-    for (const item of listing.items) {
-      const held = before.get(item.key);
-      this.items.set(item.key, this.isNewer(held, item) ? held! : item);
-    }
+    items.forEach(item => this.items.set(item.key, item));
     this.revision = listing.revision;
     this.digest = undefined;
     return true;
--- a/src/peers/silent-peers.ts
+++ b/src/peers/silent-peers.ts
@@ -3,6 +3,7 @@
  * it answers or calls itself; it is tried now and then, at growing intervals.
  * Pure over a clock reading.
  */
+import * as bounded from '../bounded';
 
 /** Time until a silent peer is tried again, in milliseconds, and the longest. */
 const FIRST_TRIAL_MS = 1_000;
@@ -33,10 +34,7 @@
           ? FIRST_TRIAL_MS
           : Math.min(before.trialMs * 2, LONGEST_TRIAL_MS),
     });
-    const [oldest] = this.silent.keys();
-    if (this.silent.size > MOST_SILENT && oldest !== undefined) {
-      this.silent.delete(oldest);
-    }
+    bounded.dropOldest(this.silent, MOST_SILENT);
   }
 
   isSilent(address: string): boolean {
--- a/src/roles/emptied-halls.ts
+++ b/src/roles/emptied-halls.ts
@@ -46,6 +46,10 @@
     this.copy.offer(news, askedAt).forEach(event => this.note(event));
   }
 
+  close(): void {
+    clearTimeout(this.keptTimer);
+  }
+
   private note(event: WatchEvent): void {
     if (event.kind !== 'listed' && event.kind !== 'changed') {
       return;
--- a/src/roles/site-follower.ts
+++ b/src/roles/site-follower.ts
@@ -25,9 +25,10 @@
 import type {RpcClient} from '../rpc/client';
 import type {RpcServer} from '../rpc/server';
 import {CurrentConfiguration} from '../routes/current';
-import type {CallerLimits} from '../routes/types';
+import type {Result} from '../result';
+import type {CallerLimits, Snapshot} from '../routes/types';
 import {EmptiedHalls} from './emptied-halls';
-import type {SiteDocuments} from './site-documents';
+import type {DocumentError, SiteDocuments} from './site-documents';
 import type {SiteSettings} from './site-settings';
 
 /**
@@ -85,6 +86,10 @@
   private loops: WatchLoops | undefined;
   private readonly duty: watchDuty.WatchDuty;
   private readonly configurationCopy: KindCopy;
+  private readonly snapshots = new WeakMap<
+    objects.StoredObject,
+    Result<Snapshot, DocumentError>
+  >();
   private readonly targetsCopy: KindCopy;
   private readonly emptiedHalls: EmptiedHalls;
   /** Of the store's last word on targets; undefined before the first. */
@@ -104,8 +109,8 @@
     const {documents, cfg} = context;
     const {configurationKind, targetsKind, emptiedHallsKind} = documents;
     this.duty = new watchDuty.WatchDuty(context.rpcAddress);
-    this.configurationCopy = new KindCopy(configurationKind, ({value}) => {
-      const read = documents.readSnapshot(value);
+    this.configurationCopy = new KindCopy(configurationKind, object => {
+      const read = this.readSnapshot(object);
       return read.ok ? read.value.version : undefined;
     });
     this.targetsCopy = new KindCopy(targetsKind);
@@ -216,6 +221,7 @@
     this.stopWatching();
     this.limits.close();
     this.crashes.close();
+    this.emptiedHalls.close();
     this.peers.close();
   }
 
@@ -342,7 +348,7 @@
     if (object === undefined) {
       return;
     }
-    const read = documents.readSnapshot(object.value);
+    const read = this.readSnapshot(object);
     if (!read.ok) {
       log.event('configurationRejected', {error: read.error.detail});
       return;
@@ -359,6 +365,18 @@
     }
   }
 
+  /** Reads each object once: it may be large, and is compared and applied. */
+  private readSnapshot(
+    object: objects.StoredObject,
+  ): Result<Snapshot, DocumentError> {
+    let read = this.snapshots.get(object);
+    if (read === undefined) {
+      read = this.context.documents.readSnapshot(object.value);
+      this.snapshots.set(object, read);
+    }
+    return read;
+  }
+
   private noteComplete(): void {
     if (this.isComplete) {
       this.completed.next();
--- a/src/targets/limit-book.ts
+++ b/src/targets/limit-book.ts
@@ -6,6 +6,7 @@
  * kept the limit by itself, the sum would be as many times the limit as there
  * are processes. Pure over a clock reading.
  */
+import * as bounded from '../bounded';
 import type {LimitNamed} from '../http/server-limit';
 import * as limitWords from './limit-word';
 import type {LimitWord} from './limit-word';
@@ -239,10 +240,7 @@
       askAt: -Infinity,
       isAsking: false,
     });
-    const [oldest] = this.held.keys();
-    if (this.held.size > MOST_LIMITS && oldest !== undefined) {
-      this.held.delete(oldest);
-    }
+    bounded.dropOldest(this.held, MOST_LIMITS);
   }
 }
 
--- a/src/targets/limit-lender.ts
+++ b/src/targets/limit-lender.ts
@@ -7,6 +7,7 @@
  * Who begins to lend waits first: the one that lent before has been told by
  * then, and what it had lent has run out. So does one that has been frozen.
  */
+import * as bounded from '../bounded';
 import * as limitWords from './limit-word';
 import type {LimitWord} from './limit-word';
 
@@ -86,7 +87,7 @@
     loan.permits -= permits;
     const untilNext = (Math.max(1 - loan.permits, 0) * SECOND_MS) / rate;
     const waitMs = Math.max(loan.opensAt - now, 0) + untilNext;
-    return {permits, waitMs: bounded(waitMs), word: loan.word};
+    return {permits, waitMs: withinBounds(waitMs), word: loan.word};
   }
 
   /** True while it lends for a lifetime of a target. */
@@ -132,10 +133,7 @@
       loan = {word, opensAt: 0, permits: 0, filledAt: 0, askedAt: now};
       close(loan, now);
       this.loans.set(lifetime, loan);
-      const [oldest] = this.loans.keys();
-      if (this.loans.size > MOST_LOANS && oldest !== undefined) {
-        this.loans.delete(oldest);
-      }
+      bounded.dropOldest(this.loans, MOST_LOANS);
     }
     return loan;
   }
@@ -155,6 +153,6 @@
   loan.filledAt = Math.max(now, loan.filledAt);
 }
 
-function bounded(waitMs: number): number {
+function withinBounds(waitMs: number): number {
   return Math.min(Math.max(waitMs, SHORTEST_WAIT_MS), LONGEST_WAIT_MS);
 }
--- a/src/targets/rest-book.ts
+++ b/src/targets/rest-book.ts
@@ -4,6 +4,7 @@
  * request and however often it was sent before: what fails at once looks idle, and
  * would get the more the busier the others are.
  */
+import * as bounded from '../bounded';
 import {Rest} from './rest';
 
 /**
@@ -84,9 +85,6 @@
         this.rests.delete(lifetime);
       }
     }
-    const [oldest] = this.rests.keys();
-    if (this.rests.size > MOST_RESTS && oldest !== undefined) {
-      this.rests.delete(oldest);
-    }
+    bounded.dropOldest(this.rests, MOST_RESTS);
   }
 }
