Design of the parts for load beyond capacity

Cause: two sites whose load exceeds their capacity at times are served by decisions that don't know priority, account, size, age or what other entries use.

--- /dev/null
+++ b/src/capacity/types.ts
@@ -0,0 +1,46 @@
+/**
+ * Types of the capacity that the entries of a site share. A pool is what a limit
+ * on concurrent requests applies to: a group of lock-step ranks, or all targets
+ * of a service without groups.
+ */
+import * as v from 'valibot';
+
+const count = v.pipe(v.number(), v.integer(), v.minValue(0));
+
+/** Requests of one priority and client account in a pool. */
+export const demandLineSchema = v.object({
+  /** 0 is the highest. */
+  priority: count,
+  /** Empty: requests without an account. */
+  account: v.string(),
+  inFlight: count,
+  waiting: count,
+});
+export type DemandLine = v.InferOutput<typeof demandLineSchema>;
+
+/** One entry's requests in a pool. */
+export type PoolDemand = readonly DemandLine[];
+
+/** What the sharing of capacity needs to know of an entry's requests. */
+export abstract class PoolSource {
+  abstract demandOf(pool: string): PoolDemand;
+  /** Concurrent requests of all entries; undefined: unlimited or not known. */
+  abstract capacityOf(pool: string, now: number): number | undefined;
+}
+
+/** Shares of pools of which this entry may use no more at a time. */
+export abstract class CapacityShares {
+  /** Maximum concurrent requests of this entry; undefined: no limit. */
+  abstract shareOf(pool: string, now: number): number | undefined;
+  /** Call when requests start or wait in a pool. */
+  abstract noteUse(pool: string, now: number): void;
+}
+
+/** Limits nothing. */
+export class UnlimitedShares extends CapacityShares {
+  shareOf(): undefined {
+    return undefined;
+  }
+
+  noteUse(): void {}
+}
