Predicted pass time in the capacity of a group

Cause: admission will compare a request's objective with the time that its group needs for a pass, which only the capacity model knows.

--- a/src/forwarding/group-choice.test.ts
+++ b/src/forwarding/group-choice.test.ts
@@ -19,7 +19,14 @@
 }
 
 function option(name: string, most: number, requests: number): GroupOption {
-  const capacity = {most, requests, imbalance: 1, slowness: 1, ageMs: 0};
+  const capacity = {
+    most,
+    requests,
+    imbalance: 1,
+    slowness: 1,
+    ageMs: 0,
+    passMs: 0,
+  };
   return {name, targets: [rank(name, 0)], capacity};
 }
 
--- a/src/forwarding/group-views.ts
+++ b/src/forwarding/group-views.ts
@@ -57,6 +57,8 @@
   readonly slowness: number;
   /** Age of the view in milliseconds; Infinity: there is none. */
   readonly ageMs: number;
+  /** Predicted duration of a pass with these requests, in milliseconds. */
+  readonly passMs: number;
 }
 
 export interface GroupViewsContext {
@@ -171,6 +173,11 @@
       imbalance,
       slowness,
       ageMs: now - received.at,
+      passMs: groupRequestLimit.passMs(
+        engine,
+        factors,
+        requests / Math.max(factors.size, 1),
+      ),
     };
   }
 
@@ -191,13 +198,19 @@
       openMs < NEW_GROUP_MS ? NEW_GROUP_IMBALANCE : DEFAULT_IMBALANCE;
     const slowness = 1;
     const factors = {size: own.length, imbalance, slowness};
+    const requests =
+      sumOf(own) * Math.min(this.context.knownEntryCount(), MAX_ENTRIES);
     return {
       imbalance,
       slowness,
       most: groupRequestLimit.maxRequests(engine, factors, pauseMs),
-      requests:
-        sumOf(own) * Math.min(this.context.knownEntryCount(), MAX_ENTRIES),
+      requests,
       ageMs: Infinity,
+      passMs: groupRequestLimit.passMs(
+        engine,
+        factors,
+        requests / Math.max(own.length, 1),
+      ),
     };
   }
 
