Count each rank of a group once, with its newest lifetime

Cause: after a restart of all processes the list still had the entries of the dead ones, so the assumed size of a group without a view was up to twice the real one, and so was its limit (616 requests instead of 307). Change: TargetList.ranks() has one target per address and per (group, rank). Result: the new test fails before (six ranks instead of four); src/forwarding passes (58 tests).

--- a/src/forwarding/target-list.test.ts
+++ b/src/forwarding/target-list.test.ts
@@ -64,6 +64,30 @@
     expect(ids(list, 0)).toEqual(['new']);
   });
 
+  // Guards against a group counted twice after all processes were killed.
+  it('counts a rank once, with its newest lifetime', () => {
+    const list = new TargetList();
+    const rank = (
+      id: string,
+      number: number | undefined,
+      revision: number,
+    ) => ({
+      ...target(id),
+      address: `x:${number ?? id}`,
+      group: 'g',
+      rank: number,
+      revision,
+    });
+    const moved = {...rank('d', 2, 9), address: 'y:2'};
+    list.add(rank('a', 1, 1));
+    list.add(rank('b', 1, 5));
+    list.add(moved);
+    list.add(rank('c', 2, 2));
+    list.add(rank('e', undefined, 1));
+    list.add(rank('f', undefined, 1));
+    expect(list.ranks().map(one => one.id)).toEqual(['b', 'd', 'e', 'f']);
+  });
+
   it('ends the grace period of a target whose entry is back', () => {
     const list = new TargetList();
     list.replaceAll([target('a')], 0, false);
--- a/src/forwarding/target-list.ts
+++ b/src/forwarding/target-list.ts
@@ -14,6 +14,7 @@
 import {RateLimitTracker, LimitChange} from '../targets/rate-limit-tracker';
 import * as revisions from '../platform/revisions';
 import {CooldownTracker} from '../targets/cooldown-tracker';
+import * as newestLifetimes from './newest-lifetimes';
 import type {Target} from './types';
 
 /**
@@ -314,9 +315,12 @@
     return [...this.listed.values()].map(entry => entry.target);
   }
 
-  /** Targets that are ranks of groups. */
+  /** Targets that are ranks of groups; each rank's newest lifetime only. */
   ranks(): readonly Target[] {
-    this.cachedRanks ??= this.all().filter(one => one.group !== undefined);
+    this.cachedRanks ??= newestLifetimes.of(
+      this.newestAtAddresses().filter(one => one.group !== undefined),
+      ({service, group, rank, id}) => `${service} ${group} ${rank ?? id}`,
+    );
     return this.cachedRanks;
   }
 
@@ -346,15 +350,10 @@
 
   /** A dead process's entry may remain beside its successor's at one address. */
   private newestAtAddresses(): Target[] {
-    const newest = new Map<string, Target>();
-    for (const {target} of this.listed.values()) {
-      const other = newest.get(target.address);
-      const isKnownService = this.knownServices?.has(target.service) ?? true;
-      if (isKnownService && (other?.revision ?? -1) < target.revision) {
-        newest.set(target.address, target);
-      }
-    }
-    return [...newest.values()];
+    const known = this.all().filter(
+      ({service}) => this.knownServices?.has(service) ?? true,
+    );
+    return newestLifetimes.of(known, ({address}) => address);
   }
 
   private invalidateCaches(): void {
