--- a/src/experts/demand.ts
+++ b/src/experts/demand.ts
@@ -6,6 +6,7 @@
  * long exponential average that is reset once the newest growth deviates from
  * it.
  */
+import * as statistics from '../statistics';
 import type {Demand} from './plan-types';
 import type {Growth} from './types';
 
@@ -184,11 +185,11 @@
     }
     this.units.push(distance / scale);
     this.units.splice(0, this.units.length - MAX_DISTANCES);
-    this.unit = median(this.units);
+    this.unit = statistics.median(this.units);
     if (this.units.length >= MIN_DISTANCES) {
       this.minDrift = MIN_DRIFT;
       const deviations = this.units.map(one => Math.abs(one - this.unit));
-      const spread = median(deviations) / (this.unit || 1);
+      const spread = statistics.median(deviations) / (this.unit || 1);
       const factor = 1 + spread * DEVIATIONS;
       this.factor = Math.min(Math.max(factor, MIN_FACTOR), MAX_FACTOR);
     }
@@ -204,12 +205,6 @@
   return Math.sqrt(1 / totalOf(one) + 1 / totalOf(other));
 }
 
-/** The lower one of two middle values; the list must not be empty. */
-function median(values: readonly number[]): number {
-  const sorted = [...values].sort((a, b) => a - b);
-  return sorted[Math.floor((sorted.length - 1) / 2)]!;
-}
-
 function totalOf(
   values: ArrayLike<number>,
   from = 0,
