Send to a full rank only if all ranks of its group are full

Cause: a random sample of four ranks could hold only full ones while others had free slots; the request then waited for a whole stream (700 to 900 ms). Change: full ranks are left out of the sample, and if it holds none other, ranks with free slots are sampled; slow and failing ranks count as full once their score reaches their slots.

--- a/src/forwarding/load-balancer.test.ts
+++ b/src/forwarding/load-balancer.test.ts
@@ -99,4 +99,23 @@
     random.seed(11);
     expect(simulateEntries()).toBeLessThan(0.005);
   });
+
+  // Guards against requests that wait at a full rank for a stream to end.
+  it('sends to a full rank only if all ranks are full', () => {
+    random.seed(3);
+    const load = (requests: readonly number[]) => ({
+      slownessOf: ({rank}: Target) => (rank === 9 ? 3 : 1),
+      requestsAt: ({rank}: Target) => requests[rank!],
+    });
+    const chosen = (requests: readonly number[]) => {
+      const balancer = new LoadBalancer('hall-0', load(requests));
+      const all = Array.from({length: 200}, () => balancer.choose(ranks, 0)!);
+      return new Set(all.map(one => one.rank));
+    };
+    const full = ranks.map(() => 6);
+    // Rank 9 is slow, so its free slots don't attract requests.
+    const others = ranks.map(({rank}) => ([3, 9, 77].includes(rank!) ? 5 : 6));
+    expect([...chosen(others)].sort()).toEqual([3, 77]);
+    expect(chosen(full).size).toBeGreaterThan(50);
+  });
 });
--- a/src/forwarding/load-balancer.ts
+++ b/src/forwarding/load-balancer.ts
@@ -133,7 +133,12 @@
     }
   }
 
-  /** A random sample where loads are reported, all targets otherwise. */
+  /**
+   * A random sample where loads are reported, all targets otherwise. Ranks
+   * without a free slot only if no rank has one: a request would wait there for
+   * a whole stream to end. A slow or failing rank counts as full once its score
+   * reaches its slots.
+   */
   private candidatesOf(
     targets: readonly Target[],
     now: number,
@@ -141,7 +146,17 @@
     const [first] = targets;
     const isReported =
       first !== undefined && this.reports.requestsAt(first, now) !== undefined;
-    return isReported ? random.sample(targets, SAMPLE_SIZE) : targets;
+    if (!isReported) {
+      return targets;
+    }
+    const sample = random.sample(targets, SAMPLE_SIZE);
+    const hasSlot = (target: Target) => this.score(target, now) < target.slots;
+    const free = sample.filter(hasSlot);
+    if (free.length > 0) {
+      return free;
+    }
+    const others = random.sample(targets.filter(hasSlot), SAMPLE_SIZE);
+    return others.length > 0 ? others : sample;
   }
 
   private score(target: Target, now: number): number {
