Admission queue in place of polling for a target

Under load whichever request polled first got the next free place: priority, account, size and objective played no part, and refused callers were all asked to return after 1.6 s. Requests of services with an objective now wait in one queue per service: requests in time first, then priority with a floor, fair shares of accounts, earliest objective. They are refused once their predicted wait is too long, with a retry time that follows the queue.

FairQueue and the new order share AccountClock.

--- /dev/null
+++ b/src/admission/fair-deadline-order.ts
@@ -0,0 +1,119 @@
+/**
+ * Requests that can still be in time first, then late ones; within both by
+ * priority, with a minimum share of the starts for each lower priority that
+ * waits.
+ */
+import {rankOf} from './arrival-order';
+import {PriorityBacklog} from './priority-backlog';
+import * as timing from './timing';
+import {Ahead, AdmissionOrder, WaitingRequest} from './types';
+
+/** Upper bound of the starts that a priority may be owed. */
+const MAX_CREDIT = 2;
+/** Sums of the floor share are not exact. */
+const ROUNDING = 1e-9;
+
+export class FairDeadlineOrder<
+  T extends WaitingRequest,
+> extends AdmissionOrder<T> {
+  /** Those with waiting items, highest priority first. */
+  private readonly backlogs: PriorityBacklog<T>[] = [];
+
+  /** `floorShare`: minimum share of the starts of each lower priority. */
+  constructor(private readonly floorShare: number) {
+    super();
+  }
+
+  get size(): number {
+    return this.backlogs.reduce((sum, backlog) => sum + backlog.size, 0);
+  }
+
+  push(item: T): void {
+    const rank = rankOf(item);
+    const at = this.backlogs.findIndex(one => one.rank >= rank);
+    if (at >= 0 && this.backlogs[at]!.rank === rank) {
+      this.backlogs[at]!.push(item);
+      return;
+    }
+    const backlog = new PriorityBacklog<T>(rank);
+    backlog.push(item);
+    this.backlogs.splice(at < 0 ? this.backlogs.length : at, 0, backlog);
+  }
+
+  remove(item: T): boolean {
+    const backlog = this.backlogOf(item);
+    const isRemoved = backlog?.remove(item) ?? false;
+    this.dropEmpty();
+    return isRemoved;
+  }
+
+  next(now: number, paceMs: number, skipped: ReadonlySet<T>): T | undefined {
+    const isTimely = (item: T) => timing.lastTimelyStart(item, paceMs) >= now;
+    return (
+      this.nextOf(item => isTimely(item) && !skipped.has(item)) ??
+      this.nextOf(item => !isTimely(item) && !skipped.has(item))
+    );
+  }
+
+  start(item: T): void {
+    const own = this.backlogOf(item);
+    for (const backlog of this.backlogs.slice(1)) {
+      const credit = backlog.credit + this.floorShare;
+      backlog.credit = Math.min(credit, MAX_CREDIT);
+    }
+    if (own !== undefined) {
+      own.credit = Math.max(own.credit - 1, 0);
+      own.start(item);
+    }
+    this.dropEmpty();
+  }
+
+  countAhead(item: WaitingRequest): Ahead {
+    const rank = rankOf(item);
+    let higher = 0;
+    for (const backlog of this.backlogs) {
+      higher += backlog.rank < rank ? backlog.size : 0;
+    }
+    return {higher, same: this.backlogOf(item)?.countAhead(item) ?? 0};
+  }
+
+  last(now: number, paceMs: number): T | undefined {
+    const lowestFirst = [...this.backlogs].reverse();
+    const late = lowestFirst
+      .flatMap(backlog => backlog.items())
+      .find(item => timing.lastTimelyStart(item, paceMs) < now);
+    return late ?? lowestFirst[0]?.last();
+  }
+
+  items(): T[] {
+    return this.backlogs.flatMap(backlog => backlog.items());
+  }
+
+  /** The next of those that match, by priority and what is owed to lower ones. */
+  private nextOf(matches: (item: T) => boolean): T | undefined {
+    let chosen: T | undefined;
+    let owed = 1 - ROUNDING;
+    for (const backlog of this.backlogs) {
+      if (chosen === undefined || backlog.credit >= owed) {
+        const item = backlog.next(matches);
+        if (item !== undefined && chosen !== undefined) {
+          owed = backlog.credit;
+        }
+        chosen = item ?? chosen;
+      }
+    }
+    return chosen;
+  }
+
+  private backlogOf(item: WaitingRequest): PriorityBacklog<T> | undefined {
+    const rank = rankOf(item);
+    return this.backlogs.find(backlog => backlog.rank === rank);
+  }
+
+  private dropEmpty(): void {
+    const at = this.backlogs.findIndex(backlog => backlog.size === 0);
+    if (at >= 0) {
+      this.backlogs.splice(at, 1);
+    }
+  }
+}
--- a/src/requests/fair-queue.ts
+++ b/src/admission/fair-queue.ts
@@ -3,8 +3,8 @@
  * weight of virtual time, so an account with a backlog waits behind its own
  * requests and not ahead of others'. Lower priority numbers are always served
  * first.
- * Source: start-time fair queueing (Goyal, Vin and Cheng, 1996).
  */
+import {AccountClock} from './account-clock';
 
 export interface QueueItem {
   readonly account: string;
@@ -24,8 +24,7 @@
 
 export class FairQueue<T extends QueueItem> {
   private readonly entries: QueueEntry<T>[] = [];
-  private readonly lastFinish = new Map<string, number>();
-  private virtualTime = 0;
+  private readonly clock = new AccountClock();
   private pushCount = 0;
 
   get size(): number {
@@ -34,7 +33,7 @@
 
   push(item: T): void {
     const slot = this.schedule(item);
-    this.lastFinish.set(item.account, slot.finish);
+    this.clock.charge(item.account, item.cost / item.weight);
     this.pushCount += 1;
     this.entries.splice(this.positionOf(slot), 0, slot);
   }
@@ -48,12 +47,10 @@
   shift(): T | undefined {
     const slot = this.entries.shift();
     if (slot === undefined) {
-      this.lastFinish.clear();
-      this.virtualTime = 0;
+      this.clock.clear();
       return undefined;
     }
-    this.virtualTime = Math.max(this.virtualTime, slot.start);
-    this.forgetIdleAccounts();
+    this.clock.advance(slot.start);
     return slot.item;
   }
 
@@ -78,8 +75,7 @@
   }
 
   private schedule(item: T): QueueEntry<T> {
-    const after = this.lastFinish.get(item.account) ?? 0;
-    const start = Math.max(this.virtualTime, after);
+    const start = this.clock.startOf(item.account);
     const finish = start + item.cost / item.weight;
     return {item, start, finish, order: this.pushCount};
   }
@@ -97,15 +93,6 @@
     }
     return low;
   }
-
-  /** Drops accounts whose last finish time has passed; they start afresh. */
-  private forgetIdleAccounts(): void {
-    for (const [account, finish] of this.lastFinish) {
-      if (finish <= this.virtualTime) {
-        this.lastFinish.delete(account);
-      }
-    }
-  }
 }
 
 function isBefore<T extends QueueItem>(
--- /dev/null
+++ b/src/admission/service-queue.ts
@@ -0,0 +1,150 @@
+/**
+ * The waiting requests of one service, what is known of its speed, and when a
+ * waiting request is refused. Pure: times are monotonic milliseconds.
+ */
+import {StartRate} from './start-rate';
+import * as timing from './timing';
+import type {Ahead, AdmissionOrder, WaitingRequest} from './types';
+
+/** Weight of the newest duration in the moving mean. */
+const DURATION_WEIGHT = 0.1;
+/** Time over which starts are counted. */
+const RATE_WINDOW_MS = 1_000;
+
+/** Why a request is refused; for the log. */
+export type RefusalReason =
+  /** Its predicted wait is too long for it. */
+  | 'late'
+  /** The same, and what limits the starts is this entry's share of the pool. */
+  | 'share'
+  /** Too many requests wait at this entry. */
+  | 'full'
+  /** It waited until it was no longer worth starting. */
+  | 'expired';
+
+/** Prediction for one request. */
+export interface Prediction {
+  readonly ahead: Ahead;
+  /** Starts per second for its priority; 0: nothing has started lately. */
+  readonly perSecond: number;
+  /** Undefined: nothing has started lately. */
+  readonly waitMs: number | undefined;
+}
+
+export class ServiceQueue<T extends WaitingRequest> {
+  inFlight = 0;
+  private readonly starts = new StartRate();
+  /** Duration of a pass of the fastest group; undefined: no group is known. */
+  private passMs: number | undefined;
+  /** Moving mean duration of served requests; 0: none yet. */
+  private meanMs = 0;
+  /** Since when requests have been waiting without a break. */
+  private waitingSince = Infinity;
+
+  constructor(
+    public order: AdmissionOrder<T>,
+    private readonly floorShare: number,
+  ) {}
+
+  get size(): number {
+    return this.order.size;
+  }
+
+  /** Milliseconds of a unit of predicted time. */
+  get paceMs(): number {
+    return this.passMs ?? this.meanMs;
+  }
+
+  /** Predicted duration of a pass of the group that is available soonest. */
+  notePassMs(ms: number): void {
+    this.passMs = ms;
+  }
+
+  push(item: T, now: number): void {
+    if (this.order.size === 0) {
+      this.waitingSince = now;
+    }
+    this.order.push(item);
+  }
+
+  /** Counts a start, of a waiting request or of one that needed no wait. */
+  noteStart(item: T, now: number): void {
+    this.inFlight += 1;
+    this.starts.note(item.isStarted ? -1 : item.priority, now);
+  }
+
+  /** Counts an end; `ms` is its duration if it was served. */
+  noteEnd(ms: number | undefined): void {
+    this.inFlight -= 1;
+    if (ms !== undefined) {
+      const weight = this.meanMs === 0 ? 1 : DURATION_WEIGHT;
+      this.meanMs += weight * (ms - this.meanMs);
+    }
+  }
+
+  /**
+   * Starts per second. Until requests have waited for a whole second, the starts
+   * may be only what arrived; then the requests in flight over their mean
+   * duration count if these give more.
+   */
+  perSecond(now: number): number {
+    const observed = this.starts.perSecond(now);
+    const isObserved =
+      this.order.size > 0 && now - this.waitingSince >= RATE_WINDOW_MS;
+    const possible =
+      isObserved || this.meanMs === 0
+        ? 0
+        : (this.inFlight * RATE_WINDOW_MS) / this.meanMs;
+    return Math.max(observed, possible);
+  }
+
+  predict(item: WaitingRequest, now: number): Prediction {
+    const ahead = this.order.countAhead(item);
+    const rates = {
+      perSecond: this.perSecond(now),
+      higherPerSecond: item.isStarted
+        ? 0
+        : this.starts.perSecond(now, item.priority),
+    };
+    return {
+      ahead,
+      perSecond: timing.perSecondFor(rates, this.floorShare),
+      waitMs: timing.predictWaitMs(ahead, rates, this.floorShare),
+    };
+  }
+
+  /** Prediction for a request like this one that arrives now. */
+  predictNewcomer(item: WaitingRequest, now: number): Prediction {
+    return this.predict({...item, objectiveAt: Infinity}, now);
+  }
+
+  /** True if it could only be served after its caller has left. */
+  isUseless(item: T, now: number): boolean {
+    return now > timing.lastUsefulStart(item, this.paceMs);
+  }
+
+  /**
+   * Why a request that can't start now is refused; undefined: it waits. For a
+   * new one the predicted wait counts as it is, later only where it is clearly
+   * too long, and not for the next one.
+   */
+  verdict(
+    item: T,
+    now: number,
+    {ahead, waitMs}: Prediction,
+    isNew: boolean,
+  ): 'late' | 'expired' | undefined {
+    const leftMs = timing.waitLimit(item, this.paceMs) - now;
+    if (leftMs <= 0) {
+      return isNew ? 'late' : 'expired';
+    }
+    if (item.isStarted || waitMs === undefined) {
+      return undefined;
+    }
+    const isNext = ahead.higher + ahead.same === 0;
+    const isLate = isNew
+      ? waitMs > leftMs
+      : !isNext && waitMs > leftMs * timing.WAITING_TOLERANCE;
+    return isLate ? 'late' : undefined;
+  }
+}
--- /dev/null
+++ b/src/admission/timing.ts
@@ -0,0 +1,136 @@
+/**
+ * Until when a waiting request is worth starting, and how long it will wait.
+ * Times are monotonic milliseconds. Pure.
+ */
+import type {EngineParameters} from '../routes/types';
+import type {Ahead, WaitingRequest} from './types';
+
+/**
+ * Maximum wait of a request that is served late. Callers abandon a stream after
+ * two seconds without events, and the first event takes a part of that.
+ */
+export const MAX_LATE_WAIT_MS = 1_200;
+/** Minimum time left for another send. */
+export const MIN_TIME_LEFT_MS = 20;
+/**
+ * Margin of the expected length of an answer in deciding that it can't be
+ * completed; callers' hints are often off by this factor.
+ */
+const LENGTH_MARGIN = 2;
+/** Cost of a token of the answer; a prompt's tokens are read many at a time. */
+const ANSWER_TOKEN_COST = 10;
+/**
+ * A waiting request is refused by prediction only where the predicted wait is
+ * longer than what is left by this factor: rates observed over a second vary.
+ */
+export const WAITING_TOLERANCE = 1.5;
+const SECOND_MS = 1_000;
+
+/** What a request's headers say about its length, in tokens. */
+export interface PromptSize {
+  readonly promptTokens: number;
+  readonly maxAnswerTokens: number;
+  /** 0: unknown. */
+  readonly expectedAnswerTokens: number;
+}
+
+/** Work of a request, in units of the service's pace and as a cost. */
+export interface Work {
+  readonly firstUnits: number;
+  readonly wholeUnits: number;
+  readonly cost: number;
+}
+
+/** A request of a service without an engine: it takes one mean duration. */
+export const PLAIN_WORK: Work = {firstUnits: 1, wholeUnits: 1, cost: 1};
+
+/** Work of a stream; its units are passes of the engine's group. */
+export function streamWork(
+  engine: EngineParameters | undefined,
+  prompt: PromptSize | undefined,
+): Work {
+  const promptTokens = prompt?.promptTokens || engine?.meanPromptTokens || 0;
+  const hint = prompt?.expectedAnswerTokens || engine?.meanAnswerTokens || 0;
+  const most = prompt?.maxAnswerTokens || Infinity;
+  const answerTokens = Math.min(hint, most);
+  const cost = Math.max(promptTokens + ANSWER_TOKEN_COST * answerTokens, 1);
+  if (engine === undefined) {
+    return {firstUnits: 0, wholeUnits: 0, cost};
+  }
+  const perPass = engine.chunkTokens * engine.stride;
+  const firstUnits = 1 + (perPass > 0 ? Math.ceil(promptTokens / perPass) : 1);
+  const answerUnits = answerTokens / LENGTH_MARGIN / engine.stride;
+  return {firstUnits, wholeUnits: firstUnits + answerUnits, cost};
+}
+
+/** Latest start with which the request meets its objective. */
+export function lastTimelyStart(item: WaitingRequest, paceMs: number): number {
+  return item.isStarted
+    ? Infinity
+    : item.objectiveAt - item.firstUnits * paceMs;
+}
+
+/** Latest start after which its caller still takes the whole answer. */
+export function lastUsefulStart(item: WaitingRequest, paceMs: number): number {
+  const {arrivedAt, objectiveAt, deadlineAt, wholeUnits, isStarted} = item;
+  const lateBy = arrivedAt + MAX_LATE_WAIT_MS;
+  const timely = lastTimelyStart(item, paceMs);
+  const hasObjective = !isStarted && objectiveAt < Infinity;
+  const wantedBy = hasObjective ? Math.max(timely, lateBy) : lateBy;
+  const workMs = isStarted ? 0 : wholeUnits * paceMs;
+  return Math.min(wantedBy, deadlineAt - Math.max(workMs, MIN_TIME_LEFT_MS));
+}
+
+/**
+ * When a waiting request is refused. A first attempt is refused once it can't be
+ * in time, because its caller's retry may be; a retry is served late.
+ */
+export function waitLimit(item: WaitingRequest, paceMs: number): number {
+  const useful = lastUsefulStart(item, paceMs);
+  const mayBeLate =
+    item.isRetry || item.isStarted || item.objectiveAt === Infinity;
+  return mayBeLate ? useful : Math.min(lastTimelyStart(item, paceMs), useful);
+}
+
+/** Starts per second of a service. */
+export interface StartRates {
+  readonly perSecond: number;
+  /** Of these, starts of higher priorities, which overtake. */
+  readonly higherPerSecond: number;
+}
+
+/**
+ * Starts per second that a priority gets. `floorShare`: minimum share of the
+ * starts that each lower priority gets.
+ */
+export function perSecondFor(rates: StartRates, floorShare: number): number {
+  return Math.max(
+    rates.perSecond - rates.higherPerSecond,
+    leastPerSecond(rates, floorShare),
+  );
+}
+
+/** Predicted wait in milliseconds; undefined without a rate. */
+export function predictWaitMs(
+  ahead: Ahead,
+  rates: StartRates,
+  floorShare: number,
+): number | undefined {
+  if (rates.perSecond <= 0) {
+    return undefined;
+  }
+  // The next start comes after half an interval on average.
+  const own = ahead.same + 0.5;
+  const seconds = Math.min(
+    (ahead.higher + own) / perSecondFor(rates, floorShare),
+    own / leastPerSecond(rates, floorShare),
+  );
+  return seconds * SECOND_MS;
+}
+
+/** Keeps predicted waits finite where the floor is 0. */
+const MIN_SHARE = 0.01;
+
+function leastPerSecond(rates: StartRates, floorShare: number): number {
+  return rates.perSecond * Math.max(floorShare, MIN_SHARE);
+}
--- /dev/null
+++ b/src/forwarding/admission-controller.ts
@@ -0,0 +1,398 @@
+/**
+ * Starts, queues or refuses the requests of an entry. It has one queue per
+ * service; the head is tried when a request ends, a view arrives, a group opens
+ * or a share changes, and at an interval while anything waits.
+ */
+import type {
+  AdmissionContext,
+  Admitted,
+  Admittee,
+  Attempt,
+  Blocked,
+  Started,
+} from '../admission/admittee';
+import {PoolUsage} from '../admission/pool-usage';
+import {RefusalReason, ServiceQueue} from '../admission/service-queue';
+import {totalOf} from '../admission/types';
+import {WaitingSet} from '../admission/waiting-set';
+import type {PoolDemand} from '../capacity/types';
+import {Result, fail, ok} from '../result';
+import * as queueSummary from '../admission/queue-summary';
+
+/** Interval of tries while anything waits: permits arrive without notice. */
+export const TICK_MS = 60;
+/** Interval of the summaries of a service whose requests wait. */
+const SUMMARY_INTERVAL_MS = 1_000;
+/** Maximum tries of a wake-up between ticks that start nothing. */
+const MAX_BLOCKED_TRIES = 8;
+/** Metric label of requests without a client account. */
+const NO_ACCOUNT = 'none';
+
+/** The state of one service. */
+interface ServiceState<V, R> {
+  readonly service: string;
+  hasObjective: boolean;
+  readonly queue: ServiceQueue<Admittee<V, R>>;
+  /** The last try that started nothing. */
+  blocked: Blocked | undefined;
+  summarizedAt: number;
+}
+
+export class AdmissionController<V, R> {
+  private readonly usage = new PoolUsage();
+  private readonly services = new Map<string, ServiceState<V, R>>();
+  private readonly waiting = new WaitingSet<V, R>();
+  private timer: NodeJS.Timeout | undefined;
+  /** A try is under way: what it changes must not start further ones. */
+  private isTrying = false;
+
+  constructor(private readonly context: AdmissionContext<V, R>) {}
+
+  /** Requests in flight from this entry in a pool. */
+  inFlight(pool: string): number {
+    return this.usage.inFlight(pool);
+  }
+
+  /** Demand of a pool; what waits for its service counts in each of its pools. */
+  demandOf(pool: string, service: string): PoolDemand {
+    const waiting = this.services.get(service)?.queue.order.items() ?? [];
+    return this.usage.demandOf(pool, waiting);
+  }
+
+  /** Starts the request now or later; fails with its refusal. */
+  admit(
+    item: Admittee<V, R>,
+  ): Result<Admitted<V>, R> | Promise<Result<Admitted<V>, R>> {
+    if (item.signal.aborted) {
+      return fail(item.unanswered);
+    }
+    const now = performance.now();
+    const state = this.stateOf(item.service);
+    const {queue} = state;
+    // Without an objective, requests hold up others only where permits are short.
+    if (queue.size > 0 && state.hasObjective) {
+      return new Promise(settle => {
+        this.enqueue(state, item, settle, now);
+        this.drain(state, now, MAX_BLOCKED_TRIES);
+        this.refuseIfHopeless(state, item, now);
+      });
+    }
+    const ahead = queue.size === 0 ? 0 : totalOf(queue.order.countAhead(item));
+    const attempt = this.attempt(state, item, ahead, now);
+    if (attempt.kind === 'started') {
+      return ok(this.begin(state, item, attempt, now));
+    }
+    if (now >= attempt.waitsUntil) {
+      return fail(this.refusalOf(state, item, 'late', now));
+    }
+    const reason = this.reasonToRefuse(state, item, now, true);
+    return reason === undefined
+      ? new Promise(settle => this.enqueue(state, item, settle, now))
+      : fail(this.refusalOf(state, item, reason, now));
+  }
+
+  /** Tries the waiting requests of a service, or of all services. */
+  wake(service?: string): void {
+    if (this.waiting.size === 0 || this.isTrying) {
+      return;
+    }
+    const now = performance.now();
+    for (const state of this.services.values()) {
+      const isMeant = service === undefined || state.service === service;
+      if (isMeant && state.queue.size > 0) {
+        this.drain(state, now, MAX_BLOCKED_TRIES);
+      }
+    }
+  }
+
+  /**
+   * After a suspension, in which the monotonic clock may have stood still:
+   * refuses what has waited for too long.
+   */
+  noteSuspension(suspendedMs: number): void {
+    const now = performance.now();
+    for (const state of this.services.values()) {
+      for (const item of state.hasObjective ? state.queue.order.items() : []) {
+        if (state.queue.isUseless(item, now + suspendedMs)) {
+          this.refuse(state, item, 'expired', now);
+        }
+      }
+    }
+  }
+
+  /** Gives up all that waits and ends the timer. */
+  close(): void {
+    this.waiting.items().forEach(item => this.leave(item));
+    clearTimeout(this.timer);
+  }
+
+  private stateOf(service: string): ServiceState<V, R> {
+    const hasObjective = this.context.hasObjective(service);
+    let state = this.services.get(service);
+    if (state === undefined) {
+      const order = this.context.makeOrder(hasObjective);
+      const queue = new ServiceQueue(order, this.context.floorShare);
+      const summarizedAt = -Infinity;
+      state = {service, hasObjective, queue, blocked: undefined, summarizedAt};
+      this.services.set(service, state);
+    } else if (state.hasObjective !== hasObjective && state.queue.size === 0) {
+      state.hasObjective = hasObjective;
+      state.queue.order = this.context.makeOrder(hasObjective);
+    }
+    return state;
+  }
+
+  private attempt(
+    state: ServiceState<V, R>,
+    item: Admittee<V, R>,
+    ahead: number,
+    now: number,
+  ): Attempt<V> {
+    this.isTrying = true;
+    const attempt = item.tryStart(now, ahead);
+    this.isTrying = false;
+    if (attempt.kind === 'blocked') {
+      state.blocked = attempt;
+      if (attempt.passMs !== undefined) {
+        state.queue.notePassMs(attempt.passMs);
+      }
+    }
+    return attempt;
+  }
+
+  private enqueue(
+    state: ServiceState<V, R>,
+    item: Admittee<V, R>,
+    settle: (result: Result<Admitted<V>, R>) => void,
+    now: number,
+  ): void {
+    state.queue.push(item, now);
+    this.waiting.add(item, settle);
+    item.signal.addEventListener('abort', () => this.leave(item), {once: true});
+    if (state.hasObjective) {
+      this.countWaiting(item, 1);
+      state.blocked?.pools.forEach(pool =>
+        this.context.shares.noteUse(pool, now),
+      );
+    }
+    this.enforceBound(now);
+    this.schedule();
+  }
+
+  /** Refuses a new request that has to wait and whose wait would be too long. */
+  private refuseIfHopeless(
+    state: ServiceState<V, R>,
+    item: Admittee<V, R>,
+    now: number,
+  ): void {
+    if (!this.waiting.has(item)) {
+      return;
+    }
+    if (state.blocked?.why === 'unavailable') {
+      const ahead = totalOf(state.queue.order.countAhead(item));
+      this.tryWaiting(state, item, ahead, now);
+      return;
+    }
+    const reason = this.reasonToRefuse(state, item, now, true);
+    if (reason !== undefined) {
+      this.refuse(state, item, reason, now);
+    }
+  }
+
+  /**
+   * Starts waiting requests in order, as far as possible, until so many tries
+   * have started nothing.
+   */
+  private drain(
+    state: ServiceState<V, R>,
+    now: number,
+    maxBlockedTries: number,
+  ): void {
+    const {queue, hasObjective} = state;
+    const skipped = new Set<Admittee<V, R>>();
+    let permitsAhead = 0;
+    while (skipped.size < maxBlockedTries) {
+      const item = queue.order.next(now, queue.paceMs, skipped);
+      if (item === undefined) {
+        return;
+      }
+      if (hasObjective && queue.isUseless(item, now)) {
+        this.refuse(state, item, 'expired', now);
+        continue;
+      }
+      const blocked = this.tryWaiting(state, item, permitsAhead, now);
+      if (blocked === undefined) {
+        continue;
+      }
+      skipped.add(item);
+      permitsAhead += item.needsPermit ? 1 : 0;
+      const isForAll = !blocked.isOwn && blocked.why !== 'unavailable';
+      // Without an objective, each waiting request is tried at each tick.
+      if (isForAll && (hasObjective || maxBlockedTries < Infinity)) {
+        return;
+      }
+    }
+  }
+
+  /** Starts or refuses a waiting request; returns why it goes on waiting. */
+  private tryWaiting(
+    state: ServiceState<V, R>,
+    item: Admittee<V, R>,
+    ahead: number,
+    now: number,
+  ): Blocked | undefined {
+    const attempt = this.attempt(state, item, ahead, now);
+    if (attempt.kind === 'started') {
+      state.queue.order.start(item);
+      this.settle(item, ok(this.begin(state, item, attempt, now)));
+      return undefined;
+    }
+    if (now >= attempt.waitsUntil) {
+      this.refuse(state, item, 'expired', now);
+      return undefined;
+    }
+    return attempt;
+  }
+
+  private begin(
+    {service, queue, hasObjective}: ServiceState<V, R>,
+    item: Admittee<V, R>,
+    {value, pool}: Started<V>,
+    now: number,
+  ): Admitted<V> {
+    const {shares, metrics} = this.context;
+    this.usage.add(pool, item, 1);
+    queue.noteStart(item, now);
+    if (hasObjective) {
+      shares.noteUse(pool, now);
+      metrics.count('admission_starts_total', labelsOf(item));
+      metrics.recordQueueTime(item.account || NO_ACCOUNT, now - item.arrivedAt);
+    }
+    let isReleased = false;
+    const release = (isServed: boolean) => {
+      if (!isReleased) {
+        isReleased = true;
+        this.usage.add(pool, item, -1);
+        queue.noteEnd(isServed ? performance.now() - now : undefined);
+        this.wake(service);
+      }
+    };
+    return {value, ticket: {release}};
+  }
+
+  /** Why a request that can't start now is refused; undefined: it waits. */
+  private reasonToRefuse(
+    {queue, hasObjective, blocked}: ServiceState<V, R>,
+    item: Admittee<V, R>,
+    now: number,
+    isNew: boolean,
+  ): RefusalReason | undefined {
+    if (!hasObjective) {
+      return undefined;
+    }
+    const verdict = queue.verdict(item, now, queue.predict(item, now), isNew);
+    return verdict === 'late' && blocked?.why === 'share' ? 'share' : verdict;
+  }
+
+  private refusalOf(
+    {queue, hasObjective}: ServiceState<V, R>,
+    item: Admittee<V, R>,
+    reason: RefusalReason,
+    now: number,
+  ): R {
+    if (!hasObjective) {
+      return item.refuse(undefined);
+    }
+    return item.refuse({
+      reason,
+      waitedMs: now - item.arrivedAt,
+      prediction: queue.predict(item, now),
+      newcomer: queue.predictNewcomer(item, now),
+    });
+  }
+
+  private refuse(
+    state: ServiceState<V, R>,
+    item: Admittee<V, R>,
+    reason: RefusalReason,
+    now: number,
+  ): void {
+    const refusal = this.refusalOf(state, item, reason, now);
+    state.queue.order.remove(item);
+    this.settle(item, fail(refusal));
+  }
+
+  /** Removes a request whose caller has disconnected. */
+  private leave(item: Admittee<V, R>): void {
+    this.services.get(item.service)?.queue.order.remove(item);
+    this.settle(item, fail(item.unanswered));
+  }
+
+  private settle(item: Admittee<V, R>, result: Result<Admitted<V>, R>): void {
+    const hasObjective = this.services.get(item.service)?.hasObjective;
+    if (this.waiting.settle(item, result) && hasObjective) {
+      this.countWaiting(item, -1);
+    }
+  }
+
+  /** Above the bound, refuses what would start last in the longest queue. */
+  private enforceBound(now: number): void {
+    while (this.waiting.isOverBound) {
+      const [longest] = [...this.services.values()].sort(
+        (a, b) => b.queue.size - a.queue.size,
+      );
+      const last = longest?.queue.order.last(now, longest.queue.paceMs);
+      if (last === undefined) {
+        return;
+      }
+      this.refuse(longest!, last, 'full', now);
+    }
+  }
+
+  private schedule(): void {
+    if (this.timer === undefined && this.waiting.size > 0) {
+      this.timer = setTimeout(() => this.tick(), TICK_MS);
+    }
+  }
+
+  private tick(): void {
+    this.timer = undefined;
+    const now = performance.now();
+    for (const state of this.services.values()) {
+      if (state.queue.size > 0) {
+        this.drain(state, now, Infinity);
+        this.refuseHopeless(state, now);
+        this.summarize(state, now);
+      }
+    }
+    this.schedule();
+  }
+
+  /** Refuses the waiting requests that can no longer be served in time. */
+  private refuseHopeless(state: ServiceState<V, R>, now: number): void {
+    for (const item of state.hasObjective ? state.queue.order.items() : []) {
+      const reason = this.reasonToRefuse(state, item, now, false);
+      if (reason !== undefined) {
+        this.refuse(state, item, reason, now);
+      }
+    }
+  }
+
+  private summarize(state: ServiceState<V, R>, now: number): void {
+    const {service, queue, hasObjective} = state;
+    const isDue = now - state.summarizedAt >= SUMMARY_INTERVAL_MS;
+    if (hasObjective && isDue && queue.size > 0) {
+      state.summarizedAt = now;
+      const fields = queueSummary.summaryOf(queue.order.items(), now);
+      this.context.log.event('admissionQueued', {service, ...fields});
+    }
+  }
+
+  private countWaiting(item: Admittee<V, R>, change: number): void {
+    this.context.metrics.count('admission_waiting', labelsOf(item), change);
+  }
+}
+
+function labelsOf(item: {service: string; priority: number}) {
+  return {service: item.service, priority: String(item.priority)};
+}
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -1,5 +1,6 @@
 /** A caller's request while it is served; it is answered at most once. */
 import type * as http from 'node:http';
+import type {Ticket} from '../admission/admittee';
 import type {Timing} from '../observability/metrics';
 import type {Route} from '../routes/types';
 import type {ForwarderContext} from './forwarder';
@@ -32,6 +33,8 @@
   /** When the longest pause ended, in milliseconds since the start. */
   private longestPauseEndMs = 0;
   private account = NO_ACCOUNT;
+  /** Place of the send in progress; undefined: none. */
+  private place: Ticket | undefined;
 
   constructor(
     readonly req: http.IncomingMessage,
@@ -190,8 +193,20 @@
         };
   }
 
+  /** Holds the place of a send until it ends. */
+  holdPlace(place: Ticket): void {
+    this.place = place;
+  }
+
+  /** The send has ended; `isServed`: its duration counts for predictions. */
+  releasePlace(isServed: boolean): void {
+    this.place?.release(isServed);
+    this.place = undefined;
+  }
+
   /** Closes the connection if nothing was answered. */
   close(): void {
+    this.releasePlace(false);
     if (!this.res.headersSent && !this.isCallerGone) {
       this.res.destroy();
     }
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -3,6 +3,7 @@
  * request to a target and retries where the route allows it.
  */
 import type * as http from 'node:http';
+import type {CapacityShares, PoolSource} from '../capacity/types';
 import type {CrashCoordinator} from '../crashes/crash-coordinator';
 import * as body from '../http/body';
 import {Log} from '../observability/log';
@@ -20,6 +21,7 @@
 import {GroupGate} from './group-gate';
 import {GroupViews} from './group-views';
 import {PlainRelay} from './plain-relay';
+import {ForwarderPools} from './pools';
 import {RetryBudget} from './retry-budget';
 import {StreamRelay} from './stream-relay';
 import {TargetFinder} from './target-finder';
@@ -38,6 +40,7 @@
   readonly reach: LastContact;
   readonly connections: TargetConnections;
   readonly crashes: CrashCoordinator;
+  readonly shares: CapacityShares;
   /** Known entries of the site, including this one. */
   knownEntryCount(): number;
   /** Resolves once requests can be routed, or after `waitMs`. */
@@ -64,9 +67,12 @@
 const DEFAULT_TIME_LEFT_MS = 60_000;
 
 export class Forwarder {
+  /** This entry's demand of the pools that it uses. */
+  readonly pools: PoolSource;
   private readonly budgets = new Map<string, RetryBudget>();
   private readonly plain: PlainRelay;
   private readonly streams: StreamRelay;
+  private readonly finder: TargetFinder;
   private readonly retryDetector = new RetryDetector();
   private openRequests = 0;
   private isStopping = false;
@@ -74,6 +80,8 @@
   constructor(private readonly context: ForwarderContext) {
     const budgetOf = (service: string) => this.budgetOf(service);
     const finder = new TargetFinder(context);
+    this.finder = finder;
+    this.pools = new ForwarderPools(context, finder.admission);
     this.plain = new PlainRelay(context, budgetOf, finder);
     this.streams = new StreamRelay(context, budgetOf, finder);
   }
@@ -87,6 +95,21 @@
     this.isStopping = true;
   }
 
+  /** Tries the waiting requests again: this entry's shares of pools changed. */
+  noteSharesChanged(): void {
+    this.finder.admission.wake();
+  }
+
+  /** Call after a suspension of this instance. */
+  noteSuspension(suspendedMs: number): void {
+    this.finder.admission.noteSuspension(suspendedMs);
+  }
+
+  /** Gives up the waiting requests. */
+  close(): void {
+    this.finder.close();
+  }
+
   /** Serves one request; resolves when it has ended. */
   async handle(
     req: http.IncomingMessage,
--- a/src/forwarding/group-gate.ts
+++ b/src/forwarding/group-gate.ts
@@ -5,6 +5,8 @@
  * reports, one request per interval probes a closed group.
  */
 
+import * as rxjs from 'rxjs';
+
 /** Refusals by two ranks within this time close a group. */
 const REFUSAL_WINDOW_MS = 150;
 /** Interval between probes of a closed group. */
@@ -29,10 +31,11 @@
   probedAt: number;
   /** When a sidecar last saw the group closed. */
   reportedClosedAt: number;
-  readonly waiters: Set<() => void>;
 }
 
 export class GroupGate {
+  /** Emits the names of groups that open after a refusal. */
+  readonly openings = new rxjs.Subject<string>();
   private readonly groups = new Map<string, GroupState>();
   /** When groups were last seen open. */
   private readonly lastOpenAt = new Map<string, number>();
@@ -79,10 +82,8 @@
   }
 
   private open(group: string): void {
-    const state = this.groups.get(group);
-    if (state !== undefined) {
-      this.groups.delete(group);
-      state.waiters.forEach(wake => wake());
+    if (this.groups.delete(group)) {
+      this.openings.next(group);
     }
   }
 
@@ -137,28 +138,6 @@
     state.probedAt = now;
     return true;
   }
-
-  /**
-   * Resolves when the group opens, after the probe interval or at abort; without
-   * a group after the interval or at abort.
-   */
-  waitForOpenOrProbe(
-    group: string | undefined,
-    signal: AbortSignal,
-  ): Promise<void> {
-    const state = group === undefined ? undefined : this.groups.get(group);
-    return new Promise(resolve => {
-      const wake = () => {
-        clearTimeout(timer);
-        state?.waiters.delete(wake);
-        signal.removeEventListener('abort', wake);
-        resolve();
-      };
-      const timer = setTimeout(wake, PROBE_INTERVAL_MS);
-      state?.waiters.add(wake);
-      signal.addEventListener('abort', wake, {once: true});
-    });
-  }
 }
 
 function newState(rank: string, now: number): GroupState {
@@ -169,6 +148,5 @@
     closedAt: 0,
     probedAt: now,
     reportedClosedAt: -Infinity,
-    waiters: new Set(),
   };
 }
--- /dev/null
+++ b/src/forwarding/pools.ts
@@ -0,0 +1,77 @@
+/** What the sharing of capacity asks of this entry about its pools. */
+import {PoolDemand, PoolSource} from '../capacity/types';
+import type {Route} from '../routes/types';
+import type {CurrentConfiguration} from '../routes/current';
+import type {AdmissionController} from './admission-controller';
+import type {GroupViews} from './group-views';
+import type {TargetList} from './target-list';
+import type * as types from './types';
+
+/**
+ * Requests that plain targets of a service get together, per slot: some must be
+ * queued there to keep the slots busy during network transit.
+ */
+const REQUESTS_PER_SLOT = 1.25;
+const SEPARATOR = ' ';
+
+/** The pool of a group, or of all targets of a service without groups. */
+export function poolOf(service: string, group: string | undefined): string {
+  return group === undefined ? service : `${service}${SEPARATOR}${group}`;
+}
+
+export interface PoolsContext {
+  readonly configuration: CurrentConfiguration;
+  readonly targets: TargetList;
+  readonly views: GroupViews;
+}
+
+export class ForwarderPools extends PoolSource {
+  constructor(
+    private readonly context: PoolsContext,
+    private readonly admission: AdmissionController<
+      types.Target,
+      types.Refusal
+    >,
+  ) {
+    super();
+  }
+
+  demandOf(pool: string): PoolDemand {
+    return this.admission.demandOf(pool, serviceOf(pool));
+  }
+
+  capacityOf(pool: string, now: number): number | undefined {
+    const {configuration, targets, views} = this.context;
+    const {table} = configuration;
+    const name = serviceOf(pool);
+    const usable = targets
+      .ofService(name, now)
+      .filter(({group}) => poolOf(name, group) === pool);
+    const [first] = usable;
+    if (first === undefined) {
+      return undefined;
+    }
+    if (first.group === undefined) {
+      const slots = usable.reduce((sum, target) => sum + target.slots, 0);
+      return Math.floor(slots * REQUESTS_PER_SLOT);
+    }
+    const engine = table?.findService(name)?.engine;
+    const pauseMs = leastPauseMs(name, table?.snapshot.routes ?? []);
+    return engine === undefined || pauseMs === Infinity
+      ? undefined
+      : Math.floor(views.capacityOf(first, engine, pauseMs, now).most);
+  }
+}
+
+function serviceOf(pool: string): string {
+  return pool.split(SEPARATOR, 1)[0]!;
+}
+
+/** Shortest pause that a route of the service allows; Infinity: none does. */
+function leastPauseMs(service: string, routes: readonly Route[]): number {
+  const pauses = routes
+    .filter(route => route.pauseMs > 0)
+    .filter(({services}) => services.some(one => one.service === service))
+    .map(({pauseMs}) => pauseMs);
+  return Math.min(...pauses);
+}
--- a/src/forwarding/refusal-builder.ts
+++ b/src/forwarding/refusal-builder.ts
@@ -1,4 +1,6 @@
 /** Builds, logs and counts refusals of requests that no target accepted. */
+import type {RefusalDetails} from '../admission/admittee';
+import {totalOf} from '../admission/types';
 import type {Log} from '../observability/log';
 import type {Metrics} from '../observability/metrics';
 import type {CurrentConfiguration} from '../routes/current';
@@ -20,12 +22,22 @@
   readonly metrics: Metrics;
 }
 
+/** A request that is refused because of the load. */
+export interface OverloadedRequest {
+  readonly service: string;
+  readonly account: string;
+  readonly priority: number;
+}
+
+const NO_PREDICTION = {waitMs: undefined, perSecond: 0};
+
 /** Lower bound of the rate at which one entry's callers are asked to retry. */
 const MIN_RETRIES_PER_SECOND = 0.1;
 const SECOND_MS = 1_000;
 
 export class RefusalBuilder {
   private readonly retrySchedule = new RetrySchedule();
+  private readonly overloadSchedule = new RetrySchedule();
 
   constructor(private readonly context: RefusalContext) {}
 
@@ -62,24 +74,60 @@
     return {kind: 'not-run', why: 'crashes-targets', retryMs};
   }
 
-  /** No target or group has capacity left. */
+  /**
+   * No target or group has capacity left. Undefined details: nothing is known of
+   * the queue.
+   */
   overloaded(
     call: Call,
-    service: string,
+    request: OverloadedRequest,
     capacity: GroupCapacity | undefined,
+    details: RefusalDetails | undefined,
   ): types.Refusal {
-    this.context.metrics.count('overloads_total', {service});
-    this.context.log.event('requestRefused', {
+    const {metrics, log} = this.context;
+    const {service} = request;
+    const retryMs = this.overloadRetryMs(call, request, details);
+    metrics.count('overloads_total', {service});
+    log.event('requestRefused', {
       request: call.head?.id,
       kind: 'overloaded',
       service,
       isLater: call.isLikelyRetry,
       ...capacity,
+      ...(details && refusalFields(request, details, retryMs)),
     });
-    const retryMs = retryDelays.afterOverload(call.timeLeftMs);
+    if (details !== undefined) {
+      metrics.count('admission_refusals_total', {
+        service,
+        priority: String(request.priority),
+        reason: details.reason,
+      });
+    }
     return {kind: 'not-run', why: 'overloaded', retryMs};
   }
 
+  /**
+   * When a request that comes back then would start, spaced at the rate of the
+   * starts; as without a queue where nothing has started lately.
+   */
+  private overloadRetryMs(
+    call: Call,
+    {service, priority}: OverloadedRequest,
+    details: RefusalDetails | undefined,
+  ): number {
+    const {waitMs, perSecond} = details?.newcomer ?? NO_PREDICTION;
+    if (waitMs === undefined || perSecond <= 0) {
+      return retryDelays.afterOverload(call.timeLeftMs);
+    }
+    const scheduledMs = this.overloadSchedule.nextDelayMs(
+      `${service} ${priority}`,
+      waitMs,
+      SECOND_MS / perSecond,
+      performance.now(),
+    );
+    return retryDelays.afterLimit(scheduledMs, call.callerTimeLeftMs);
+  }
+
   /** The last target refused the request. */
   targetFull(call: Call, service: string): types.Refusal {
     const cause = this.context.targets.unavailabilityOf(
@@ -173,3 +221,21 @@
     };
   }
 }
+
+/** Log fields of a refusal by the admission queue. */
+function refusalFields(
+  {account, priority}: OverloadedRequest,
+  {reason, waitedMs, prediction}: RefusalDetails,
+  retryMs: number,
+): object {
+  const {ahead, waitMs} = prediction;
+  return {
+    priority,
+    account,
+    ahead: totalOf(ahead),
+    waitMs: Math.round(waitedMs),
+    predictedMs: waitMs === undefined ? undefined : Math.round(waitMs),
+    retryMs: Math.round(retryMs),
+    reason,
+  };
+}
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -1,4 +1,5 @@
 /** Sending, retrying and refusing, common to plain requests and streams. */
+import {MIN_TIME_LEFT_MS} from '../admission/timing';
 import type {Call} from './call';
 import * as retryDelays from './retry-delays';
 import * as exchanges from './exchange';
@@ -8,7 +9,6 @@
 import type {RefusalBuilder} from './refusal-builder';
 import {RelayedRequest, digestOf} from './relayed-request';
 import type {RetryBudget} from './retry-budget';
-import * as targetFinder from './target-finder';
 import type {TargetFinder} from './target-finder';
 import * as types from './types';
 
@@ -101,6 +101,7 @@
         ? 0
         : outcomes.failureScoreOf(outcome);
       balancer.end(target, failure, performance.now());
+      call.releasePlace(outcome.kind === 'answered');
     }
     this.context.log.event('requestSent', {
       request: request.head.id,
@@ -206,7 +207,7 @@
       call.lossCount >= MAX_LOSSES ||
       used >= request.route.attempts ||
       call.sendCount >= MAX_SENDS ||
-      call.timeLeftMs < targetFinder.MIN_TIME_LEFT_MS
+      call.timeLeftMs < MIN_TIME_LEFT_MS
     ) {
       return false;
     }
--- a/src/forwarding/stream-relay.ts
+++ b/src/forwarding/stream-relay.ts
@@ -213,6 +213,7 @@
           : 0,
         performance.now(),
       );
+      call.releasePlace(end === 'done');
     }
     if (call.isCallerGone) {
       return 'caller-left';
--- a/src/observability/catalogue.ts
+++ b/src/observability/catalogue.ts
@@ -54,6 +54,11 @@
     level: 'error',
     text: 'request crashes its targets: refused from now on',
   },
+  admissionQueued: {
+    id: 'FC2013',
+    level: 'info',
+    text: 'requests wait for a target',
+  },
   platformUnavailable: {
     id: 'FC3001',
     level: 'warn',
--- a/src/requests/admission.ts
+++ b/src/requests/admission.ts
@@ -6,7 +6,7 @@
  * passes.
  */
 import {Result, fail, ok} from '../result';
-import * as fairQueue from './fair-queue';
+import * as fairQueue from '../admission/fair-queue';
 import {Cooldown} from '../targets/cooldown';
 import * as refusals from './refusals';
 import {RetryReservations} from './retry-reservations';
--- a/src/roles/site-entry.ts
+++ b/src/roles/site-entry.ts
@@ -1,5 +1,6 @@
 /** The entry of a site: forwards callers' requests to the targets that it knows. */
 import * as http from 'node:http';
+import {UnlimitedShares} from '../capacity/types';
 import {TargetConnections} from '../forwarding/target-connections';
 import {LoadBalancer} from '../forwarding/load-balancer';
 import {Forwarder} from '../forwarding/forwarder';
@@ -87,6 +88,7 @@
     this.suspensionDetector.suspensions.subscribe(suspendedMs => {
       this.site.age(suspendedMs);
       this.views.clear();
+      this.forwarder.noteSuspension(suspendedMs);
     });
     this.forwarder = new Forwarder({
       cfg,
@@ -99,6 +101,7 @@
       reach: this.lastContact,
       connections: this.connections,
       crashes: this.site.crashes,
+      shares: new UnlimitedShares(),
       knownEntryCount: () => this.site.knownEntryCount,
       whenRoutable: waitMs => this.site.whenRoutable(waitMs),
       isIsolated: () => this.site.isIsolated(performance.now()),
@@ -170,6 +173,7 @@
   /** Closes at once, also with requests in flight. */
   close(): void {
     this.suspensionDetector.close();
+    this.forwarder.close();
     this.site.close();
     for (const server of this.servers) {
       server.close();
--- a/src/roles/site-settings.ts
+++ b/src/roles/site-settings.ts
@@ -9,6 +9,22 @@
   readonly extra: number;
 }
 
+/** Shares of scarce capacity, as the operator sets them. */
+export interface AdmissionSettings {
+  /** Weights of client accounts among those of a priority; others have 1. */
+  readonly weights: ReadonlyMap<string, number>;
+  /**
+   * Minimum share of the starts that each lower priority gets while several
+   * priorities wait; 0 to 1.
+   */
+  readonly floorShare: number;
+}
+
+export const DEFAULT_ADMISSION: AdmissionSettings = {
+  weights: new Map(),
+  floorShare: 0.1,
+};
+
 export interface SiteSettings {
   readonly id: string;
   /** IP address of the instance. */
@@ -36,6 +52,7 @@
   /** False: while the store is unreachable, keys go on working for longer. */
   readonly isRevocationStrict: boolean;
   readonly retryBudget: RetryBudgetSettings;
+  readonly admission: AdmissionSettings;
   /** Time without progress of a group after which its requests are aborted. */
   readonly stallMs: number;
 }
--- a/src/routes/table.ts
+++ b/src/routes/table.ts
@@ -6,9 +6,15 @@
   private readonly byHost = new Map<string, types.Route[]>();
   private readonly byKey = new Map<string, types.ClientAccount>();
   private readonly byService = new Map<string, types.Service>();
+  private readonly withObjective = new Set<string>();
 
   constructor(readonly snapshot: types.Snapshot) {
     for (const route of snapshot.routes) {
+      for (const {service} of route.services) {
+        if (route.latencyObjectiveMs > 0) {
+          this.withObjective.add(service);
+        }
+      }
       const host = route.host.toLowerCase();
       const routes = this.byHost.get(host) ?? [];
       routes.push(route);
@@ -43,6 +49,11 @@
     return this.byService.get(name);
   }
 
+  /** True if any route of the service has a latency objective. */
+  hasObjective(service: string): boolean {
+    return this.withObjective.has(service);
+  }
+
   /** True if requests of the route must carry the API key of an account. */
   needsKey(route: types.Route): boolean {
     return !route.isPublic && this.snapshot.accounts !== undefined;
