--- a/src/admission/pool-usage.ts
+++ b/src/admission/pool-usage.ts
@@ -7,47 +7,55 @@
   readonly account: string;
 }
 
+interface PoolCount {
+  total: number;
+  /** Requests in flight by account, by priority; without zeros. */
+  readonly byPriority: Map<number, Map<string, number>>;
+}
+
 export class PoolUsage {
-  private readonly counts = new Map<string, Map<string, DemandLine>>();
-  private readonly totals = new Map<string, number>();
+  private readonly pools = new Map<string, PoolCount>();
 
   /** Requests in flight in a pool. */
   inFlight(pool: string): number {
-    return this.totals.get(pool) ?? 0;
+    return this.pools.get(pool)?.total ?? 0;
   }
 
   /** Adds `change` requests in flight. */
-  add(pool: string, key: DemandKey, change: number): void {
-    const total = this.inFlight(pool) + change;
-    const lines = this.counts.get(pool) ?? new Map<string, DemandLine>();
-    const {priority, account} = key;
-    const name = `${priority} ${account}`;
-    const inFlight = (lines.get(name)?.inFlight ?? 0) + change;
-    if (inFlight > 0) {
-      lines.set(name, {priority, account, inFlight, waiting: 0});
-    } else {
-      lines.delete(name);
+  add(pool: string, {priority, account}: DemandKey, change: number): void {
+    let count = this.pools.get(pool);
+    if (count === undefined) {
+      count = {total: 0, byPriority: new Map()};
+      this.pools.set(pool, count);
     }
-    if (total > 0) {
-      this.counts.set(pool, lines);
-      this.totals.set(pool, total);
+    count.total += change;
+    let byAccount = count.byPriority.get(priority);
+    if (byAccount === undefined) {
+      byAccount = new Map();
+      count.byPriority.set(priority, byAccount);
+    }
+    const inFlight = (byAccount.get(account) ?? 0) + change;
+    if (inFlight > 0) {
+      byAccount.set(account, inFlight);
     } else {
-      this.counts.delete(pool);
-      this.totals.delete(pool);
+      byAccount.delete(account);
     }
   }
 
   /** The pool's lines together with those of the waiting requests. */
   demandOf(pool: string, waiting: Iterable<DemandKey>): DemandLine[] {
-    const lines = new Map(this.counts.get(pool) ?? []);
+    const lines = new Map<string, DemandLine>();
+    for (const [priority, byAccount] of this.pools.get(pool)?.byPriority ??
+      []) {
+      for (const [account, inFlight] of byAccount) {
+        const line = {priority, account, inFlight, waiting: 0};
+        lines.set(`${priority} ${account}`, line);
+      }
+    }
     for (const {priority, account} of waiting) {
       const name = `${priority} ${account}`;
-      const line = lines.get(name) ?? {
-        priority,
-        account,
-        inFlight: 0,
-        waiting: 0,
-      };
+      const none = {priority, account, inFlight: 0, waiting: 0};
+      const line = lines.get(name) ?? none;
       lines.set(name, {...line, waiting: line.waiting + 1});
     }
     return [...lines.values()];
--- a/src/forwarding/admission-controller.ts
+++ b/src/forwarding/admission-controller.ts
@@ -12,21 +12,20 @@
   Started,
 } from '../admission/admittee';
 import {PoolUsage} from '../admission/pool-usage';
+import * as queueSummary from '../admission/queue-summary';
 import {RefusalReason, ServiceQueue} from '../admission/service-queue';
 import {totalOf} from '../admission/types';
 import {WaitingSet} from '../admission/waiting-set';
 import type {PoolDemand} from '../capacity/types';
 import {Result, fail, ok} from '../result';
-import * as queueSummary from '../admission/queue-summary';
+import {AdmissionMetrics} from './admission-metrics';
 
 /** Interval of tries while anything waits: permits arrive without notice. */
-export const TICK_MS = 60;
+const TICK_MS = 60;
 /** Interval of the summaries of a service whose requests wait. */
 const SUMMARY_INTERVAL_MS = 1_000;
 /** Maximum tries of a wake-up between ticks that start nothing. */
 const MAX_BLOCKED_TRIES = 8;
-/** Metric label of requests without a client account. */
-const NO_ACCOUNT = 'none';
 
 /** The state of one service. */
 interface ServiceState<V, R> {
@@ -42,11 +41,14 @@
   private readonly usage = new PoolUsage();
   private readonly services = new Map<string, ServiceState<V, R>>();
   private readonly waiting = new WaitingSet<V, R>();
+  private readonly metrics: AdmissionMetrics;
   private timer: NodeJS.Timeout | undefined;
   /** A try is under way: what it changes must not start further ones. */
   private isTrying = false;
 
-  constructor(private readonly context: AdmissionContext<V, R>) {}
+  constructor(private readonly context: AdmissionContext<V, R>) {
+    this.metrics = new AdmissionMetrics(context.metrics);
+  }
 
   /** Requests in flight from this entry in a pool. */
   inFlight(pool: string): number {
@@ -170,10 +172,8 @@
     this.waiting.add(item, settle);
     item.signal.addEventListener('abort', () => this.leave(item), {once: true});
     if (state.hasObjective) {
-      this.countWaiting(item, 1);
-      state.blocked?.pools.forEach(pool =>
-        this.context.shares.noteUse(pool, now),
-      );
+      this.metrics.countWaiting(item, 1);
+      this.noteWaiting(state, now);
     }
     this.enforceBound(now);
     this.schedule();
@@ -244,6 +244,9 @@
     const attempt = this.attempt(state, item, ahead, now);
     if (attempt.kind === 'started') {
       state.queue.order.start(item);
+      if (state.hasObjective) {
+        this.metrics.recordWait(item, now);
+      }
       this.settle(item, ok(this.begin(state, item, attempt, now)));
       return undefined;
     }
@@ -260,13 +263,11 @@
     {value, pool}: Started<V>,
     now: number,
   ): Admitted<V> {
-    const {shares, metrics} = this.context;
     this.usage.add(pool, item, 1);
     queue.noteStart(item, now);
     if (hasObjective) {
-      shares.noteUse(pool, now);
-      metrics.count('admission_starts_total', labelsOf(item));
-      metrics.recordQueueTime(item.account || NO_ACCOUNT, now - item.arrivedAt);
+      this.context.shares.noteUse(pool, now);
+      this.metrics.countStart(item);
     }
     let isReleased = false;
     const release = (isServed: boolean) => {
@@ -331,7 +332,7 @@
   private settle(item: Admittee<V, R>, result: Result<Admitted<V>, R>): void {
     const hasObjective = this.services.get(item.service)?.hasObjective;
     if (this.waiting.settle(item, result) && hasObjective) {
-      this.countWaiting(item, -1);
+      this.metrics.countWaiting(item, -1);
     }
   }
 
@@ -362,6 +363,7 @@
       if (state.queue.size > 0) {
         this.drain(state, now, Infinity);
         this.refuseHopeless(state, now);
+        this.noteWaiting(state, now);
         this.summarize(state, now);
       }
     }
@@ -378,6 +380,12 @@
     }
   }
 
+  /** Tells the sharing of capacity that requests wait. */
+  private noteWaiting(state: ServiceState<V, R>, now: number): void {
+    const pools = state.hasObjective ? state.blocked?.pools : undefined;
+    pools?.forEach(pool => this.context.shares.noteUse(pool, now));
+  }
+
   private summarize(state: ServiceState<V, R>, now: number): void {
     const {service, queue, hasObjective} = state;
     const isDue = now - state.summarizedAt >= SUMMARY_INTERVAL_MS;
@@ -387,12 +395,4 @@
       this.context.log.event('admissionQueued', {service, ...fields});
     }
   }
-
-  private countWaiting(item: Admittee<V, R>, change: number): void {
-    this.context.metrics.count('admission_waiting', labelsOf(item), change);
-  }
-}
-
-function labelsOf(item: {service: string; priority: number}) {
-  return {service: item.service, priority: String(item.priority)};
 }
--- /dev/null
+++ b/src/forwarding/pools.test.ts
@@ -0,0 +1,76 @@
+import {ArrivalOrder} from '../admission/arrival-order';
+import {UnlimitedShares} from '../capacity/types';
+import {Metrics} from '../observability/metrics';
+import {CurrentConfiguration} from '../routes/current';
+import type {Route} from '../routes/types';
+import {AdmissionController} from './admission-controller';
+import type {GroupCapacity} from './group-views';
+import {ForwarderPools} from './pools';
+import {TargetList} from './target-list';
+import type * as types from './types';
+
+describe('the pools of an entry', () => {
+  const targets = new TargetList();
+  const configuration = new CurrentConfiguration();
+  const views = {
+    capacityOf: (_rank: unknown, _engine: unknown, pauseMs: number) =>
+      ({most: pauseMs / 4}) as GroupCapacity,
+  };
+  const admission = new AdmissionController<types.Target, types.Refusal>({
+    shares: new UnlimitedShares(),
+    floorShare: 0.1,
+    hasObjective: () => true,
+    makeOrder: () => new ArrivalOrder(),
+    log: {event: () => undefined},
+    metrics: new Metrics(),
+  });
+  const pools = new ForwarderPools({configuration, targets, views}, admission);
+
+  function target(id: string, service: string, group?: string): types.Target {
+    return {
+      id,
+      lifetime: id,
+      service,
+      address: `${id}:1`,
+      hall: 'h',
+      slots: 6,
+      isLeaving: false,
+      revision: 1,
+      sequence: 1,
+      group,
+      rank: 0,
+    };
+  }
+
+  const route = (service: string, pauseMs: number) =>
+    ({
+      name: `${service} ${pauseMs}`,
+      host: 'h',
+      pathPrefix: '/',
+      services: [{service, weight: 1}],
+      latencyObjectiveMs: 100,
+      pauseMs,
+    }) as unknown as Route;
+
+  // Guards against shares of capacity that targets in a cooldown don't have.
+  it('have the capacity of the usable targets, or of their group', () => {
+    configuration.offer({
+      version: 1,
+      routes: [route('model', 0), route('model', 170), route('model', 150)],
+      services: [
+        {name: 'model', connectionLimit: 1, engine: {} as never},
+        {name: 'plain', connectionLimit: 1, engine: undefined},
+      ],
+      accounts: undefined,
+      limits: {} as never,
+    });
+    const plain = ['a', 'b', 'c'].map(id => target(id, 'plain'));
+    [...plain, target('d', 'model', 'g')].forEach(one => targets.add(one));
+    expect(pools.capacityOf('plain', 0)).toBe(22);
+    targets.startCooldown(plain[0]!, 1_000, 0);
+    expect(pools.capacityOf('plain', 0)).toBe(15);
+    expect(pools.capacityOf('model g', 0)).toBe(37);
+    expect(pools.capacityOf('model other', 0)).toBe(undefined);
+    expect(pools.demandOf('plain')).toEqual([]);
+  });
+});
--- a/src/forwarding/pools.ts
+++ b/src/forwarding/pools.ts
@@ -22,7 +22,7 @@
 export interface PoolsContext {
   readonly configuration: CurrentConfiguration;
   readonly targets: TargetList;
-  readonly views: GroupViews;
+  readonly views: Pick<GroupViews, 'capacityOf'>;
 }
 
 export class ForwarderPools extends PoolSource {
