--- a/src/forwarding/group-choice.test.ts
+++ b/src/forwarding/group-choice.test.ts
@@ -11,6 +11,7 @@
     hall: 'h',
     slots: 7,
     isLeaving: false,
+    coldRemainingMs: 0,
     sequence: 1,
     revision: 1,
     group,
--- a/src/forwarding/group-views.test.ts
+++ b/src/forwarding/group-views.test.ts
@@ -39,6 +39,7 @@
   hall: 'h',
   slots: 7,
   isLeaving: false,
+  coldRemainingMs: 0,
   sequence: 1,
   revision: 1,
   group: 'g',
--- a/src/forwarding/load-balancer-failing.test.ts
+++ b/src/forwarding/load-balancer-failing.test.ts
@@ -22,6 +22,7 @@
   hall: `hall-${at % GROUPS}`,
   slots: 7,
   isLeaving: false,
+  coldRemainingMs: 0,
   sequence: 1,
   revision: 1,
   group: `g${at % GROUPS}`,
--- a/src/forwarding/load-balancer.test.ts
+++ b/src/forwarding/load-balancer.test.ts
@@ -17,6 +17,7 @@
   hall: `hall-${rank % 5}`,
   slots: 6,
   isLeaving: false,
+  coldRemainingMs: 0,
   sequence: 1,
   revision: 1,
   group: 'g',
--- a/src/forwarding/target-list.test.ts
+++ b/src/forwarding/target-list.test.ts
@@ -10,6 +10,7 @@
     hall: 'h',
     slots: 1,
     isLeaving,
+    coldRemainingMs: 0,
     sequence: 1,
     revision: 1,
     group: undefined,
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -24,6 +24,8 @@
   readonly revision: StoreRevision;
   /** Increases with each write of its entry, also across the store's eras. */
   readonly sequence: number;
+  /** Milliseconds for which it was still cold when its entry was written. */
+  readonly coldRemainingMs: number;
   /** Group of lock-step ranks that it belongs to; undefined: none. */
   readonly group: string | undefined;
   /** Its rank in the group; undefined: unknown. */
--- a/src/routes/types.ts
+++ b/src/routes/types.ts
@@ -79,6 +79,10 @@
   readonly name: string;
   /** Maximum connections to one target, from all callers together. */
   readonly connectionLimit: number;
+  /** Milliseconds for which a target is cold after its start; 0: unknown. */
+  readonly coldStartMs: number;
+  /** Requests per second that a cold target accepts; 0: never cold. */
+  readonly coldPerSecond: number;
   readonly engine: EngineParameters | undefined;
 }
 
