Permits by a named method and validity

Cause: cold targets need permits that expire sooner, apart from those of rate-limited targets. Change: RateLimitTracker takes the validity, and LimitCoordinator the RPC method. Result: no behaviour changes.

--- a/src/targets/limit-app.ts
+++ b/src/targets/limit-app.ts
@@ -14,32 +14,39 @@
 });
 export type RateLimitMessage = v.InferOutput<typeof rateLimitSchema>;
 
-/** Requests permits to send to targets, or reports their limits. */
-export const borrow = rpc.method(
-  'limits.borrow',
-  v.object({
-    /** RPC address of the caller. */
-    from: v.string(),
-    asks: v.pipe(
-      v.array(
-        v.object({lifetime: v.string(), word: rateLimitSchema, wanted: whole}),
-      ),
-      v.maxLength(MAX_ASKS),
-    ),
-  }),
-  v.object({
-    /** In the order of the asks. */
-    answers: v.array(
-      v.object({
-        permits: whole,
-        /** Milliseconds until the next request. */
-        waitMs: amount,
-        /** RPC addresses of the issuer and its successors, as seen by the callee. */
-        order: v.pipe(v.array(v.string()), v.minLength(1)),
-        /** Addresses among the first in the order that do not respond. */
-        silent: v.array(v.string()),
-        word: rateLimitSchema,
-      }),
+const paramsSchema = v.object({
+  /** RPC address of the caller. */
+  from: v.string(),
+  asks: v.pipe(
+    v.array(
+      v.object({lifetime: v.string(), word: rateLimitSchema, wanted: whole}),
     ),
-  }),
+    v.maxLength(MAX_ASKS),
+  ),
+});
+
+const resultSchema = v.object({
+  /** In the order of the asks. */
+  answers: v.array(
+    v.object({
+      permits: whole,
+      /** Milliseconds until the next request. */
+      waitMs: amount,
+      /** RPC addresses of the issuer and its successors, as seen by the callee. */
+      order: v.pipe(v.array(v.string()), v.minLength(1)),
+      /** Addresses among the first in the order that do not respond. */
+      silent: v.array(v.string()),
+      word: rateLimitSchema,
+    }),
+  ),
+});
+
+/** Requests permits to send to targets, or reports their limits. */
+export const borrow = rpc.method('limits.borrow', paramsSchema, resultSchema);
+
+/** The same for cold targets, whose limits come from the configuration. */
+export const borrowCold = rpc.method(
+  'limits.borrowCold',
+  paramsSchema,
+  resultSchema,
 );
--- a/src/targets/limit-coordinator.test.ts
+++ b/src/targets/limit-coordinator.test.ts
@@ -5,6 +5,7 @@
 import {PeerRanking} from '../peers/peer-ranking';
 import {fail, ok} from '../result';
 import type {RpcClient} from '../rpc/client';
+import * as app from './limit-app';
 import {RateLimitTracker} from './rate-limit-tracker';
 import {LimitCoordinator} from './limit-coordinator';
 
@@ -41,6 +42,7 @@
       peers: new PeerRanking(address, this.book),
       limits: this.limits,
       log: {event: () => undefined} satisfies Log,
+      method: app.borrow,
       onChange: () => undefined,
     });
     this.exchange.open({
--- a/src/targets/limit-coordinator.ts
+++ b/src/targets/limit-coordinator.ts
@@ -43,6 +43,8 @@
   readonly peers: PeerRanking;
   readonly limits: RateLimitTracker;
   readonly log: Log;
+  /** By which peers request permits from each other. */
+  readonly method: typeof app.borrow;
   /** Called when a peer reports a newer limit. */
   onChange(lifetime: string, change: LimitChange): void;
 }
@@ -66,7 +68,7 @@
 
   /** Answers peers on `server`. */
   open(server: Pick<RpcServer, 'handle'>): void {
-    server.handle(app.borrow, ({from, asks}) => {
+    server.handle(this.context.method, ({from, asks}) => {
       const now = performance.now();
       this.context.peers.markResponsive(from);
       this.hasPeerContact = true;
@@ -207,7 +209,7 @@
 
   /** Undefined if the peer does not answer. */
   private async call(peer: string, requests: readonly PermitRequest[]) {
-    const {rpc, peers} = this.context;
+    const {rpc, peers, method} = this.context;
     const now = performance.now();
     const asks = requests.map(({lifetime, word, wanted}) => ({
       lifetime,
@@ -215,7 +217,7 @@
       wanted,
     }));
     const params = {from: peers.ownAddress, asks};
-    const answer = await rpc.call(peer, app.borrow, params, RPC_TIMEOUT_MS);
+    const answer = await rpc.call(peer, method, params, RPC_TIMEOUT_MS);
     if (!answer.ok) {
       peers.markUnresponsive(peer);
       return undefined;
--- a/src/targets/rate-limit-tracker.ts
+++ b/src/targets/rate-limit-tracker.ts
@@ -43,6 +43,9 @@
   onDemand: () => void = () => undefined;
   private readonly states = new Map<string, LimitState>();
 
+  /** `permitTtlMs`: validity of a permit, counted from its request. */
+  constructor(private readonly permitTtlMs = PERMIT_TTL_MS) {}
+
   /**
    * Applies the limit in an answer to a request sent at `sentAt`. An answer
    * without a limit ends it only if sent after the limit was last advertised, as
@@ -188,7 +191,7 @@
       this.states.delete(lifetime);
       return;
     }
-    const until = requestedAt + PERMIT_TTL_MS;
+    const until = requestedAt + this.permitTtlMs;
     state.permitExpiries = state.permitExpiries.filter(at => at > now);
     for (let at = 0; at < grant.permits; at += 1) {
       state.permitExpiries.push(until);
