Limits on what an entry sends to a cold target

Cause: nothing bounds what all entries together send to a cold target. Answers to requests for permits tell how many processes the peer knows: with different views some entries took equal shares beside permits, 56 and 65 requests in one second where 53 are allowed.

--- a/src/roles/site-settings.ts
+++ b/src/roles/site-settings.ts
@@ -1,4 +1,5 @@
 /** Settings of the processes of a site. */
+import type {WarmUpBounds} from '../targets/warm-up-limit';
 
 /** Limits on the retries that all entries of a site may make together. */
 export interface RetryBudgetSettings {
@@ -38,4 +39,6 @@
   readonly retryBudget: RetryBudgetSettings;
   /** Time without progress of a group after which its requests are aborted. */
   readonly stallMs: number;
+  /** Maximum requests to a cold target, from all entries together. */
+  readonly warmUpBounds: WarmUpBounds;
 }
--- a/src/targets/limit-app.ts
+++ b/src/targets/limit-app.ts
@@ -26,6 +26,8 @@
 });
 
 const resultSchema = v.object({
+  /** Processes known to the callee, itself included. */
+  processes: v.optional(whole, 0),
   /** In the order of the asks. */
   answers: v.array(
     v.object({
--- a/src/targets/limit-coordinator.ts
+++ b/src/targets/limit-coordinator.ts
@@ -45,6 +45,8 @@
   readonly log: Log;
   /** By which peers request permits from each other. */
   readonly method: typeof app.borrow;
+  /** Called with the number of processes that a peer knows, itself included. */
+  onProcessCount?(count: number): void;
   /** Called when a peer reports a newer limit. */
   onChange(lifetime: string, change: LimitChange): void;
 }
@@ -72,7 +74,11 @@
       const now = performance.now();
       this.context.peers.markResponsive(from);
       this.hasPeerContact = true;
-      return {answers: asks.map(ask => this.handleRequest(ask, now))};
+      const processes = 1 + this.context.peers.directory.known.length;
+      return {
+        processes,
+        answers: asks.map(ask => this.handleRequest(ask, now)),
+      };
     });
   }
 
@@ -224,6 +230,7 @@
     }
     peers.markResponsive(peer);
     this.hasPeerContact = true;
+    this.context.onProcessCount?.(answer.value.processes);
     for (const {order, silent} of answer.value.answers) {
       // The peer counts these as responsive; the next call corrects an error.
       peers.markResponsive(...order);
