Cold targets held back where targets are chosen

Cause: three entries sent a cold target 57 to 61 requests in one second (150 a second in all, cold-per-s 5), where 12.5 are allowed. Change: TargetList leaves out cold targets above their limit and counts every send; its rules on when a target may be sent to moved to TargetAvailability. Entries that watch the store call the others when a target has turned cold. The load balancer raises the share after the cold period.

--- a/src/forwarding/load-balancer.ts
+++ b/src/forwarding/load-balancer.ts
@@ -70,6 +70,8 @@
   constructor(
     private readonly hall: string,
     private readonly reports: LoadReports = NO_REPORTS,
+    /** Part of its normal requests that a target gets after a cold period. */
+    private readonly shareOf: (target: Target, now: number) => number = () => 1,
   ) {}
 
   /** Counts a request in flight to a lifetime of a target. */
@@ -106,8 +108,8 @@
   ): Target | undefined {
     let best: Target | undefined;
     let bestScore = Infinity;
-    const free = targets.filter(target => this.hasRoom(target));
-    const freePermitted = permitted.filter(target => this.hasRoom(target));
+    const free = this.drawRising(targets, now);
+    const freePermitted = permitted.filter(one => this.hasRoom(one, now));
     for (const target of [...freePermitted, ...this.candidatesOf(free, now)]) {
       const bonus = permitted.includes(target) ? PERMIT_BONUS : 0;
       const score =
@@ -120,8 +122,26 @@
     return best;
   }
 
-  private hasRoom({lifetime, slots}: Target): boolean {
-    return this.inFlight(lifetime) < slots * MAX_REQUESTS_PER_SLOT;
+  private hasRoom(target: Target, now: number): boolean {
+    const room = target.slots * MAX_REQUESTS_PER_SLOT;
+    const risingRoom = Math.max(room * this.shareOf(target, now), 1);
+    return this.inFlight(target.lifetime) < Math.min(room, risingRoom);
+  }
+
+  /**
+   * Targets with room. One whose share rises is left out of the other choices:
+   * it is idle at first and would get all requests.
+   */
+  private drawRising(
+    targets: readonly Target[],
+    now: number,
+  ): readonly Target[] {
+    const free = targets.filter(target => this.hasRoom(target, now));
+    const drawn = free.filter(target => {
+      const share = this.shareOf(target, now);
+      return share === 1 || random.uniform() < share;
+    });
+    return drawn.length > 0 ? drawn : free;
   }
 
   /** Drops unknown lifetimes that have nothing in flight. */
--- a/src/forwarding/target-list.ts
+++ b/src/forwarding/target-list.ts
@@ -1,8 +1,8 @@
 /**
  * The targets that requests may be sent to. Removes targets that are shutting
  * down or have vanished from the store, except for a grace period after an
- * outage of the store. Holds back targets in cooldown and rate-limited targets
- * without a permit; all senders get their targets from here.
+ * outage of the store. Holds back targets in cooldown, and rate-limited and cold
+ * targets above what these accept; all senders get their targets from here.
  *
  * Lifetimes of a target are ordered by the store's revisions, not by their start
  * times, because the wall clock may jump back. An entry that a store restored
@@ -11,11 +11,18 @@
 import * as bounded from '../bounded';
 import * as grouping from '../grouping';
 import type {RateLimitHeader} from '../http/server-limit';
-import {RateLimitTracker, LimitChange} from '../targets/rate-limit-tracker';
+import type {
+  LimitChange,
+  RateLimitTracker,
+} from '../targets/rate-limit-tracker';
 import * as revisions from '../platform/revisions';
-import {CooldownTracker} from '../targets/cooldown-tracker';
+import {WarmUpChange, WarmUpTracker} from '../targets/warm-up';
+import type {WarmUpBounds} from '../targets/warm-up-limit';
+import {TargetAvailability, Unavailability} from './target-availability';
 import type {Target} from './types';
 
+export type {Unavailability};
+
 /**
  * How long after an outage a target stays usable whose entry lapsed in it. The
  * target has to write its entry again within this time.
@@ -39,21 +46,30 @@
   /** Restarted under the same id. */
   | {readonly kind: 'restarted'; readonly target: Target}
   /** Not in the store, but kept for the grace period after an outage. */
-  | {readonly kind: 'missing'; readonly target: Target};
+  | {readonly kind: 'missing'; readonly target: Target}
+  /** It accepts `perSecond` requests from all entries together for now. */
+  | {
+      readonly kind: 'cold';
+      readonly target: Target;
+      readonly perSecond: number;
+      readonly remainingMs: number;
+      /** It was in use before. */
+      readonly wasWarm: boolean;
+    }
+  | {readonly kind: 'warm'; readonly target: Target; readonly coldMs: number};
 
-/** Why no target of a service may be sent to, although some are listed. */
-export interface Unavailability {
-  /** Milliseconds until the first may be sent to. */
-  readonly waitMs: number;
-  /**
-   * resting: all are in cooldown. returning: at least one is being tried after
-   * its cooldown. limited: some are not in cooldown, but at their rate limits.
-   */
-  readonly reason: 'resting' | 'returning' | 'limited';
-  /** Sum of the rate limits of those not in cooldown, for all entries. */
-  readonly limitPerSecond: number;
+/** What the list uses of its process. */
+export interface TargetListContext {
+  readonly warmUpBounds: WarmUpBounds;
+  /** Known entries of the site, including this one. */
+  knownEntryCount(): number;
 }
 
+const SINGLE_PROCESS: TargetListContext = {
+  warmUpBounds: {overshoot: 1, slack: 0},
+  knownEntryCount: () => 1,
+};
+
 interface ListedTarget {
   target: Target;
   /** Monotonic time at which a missing target is removed. */
@@ -62,8 +78,8 @@
 
 export class TargetList {
   private readonly listed = new Map<string, ListedTarget>();
-  readonly limits = new RateLimitTracker();
-  private readonly cooldowns = new CooldownTracker();
+  readonly warmUp: WarmUpTracker;
+  private readonly availability: TargetAvailability;
   /** Ended lifetimes, oldest first. */
   private readonly ended = new Set<string>();
   /** Last entries of removed lifetimes, oldest first. */
@@ -80,7 +96,22 @@
 
   constructor(
     private readonly onChange: (change: TargetChange) => void = () => undefined,
-  ) {}
+    context: TargetListContext = SINGLE_PROCESS,
+  ) {
+    this.warmUp = new WarmUpTracker(
+      {
+        bounds: context.warmUpBounds,
+        knownProcesses: () => context.knownEntryCount(),
+        onChange: change => this.reportWarmUp(change),
+      },
+      performance.now(),
+    );
+    this.availability = new TargetAvailability(this.warmUp);
+  }
+
+  get limits(): RateLimitTracker {
+    return this.availability.limits;
+  }
 
   /**
    * Replaces the list. `inGrace`: an outage has just ended. `unread`: ids of
@@ -94,7 +125,7 @@
   ): void {
     const listed = new Set(unread);
     targets.forEach(target => listed.add(target.id));
-    targets.forEach(target => this.add(target));
+    targets.forEach(target => this.add(target, now));
     for (const [id, entry] of [...this.listed]) {
       if (!listed.has(id)) {
         this.removeOrExpire(entry, now, inGrace);
@@ -103,7 +134,7 @@
   }
 
   /** Adds or updates a target from its entry; ignores outdated entries. */
-  add(target: Target): void {
+  add(target: Target, now = performance.now()): void {
     const before = this.listed.get(target.id)?.target;
     const isStale =
       this.ended.has(target.lifetime) ||
@@ -126,9 +157,11 @@
     this.removed.delete(target.lifetime);
     this.listed.set(target.id, {target, expiresAt: Infinity});
     this.invalidateCaches();
-    if (before === undefined || isRestarted) {
+    const isNew = before === undefined || isRestarted;
+    if (isNew) {
       this.onChange({kind: 'joined', target});
     }
+    this.warmUp.applyEntry(target, !isNew, now);
   }
 
   /** The entry of a target is gone from the store. */
@@ -178,7 +211,7 @@
   startCooldown(target: Target, ms: number, now: number): boolean {
     return (
       !this.ended.has(target.lifetime) &&
-      this.cooldowns.start(target.lifetime, ms, now)
+      this.availability.startCooldown(target, ms, now)
     );
   }
 
@@ -191,34 +224,27 @@
   ): LimitChange | undefined {
     return this.ended.has(target.lifetime)
       ? undefined
-      : this.limits.applyAdvertised(target.lifetime, header, sentAt, now);
+      : this.availability.noteRateLimit(target, header, sentAt, now);
   }
 
-  /** Those of the targets that are rate-limited and with a permit held. */
+  /** Those of the targets to which a permit is held that expires if unused. */
   withPermit(targets: readonly Target[], now: number): readonly Target[] {
-    return this.limits.size === 0
-      ? []
-      : targets.filter(({lifetime}) => this.limits.hasPermit(lifetime, now));
+    return this.availability.withPermit(targets, now);
   }
 
   /** Requests permits for the targets of a service where these are needed. */
   requestPermits(service: string, now: number): void {
-    if (this.limits.size > 0) {
-      const lifetimes = this.withoutCooldown(service, now).map(
-        one => one.lifetime,
-      );
-      this.limits.requestPermits(lifetimes, now);
-    }
+    const listed = this.listedOf(service, now);
+    this.availability.requestPermits(service, listed, now);
   }
 
   noteSent(target: Target, now: number): void {
-    this.cooldowns.noteSent(target.lifetime, now);
-    this.limits.noteSent(target.lifetime, now);
+    this.availability.noteSent(target, now);
   }
 
   /** A target accepted a request; true if that ends its trial after a cooldown. */
   noteAccepted(target: Target, sentAt: number, now: number): boolean {
-    return this.cooldowns.noteAccepted(target.lifetime, sentAt, now);
+    return this.availability.noteAccepted(target, sentAt, now);
   }
 
   get(id: string): Target | undefined {
@@ -247,66 +273,25 @@
 
   /** Targets of a service that may be sent to now. */
   ofService(service: string, now: number): readonly Target[] {
-    const candidates = this.withoutCooldown(service, now);
-    return this.limits.filterAvailable(
-      candidates,
-      target => target.lifetime,
-      now,
-    );
+    return this.availability.filter(this.listedOf(service, now), now);
   }
 
-  private withoutCooldown(service: string, now: number): readonly Target[] {
-    const listed = this.byServiceAt(now).get(service) ?? [];
-    return this.cooldowns.filterAvailable(
-      listed,
-      target => target.lifetime,
-      now,
-    );
+  private listedOf(service: string, now: number): readonly Target[] {
+    return this.byServiceAt(now).get(service) ?? [];
   }
 
   /** Why all targets of a service are unavailable; undefined: none, or not all. */
   unavailabilityOf(service: string, now: number): Unavailability | undefined {
-    const listed = this.byServiceAt(now).get(service) ?? [];
-    const waits = listed.map(({lifetime}) =>
-      Math.max(
-        this.cooldowns.waitMs(lifetime, now),
-        this.limits.waitMs(lifetime, now),
-      ),
-    );
-    if (waits.length === 0 || waits.includes(0)) {
-      return undefined;
-    }
-    const waitMs = Math.min(...waits);
-    const candidates = this.withoutCooldown(service, now);
-    if (candidates.length > 0) {
-      return {
-        waitMs,
-        reason: 'limited',
-        limitPerSecond: this.totalLimitOf(candidates),
-      };
-    }
-    const areAllInCooldown = listed.every(one =>
-      this.cooldowns.isActive(one.lifetime, now),
-    );
-    return {
-      waitMs,
-      reason: areAllInCooldown ? 'resting' : 'returning',
-      limitPerSecond: 0,
-    };
+    return this.availability.unavailabilityOf(this.listedOf(service, now), now);
   }
 
   /** For a request whose permits go to the requests queued before it. */
   unavailabilityForQueued(service: string, now: number): Unavailability {
-    const limitPerSecond = this.totalLimitOf(this.ofService(service, now));
-    return {waitMs: 0, reason: 'limited', limitPerSecond};
-  }
-
-  /** Sum of the targets' rate limits, in requests per second. */
-  private totalLimitOf(targets: readonly Target[]): number {
-    return targets.reduce(
-      (sum, one) => sum + (this.limits.perSecond(one.lifetime) ?? 0),
-      0,
+    const limitPerSecond = this.availability.totalLimitOf(
+      this.ofService(service, now),
+      now,
     );
+    return {waitMs: 0, reason: 'limited', limitPerSecond};
   }
 
   /** All listed targets. */
@@ -375,13 +360,19 @@
 
   /** Later entries and responses of the lifetime are ignored. */
   private markEnded(lifetime: string): void {
-    this.cooldowns.forget(lifetime);
-    this.limits.forget(lifetime);
+    this.availability.forget(lifetime);
     this.ended.delete(lifetime);
     this.ended.add(lifetime);
     bounded.dropOldest(this.ended, MAX_ENDED_LIFETIMES);
   }
 
+  private reportWarmUp({lifetime, ...change}: WarmUpChange): void {
+    const target = this.all().find(one => one.lifetime === lifetime);
+    if (target !== undefined) {
+      this.onChange({target, ...change});
+    }
+  }
+
   private removeOrExpire(
     entry: ListedTarget,
     now: number,
--- a/src/observability/catalogue.ts
+++ b/src/observability/catalogue.ts
@@ -210,6 +210,16 @@
     level: 'info',
     text: 'group takes requests again',
   },
+  targetCold: {
+    id: 'FC6025',
+    level: 'info',
+    text: 'target is cold: receives a limited rate',
+  },
+  targetWarm: {
+    id: 'FC6026',
+    level: 'info',
+    text: 'target is no longer cold',
+  },
   mapChangeStarted: {id: 'FC7001', level: 'info', text: 'map change started'},
   mapChangeCommitted: {
     id: 'FC7002',
--- a/src/roles/site-entry.ts
+++ b/src/roles/site-entry.ts
@@ -83,7 +83,11 @@
       },
       inFlight: lifetime => this.balancer.inFlight(lifetime),
     });
-    this.balancer = new LoadBalancer(cfg.hall, this.views);
+    this.balancer = new LoadBalancer(cfg.hall, this.views, ({lifetime}, now) =>
+      targets.warmUp.shareOf(lifetime, now),
+    );
+    targets.warmUp.onDelay = service =>
+      this.metrics.count('cold_delays_total', {service});
     this.suspensionDetector.suspensions.subscribe(suspendedMs => {
       this.site.age(suspendedMs);
       this.views.clear();
--- a/src/roles/site-follower.ts
+++ b/src/roles/site-follower.ts
@@ -5,12 +5,14 @@
  */
 import * as rxjs from 'rxjs';
 import {CrashCoordinator} from '../crashes/crash-coordinator';
+import * as limitApp from '../targets/limit-app';
 import {LimitCoordinator} from '../targets/limit-coordinator';
 import {TargetChange, TargetList} from '../forwarding/target-list';
 import type {Target} from '../forwarding/types';
 import type {SuspensionDetector} from '../suspension-detector';
 import type {Log} from '../observability/log';
 import * as peersApp from '../peers/app';
+import {ColdNotices} from '../peers/cold-notices';
 import {KindReplica} from '../peers/kind-replica';
 import {PeerDirectory} from '../peers/peer-directory';
 import {PeerPoller} from '../peers/peer-poller';
@@ -74,7 +76,7 @@
 
 export class SiteFollower {
   readonly configuration = new CurrentConfiguration();
-  readonly targets = new TargetList(change => this.logTargetChange(change));
+  readonly targets: TargetList;
   private loops: WatchLoops | undefined;
   private readonly watcherElection: election.WatcherElection;
   private readonly configurationReplica: KindReplica;
@@ -89,6 +91,11 @@
   private readonly peerDirectory: PeerDirectory;
   private readonly peerPoller: PeerPoller;
   private readonly limits: LimitCoordinator;
+  /** Issues permits for cold targets. */
+  private readonly coldLimits: LimitCoordinator;
+  private readonly coldNotices: ColdNotices;
+  /** Ids of targets in use that have turned cold in the update being applied. */
+  private readonly turnedCold = new Set<string>();
   readonly crashes: CrashCoordinator;
   /** Replays to late subscribers. */
   private readonly becameRoutable = new rxjs.ReplaySubject<void>(1);
@@ -99,6 +106,10 @@
   constructor(private readonly context: SiteFollowerContext) {
     const {documents, cfg} = context;
     const {configurationKind, targetsKind, emptiedHallsKind} = documents;
+    this.targets = new TargetList(change => this.logTargetChange(change), {
+      warmUpBounds: cfg.warmUpBounds,
+      knownEntryCount: () => this.knownEntryCount,
+    });
     this.watcherElection = new election.WatcherElection(context.rpcAddress);
     this.configurationReplica = new KindReplica(configurationKind, object => {
       const read = this.readSnapshot(object);
@@ -122,11 +133,30 @@
       peers,
       limits: this.targets.limits,
       log: context.log,
+      method: limitApp.borrow,
       onChange: (lifetime, change) => {
         const event = change === 'ended' ? 'limitEnded' : 'targetLimited';
         context.log.event(event, {target: lifetime, by: 'peer'});
       },
     });
+    const {permits} = this.targets.warmUp;
+    this.coldLimits = new LimitCoordinator({
+      rpc: context.rpc,
+      peers,
+      limits: permits,
+      log: context.log,
+      method: limitApp.borrowCold,
+      onProcessCount: count =>
+        this.targets.warmUp.notePeerCount(count, performance.now()),
+      // A late answer about a target that is no longer cold.
+      onChange: (lifetime, change) =>
+        change === 'named' && permits.forget(lifetime),
+    });
+    this.coldNotices = new ColdNotices(
+      context.rpc,
+      context.rpcAddress,
+      this.peerDirectory,
+    );
     this.peerPoller = new PeerPoller({
       rpc: context.rpc,
       directory: this.peerDirectory,
@@ -192,6 +222,7 @@
     this.replicas.forEach(replica => replica.age(suspendedMs));
     this.context.lastContact.age(suspendedMs);
     this.limits.handleResume();
+    this.coldLimits.handleResume();
     this.context.log.event('instanceSuspended', {
       lostMs: Math.round(suspendedMs),
     });
@@ -212,6 +243,8 @@
       return {kinds, peers: this.peerDirectory.chooseToShare(), convicted};
     });
     this.limits.open(server);
+    this.coldLimits.open(server);
+    this.coldNotices.open(server, items => this.applyColdNotice(items));
     this.crashes.open(server);
     this.watch();
     this.peerPoller.start();
@@ -220,6 +253,7 @@
   close(): void {
     this.stopWatching();
     this.limits.close();
+    this.coldLimits.close();
     this.crashes.close();
     this.drainedHalls.close();
     this.peerPoller.close();
@@ -370,6 +404,7 @@
     }
     const {version, limits, services, routes} = read.value;
     if (this.configuration.offer(read.value)) {
+      this.targets.warmUp.setServices(services, performance.now());
       this.targets.setKnownServices([
         ...services.map(one => one.name),
         ...routes.flatMap(one => one.services.map(part => part.service)),
@@ -408,6 +443,12 @@
       return;
     }
     this.applyTargetsEvent(event, inGrace);
+    if (event.kind !== 'contact') {
+      const {items} = event.listing;
+      this.coldNotices.send(
+        items.filter(({key}) => this.turnedCold.has(objects.nameOf(key))),
+      );
+    }
     if (event.kind !== 'contact' && this.graceUntil === Infinity) {
       this.graceUntil = performance.now() + OUTAGE_GRACE_MS;
       this.context.log.event('platformBack', {targets: this.targets.size});
@@ -422,13 +463,14 @@
     const now = performance.now();
     const {items, removed, revision} = event.listing;
     const {found, unread} = this.readTargets(items);
+    this.turnedCold.clear();
     const isRolledBack = this.detectRollback(revision, now);
     if (event.kind === 'listed') {
       // An older copy may lack targets that will write their documents again.
       const mayReturn = inGrace || isRolledBack;
       this.targets.replaceAll(found, now, mayReturn, unread);
     } else {
-      found.forEach(target => this.targets.add(target));
+      found.forEach(target => this.targets.add(target, now));
       removed.forEach(key =>
         this.targets.remove(objects.nameOf(key), now, inGrace),
       );
@@ -438,6 +480,16 @@
     this.context.onTargets();
   }
 
+  /** A peer has read from the store that listed targets have turned cold. */
+  private applyColdNotice(items: readonly objects.StoredObject[]): void {
+    const now = performance.now();
+    this.readTargets(items)
+      .found.filter(
+        ({id, lifetime}) => this.targets.get(id)?.lifetime === lifetime,
+      )
+      .forEach(target => this.targets.add(target, now));
+  }
+
   /** True if the store was restored from an older copy since the last update. */
   private detectRollback(revision: StoreRevision, now: number): boolean {
     const era = revisions.eraOf(revision);
@@ -487,6 +539,25 @@
         return;
       case 'missing':
         log.event('targetMissing', fields);
+        return;
+      case 'cold':
+        if (change.wasWarm) {
+          this.turnedCold.add(id);
+        }
+        log.event('targetCold', {
+          target: id,
+          service,
+          perSecond: change.perSecond,
+          remainingMs: Math.round(change.remainingMs),
+          wasWarm: change.wasWarm,
+        });
+        return;
+      case 'warm':
+        log.event('targetWarm', {
+          target: id,
+          service,
+          coldMs: Math.round(change.coldMs),
+        });
     }
   }
 }
