Permits of cold targets kept apart from unreachable peers

Cause: entries that are cut off from each other each have an issuer of permits: 65 requests in one second to a cold target where 53 are allowed (3 entries, cold-per-s 32, one cut off). Change: the issuer of a cold target's permits calls all peers once a second and issues the part of the rate of those it has been in contact with; the simulated network of the coordinator's tests is shared with those of cold targets. Result: bound kept with 1 and 8 of 17, and 1 of 3 entries cut off for 30 s.

--- a/src/roles/site-follower.ts
+++ b/src/roles/site-follower.ts
@@ -7,6 +7,7 @@
 import {CrashCoordinator} from '../crashes/crash-coordinator';
 import * as limitApp from '../targets/limit-app';
 import {LimitCoordinator} from '../targets/limit-coordinator';
+import {PeerReach} from '../targets/peer-reach';
 import {TargetChange, TargetList} from '../forwarding/target-list';
 import type {Target} from '../forwarding/types';
 import type {SuspensionDetector} from '../suspension-detector';
@@ -139,18 +140,18 @@
         context.log.event(event, {target: lifetime, by: 'peer'});
       },
     });
-    const {permits} = this.targets.warmUp;
+    const {warmUp} = this.targets;
     this.coldLimits = new LimitCoordinator({
       rpc: context.rpc,
       peers,
-      limits: permits,
+      limits: warmUp.permits,
       log: context.log,
       method: limitApp.borrowCold,
-      onProcessCount: count =>
-        this.targets.warmUp.notePeerCount(count, performance.now()),
+      reach: new PeerReach(now => warmUp.countAt(now).known),
+      onProcessCount: count => warmUp.notePeerCount(count, performance.now()),
       // A late answer about a target that is no longer cold.
       onChange: (lifetime, change) =>
-        change === 'named' && permits.forget(lifetime),
+        change === 'named' && warmUp.permits.forget(lifetime),
     });
     this.coldNotices = new ColdNotices(
       context.rpc,
--- a/src/targets/limit-coordinator.test.ts
+++ b/src/targets/limit-coordinator.test.ts
@@ -3,11 +3,10 @@
 import type {Log} from '../observability/log';
 import {PeerDirectory} from '../peers/peer-directory';
 import {PeerRanking} from '../peers/peer-ranking';
-import {fail, ok} from '../result';
-import type {RpcClient} from '../rpc/client';
 import * as app from './limit-app';
 import {RateLimitTracker} from './rate-limit-tracker';
 import {LimitCoordinator} from './limit-coordinator';
+import {Network, NetworkNode} from './network-kit';
 
 const TARGET = 'target-1';
 const WINDOW_MS = 4_000;
@@ -17,25 +16,22 @@
 const LIMIT_GRACE_MS = 500;
 const STEP_MS = 10;
 
-type Handler = (params: unknown, peer: unknown) => unknown;
-
 /** An entry that sends whenever it may. */
-class SimulatedEntry {
+class SimulatedEntry extends NetworkNode {
   readonly limits = new RateLimitTracker();
   /** Its requests count towards the limit from this monotonic time on. */
   countedFrom = -Infinity;
-  isFrozen = false;
   /** Monotonic time of its first request, which tells it the limit. */
   firstSentAt = Infinity;
-  handler: Handler | undefined;
   readonly book: PeerDirectory;
   readonly exchange: LimitCoordinator;
 
   constructor(
-    readonly address: string,
+    address: string,
     seeds: readonly string[],
-    network: Network,
+    network: Network<SimulatedEntry>,
   ) {
+    super(address);
     this.book = new PeerDirectory(address, seeds);
     this.exchange = new LimitCoordinator({
       rpc: {call: network.callFrom(this)},
@@ -45,9 +41,7 @@
       method: app.borrow,
       onChange: () => undefined,
     });
-    this.exchange.open({
-      handle: (_, handler) => void (this.handler = handler as Handler),
-    });
+    this.exchange.open({handle: this.handle});
   }
 
   /** Excludes its requests during a fault and SETTLE_MS after it. */
@@ -57,60 +51,9 @@
   }
 }
 
-class Network {
-  readonly entries = new Map<string, SimulatedEntry>();
-  /** Monotonic time until which an entry is disconnected. */
-  private readonly cutUntil = new Map<string, number>();
-  calls = 0;
-  lossShare = 0;
-
-  add(address: string, seeds: readonly string[]): SimulatedEntry {
-    const entry = new SimulatedEntry(address, seeds, this);
-    this.entries.set(address, entry);
-    return entry;
-  }
-
-  cut(address: string, ms: number): void {
-    const until = performance.now() + ms;
-    const before = this.cutUntil.get(address) ?? 0;
-    this.cutUntil.set(address, Math.max(before, until));
-    this.entries.get(address)!.excludeFor(ms);
-  }
-
-  private isCut(address: string): boolean {
-    return performance.now() < (this.cutUntil.get(address) ?? 0);
-  }
-
-  callFrom(from: SimulatedEntry): RpcClient['call'] {
-    return async (address, _method, params, timeoutMs = SECOND_MS) => {
-      const sleep = (ms: number) =>
-        new Promise(resolve => setTimeout(resolve, ms));
-      const startedAt = performance.now();
-      this.calls += 1;
-      await sleep(1 + random.uniform() * 10);
-      const to = this.entries.get(address);
-      const isLost =
-        to === undefined ||
-        to.isFrozen ||
-        this.isCut(from.address) ||
-        this.isCut(address) ||
-        random.uniform() < this.lossShare;
-      if (!isLost) {
-        const result = to.handler!(params, {address: ''});
-        await sleep(1 + random.uniform() * 10);
-        if (!from.isFrozen && random.uniform() >= this.lossShare) {
-          return ok(result as never);
-        }
-      }
-      await sleep(Math.max(timeoutMs - (performance.now() - startedAt), 0));
-      return fail({kind: 'unreachable', sent: true});
-    };
-  }
-}
-
 /** Entries and the times of their counted requests. */
 class Site {
-  readonly network = new Network();
+  readonly network = new Network<SimulatedEntry>();
   readonly sent: number[] = [];
   perSecond = 2;
   private readonly addresses: string[];
@@ -118,12 +61,22 @@
   constructor(count: number, seedsOf: (all: readonly string[]) => string[]) {
     this.addresses = Array.from({length: count}, (_, at) => `10.0.${at}.1:7`);
     this.addresses.forEach(address =>
-      this.network.add(address, seedsOf(this.addresses)),
+      this.add(address, seedsOf(this.addresses)),
     );
   }
 
   get all(): SimulatedEntry[] {
-    return [...this.network.entries.values()];
+    return this.network.all;
+  }
+
+  add(address: string, seeds: readonly string[]): SimulatedEntry {
+    return this.network.add(new SimulatedEntry(address, seeds, this.network));
+  }
+
+  /** Disconnects an entry. */
+  cut(address: string, ms: number): void {
+    this.network.cut(address, ms);
+    this.network.nodes.get(address)!.excludeFor(ms);
   }
 
   async run(ms: number, perEntryASecond = 20): Promise<void> {
@@ -227,7 +180,7 @@
     await site.run(SETTLE_MS + 5_000);
     const seeds = site.all.slice(0, 3).map(one => one.address);
     for (let at = 0; at < 20; at += 1) {
-      site.network.add(`10.1.${at}.1:7`, seeds);
+      site.add(`10.1.${at}.1:7`, seeds);
     }
     await site.run(15_000);
     expectLimitHeld(site, startedAt + SETTLE_MS);
@@ -262,7 +215,7 @@
     const startedAt = performance.now();
     await site.run(SETTLE_MS + 4_000);
     for (const {address} of site.all) {
-      site.network.cut(address, 8_000);
+      site.cut(address, 8_000);
       await site.run(8_000 + SETTLE_MS);
     }
     expectLimitHeld(site, startedAt + SETTLE_MS);
@@ -301,13 +254,13 @@
           faulty.excludeFor(lastsMs);
           setTimeout(() => (faulty.isFrozen = false), lastsMs);
         } else if (fault === 1) {
-          site.network.cut(address, lastsMs);
+          site.cut(address, lastsMs);
         } else if (fault === 2) {
           faulty.exchange.close();
           const seeds = site.all.slice(0, 3).map(one => one.address);
-          site.network.add(address, seeds).excludeFor(0);
+          site.add(address, seeds).excludeFor(0);
         } else {
-          site.network.add(`10.2.${turn}.1:7`, [site.all[0]!.address]);
+          site.add(`10.2.${turn}.1:7`, [site.all[0]!.address]);
         }
         await site.run(random.integerBelow(4_000));
       }
--- a/src/targets/limit-coordinator.ts
+++ b/src/targets/limit-coordinator.ts
@@ -12,6 +12,7 @@
 import type {RpcClient} from '../rpc/client';
 import type {RpcServer} from '../rpc/server';
 import * as app from './limit-app';
+import type {PeerReach} from './peer-reach';
 import type {
   RateLimitTracker,
   LimitChange,
@@ -45,6 +46,11 @@
   readonly log: Log;
   /** By which peers request permits from each other. */
   readonly method: typeof app.borrow;
+  /**
+   * Given where a limit must hold for processes that can't reach each other: the
+   * issuer then calls all peers, and issues the part of those that it reaches.
+   */
+  readonly reach?: PeerReach;
   /** Called with the number of processes that a peer knows, itself included. */
   onProcessCount?(count: number): void;
   /** Called when a peer reports a newer limit. */
@@ -73,6 +79,7 @@
     server.handle(this.context.method, ({from, asks}) => {
       const now = performance.now();
       this.context.peers.markResponsive(from);
+      this.context.reach?.note(from, now);
       this.hasPeerContact = true;
       const processes = 1 + this.context.peers.directory.known.length;
       return {
@@ -229,6 +236,7 @@
       return undefined;
     }
     peers.markResponsive(peer);
+    this.context.reach?.note(peer, performance.now());
     this.hasPeerContact = true;
     this.context.onProcessCount?.(answer.value.processes);
     for (const {order, silent} of answer.value.answers) {
@@ -274,7 +282,8 @@
     now: number,
   ): PermitGrant {
     const isNew = !this.isIssuing(lifetime);
-    const granted = this.issuer.grant(lifetime, word, wanted, now);
+    const share = this.context.reach?.share(now);
+    const granted = this.issuer.grant(lifetime, word, wanted, now, share);
     if (isNew) {
       this.context.log.event('limitLent', {
         lifetime,
@@ -301,8 +310,15 @@
   /** Announces this process as the issuer to peers that might issue too. */
   private heartbeat(): void {
     const now = performance.now();
-    for (const [lifetime, word] of this.issuer.heartbeat(now)) {
-      this.announce(lifetime, word, now);
+    const issued = this.issuer.heartbeat(now);
+    issued.forEach(([lifetime, word]) => this.announce(lifetime, word, now));
+    const [first] = issued;
+    if (this.context.reach !== undefined && first !== undefined) {
+      const [lifetime, word] = first;
+      const requests = [{lifetime, word, wanted: 0}];
+      this.context.peers.directory.known.forEach(
+        peer => void this.call(peer, requests),
+      );
     }
     const hasLimits = !this.isClosed && this.issuer.size > 0;
     this.heartbeatTimer = hasLimits ? this.scheduleHeartbeat() : undefined;
--- a/src/targets/network-kit.ts
+++ b/src/targets/network-kit.ts
@@ -33,6 +33,8 @@
   readonly nodes = new Map<string, N>();
   /** Monotonic time until which an entry is disconnected. */
   private readonly cutUntil = new Map<string, number>();
+  /** Entries that can reach each other, but not the rest. */
+  private part = new Set<string>();
   calls = 0;
   /** Share of the messages that are lost. */
   lossShare = 0;
@@ -52,7 +54,12 @@
     this.cutUntil.set(address, Math.max(before, until));
   }
 
-  isCut(address: string): boolean {
+  /** Separates the addresses from the others; empty: nobody. */
+  split(addresses: readonly string[]): void {
+    this.part = new Set(addresses);
+  }
+
+  private isCut(address: string): boolean {
     return performance.now() < (this.cutUntil.get(address) ?? 0);
   }
 
@@ -70,6 +77,7 @@
         to.isFrozen ||
         this.isCut(from.address) ||
         this.isCut(address) ||
+        this.part.has(from.address) !== this.part.has(address) ||
         random.uniform() < this.lossShare;
       if (!isLost) {
         const result = to.answer(method.name, params);
--- a/src/targets/permit-issuer.ts
+++ b/src/targets/permit-issuer.ts
@@ -54,13 +54,14 @@
 
   /**
    * Grants up to `wanted` permits; `word` is the limit known to the requesting
-   * process.
+   * process, `share` the part of it that this process issues.
    */
   grant(
     lifetime: string,
     word: RateLimit,
     wanted: number,
     now: number,
+    share = 1,
   ): PermitGrant {
     if (now - this.lastHeartbeatAt > HEARTBEAT_TIMEOUT_MS) {
       this.restart(now);
@@ -72,7 +73,7 @@
     if (perSecond === undefined) {
       return {permits: 0, waitMs: 0, word: bucket.limit};
     }
-    const rate = Math.max(perSecond, MIN_RATE_PER_SECOND);
+    const rate = Math.max(perSecond * share, MIN_RATE_PER_SECOND);
     refill(bucket, rate, now);
     const permits = Math.min(Math.floor(bucket.tokens), wanted);
     bucket.tokens -= permits;
--- a/src/targets/warm-up.test.ts
+++ b/src/targets/warm-up.test.ts
@@ -5,6 +5,7 @@
 import * as app from './limit-app';
 import {LimitCoordinator} from './limit-coordinator';
 import {Network, NetworkNode} from './network-kit';
+import {PeerReach} from './peer-reach';
 import {WarmUpChange, WarmUpTracker} from './warm-up';
 
 const SECOND_MS = 1_000;
@@ -48,6 +49,7 @@
       limits: this.warmUp.permits,
       log: {event: () => undefined},
       method: app.borrowCold,
+      reach: new PeerReach(at => this.warmUp.countAt(at).known),
       onProcessCount: known =>
         this.warmUp.notePeerCount(known, performance.now()),
       onChange: () => undefined,
@@ -227,6 +229,27 @@
     30_000,
   );
 
+  // Each part has an issuer of its own, and none knows of the other.
+  it.each([
+    [5, 17, 1],
+    [5, 17, 8],
+    [32, 17, 8],
+    [5, 3, 1],
+    [32, 3, 1],
+  ])(
+    'keep to the bound while some are cut off: %d per second, %d entries, %d of them',
+    async (perSecond, count, cutOff) => {
+      site = new Site(perSecond, count, all);
+      await site.run(SETTLE_MS);
+      const [first, ...others] = site.addresses;
+      site.network.split([first!, ...others.slice(0, cutOff - 1)]);
+      await site.run(30_000);
+      site.network.split([]);
+      await site.run(10_000);
+      site.expectBoundHeld();
+    },
+  );
+
   it('start a service that is all cold without a wait', async () => {
     const LOAD_PER_SECOND = 157;
     site = new Site(32, 14, three);
@@ -286,17 +309,17 @@
   it('does not start again when the same entry is read again', () => {
     warmUp.applyEntry(entry, false, 0);
     warmUp.applyEntry(entry, true, 3_000);
-    expect(warmUp.isCold(TARGET, 3_999)).toBe(true);
+    expect(warmUp.perSecond(TARGET, 3_999)).toBe(32);
     expect(kinds(4_000)).toEqual(['cold', 'warm']);
     warmUp.applyEntry(entry, true, 9_000);
-    expect(warmUp.isCold(TARGET, 9_000)).toBe(false);
+    expect(warmUp.perSecond(TARGET, 9_000)).toBeUndefined();
   });
 
   it('starts again with a later entry, then without a request at once', () => {
     warmUp.applyEntry(entry, false, 0);
     expect(warmUp.waitMs(TARGET, 0)).toBe(0);
     warmUp.applyEntry({...entry, sequence: 2, coldRemainingMs: 0}, true, 1_000);
-    expect(warmUp.isCold(TARGET, 1_000)).toBe(false);
+    expect(warmUp.perSecond(TARGET, 1_000)).toBeUndefined();
     warmUp.applyEntry({...entry, sequence: 3}, true, 20_000);
     expect(warmUp.waitMs(TARGET, 20_000)).toBeGreaterThan(400);
     expect(kinds(24_000)).toEqual(['cold', 'warm', 'cold', 'warm']);
@@ -314,11 +337,11 @@
   it('ends with the lifetime, and is none without a rate', () => {
     warmUp.applyEntry(entry, false, 0);
     warmUp.setServices([], 10);
-    expect(warmUp.isCold(TARGET, 10)).toBe(false);
+    expect(warmUp.perSecond(TARGET, 10)).toBeUndefined();
     expect(warmUp.shareOf(TARGET, 4_100)).toBe(1);
     warmUp.applyEntry({...entry, sequence: 2}, true, 20);
     warmUp.forget(TARGET);
-    expect(warmUp.isCold(TARGET, 30)).toBe(false);
+    expect(warmUp.perSecond(TARGET, 30)).toBeUndefined();
     expect(kinds(30)).toEqual(['cold', 'warm']);
   });
 });
--- a/src/targets/warm-up.ts
+++ b/src/targets/warm-up.ts
@@ -139,12 +139,6 @@
     this.counter.note(count, now);
   }
 
-  /** True if a limit holds for the target now. */
-  isCold(lifetime: string, now: number): boolean {
-    const state = this.states.get(lifetime);
-    return state !== undefined && this.rateAt(state, now) > 0;
-  }
-
   /** The targets that a request may be sent to now. */
   filterAvailable<T>(
     targets: readonly T[],
@@ -189,8 +183,9 @@
 
   /** Part of its normal requests that a target gets, up to 1. */
   shareOf(lifetime: string, now: number): number {
-    const state = this.states.get(lifetime);
-    if (now >= this.activeUntil || state === undefined || now < state.until) {
+    const state =
+      now < this.activeUntil ? this.states.get(lifetime) : undefined;
+    if (state === undefined || now < state.until) {
       return 1;
     }
     const riseMs = this.riseMs(state);
@@ -208,6 +203,16 @@
     return now < this.activeUntil;
   }
 
+  /** Processes that may send, as far as this one knows. */
+  countAt(now: number): ProcessCount {
+    if (now !== this.countedAt) {
+      this.counter.note(this.context.knownProcesses(), now);
+      this.count = this.counter.count(now);
+      this.countedAt = now;
+    }
+    return this.count;
+  }
+
   /** The limit in force; undefined if the target is not cold. */
   private limitOf(lifetime: string, now: number): WarmUpLimit | undefined {
     const state =
@@ -231,15 +236,6 @@
     return state.limit;
   }
 
-  private countAt(now: number): ProcessCount {
-    if (now !== this.countedAt) {
-      this.counter.note(this.context.knownProcesses(), now);
-      this.count = this.counter.count(now);
-      this.countedAt = now;
-    }
-    return this.count;
-  }
-
   /** Requests per second that it accepts while cold; 0 if it is not. */
   private rateAt(state: LifetimeState, now: number): number {
     return now < state.until ? this.rateOf(state) : 0;
