--- a/src/forwarding/load-balancer.test.ts
+++ b/src/forwarding/load-balancer.test.ts
@@ -101,3 +101,27 @@
     expect(simulateEntries()).toBeLessThan(0.005);
   });
 });
+
+// An idle target would get all requests that wait.
+describe('choosing a target whose share rises after a cold period', () => {
+  it.each([0.1, 0.5])('gives it a part of the requests: %d', share => {
+    random.seed(12);
+    const [rising, ...others] = ranks.slice(0, 3);
+    const balancer = new LoadBalancer('hall-0', undefined, target =>
+      target === rising ? share : 1,
+    );
+    others.forEach(one => balancer.begin(one.lifetime));
+    const chosen = Array.from({length: 1_000}, () =>
+      balancer.choose([rising!, ...others], 0),
+    );
+    const got = chosen.filter(one => one === rising).length / chosen.length;
+    expect(got).toBeGreaterThan(0.8 * share);
+    expect(got).toBeLessThan(1.2 * share);
+    // It takes nothing beyond its part of the room when the others are full.
+    for (let sent = 0; sent < Math.ceil(9 * share); sent += 1) {
+      expect(balancer.choose([rising!], 0)).toBe(rising);
+      balancer.begin(rising!.lifetime);
+    }
+    expect(balancer.choose([rising!], 0)).toBeUndefined();
+  });
+});
--- a/src/forwarding/target-list.test.ts
+++ b/src/forwarding/target-list.test.ts
@@ -177,4 +177,29 @@
     });
     expect(ids(list, 3_301)).toEqual(['a']);
   });
+
+  // All senders ask here, so every send to a cold target is counted.
+  it('leaves out a cold target between the sends that it accepts', () => {
+    const context = {
+      warmUpBounds: {overshoot: 1.5, slack: 5},
+      knownEntryCount: () => 16,
+    };
+    const list = new TargetList(undefined, context);
+    const service = {name: 's', coldStartMs: 0, coldPerSecond: 32};
+    list.warmUp.setServices([service], 0);
+    list.replaceAll([{...target('a'), coldRemainingMs: 9_000}], 0, false);
+    expect(ids(list, 10)).toEqual(['a']);
+    list.noteSent(target('a'), 10);
+    expect(list.unavailabilityOf('s', 10)).toEqual({
+      waitMs: 500,
+      reason: 'limited',
+      limitPerSecond: 32,
+    });
+    list.add({...target('b'), coldRemainingMs: 0}, 20);
+    expect(ids(list, 20)).toEqual(['b']);
+    expect(ids(list, 510)).toEqual(['a', 'b']);
+    list.noteSent(target('a'), 510);
+    list.add({...target('a'), lifetime: 'a@2', revision: 2}, 520);
+    expect(ids(list, 520)).toEqual(['b', 'a']);
+  });
 });
