--- a/src/forwarding/group-feedback.test.ts
+++ b/src/forwarding/group-feedback.test.ts
@@ -50,6 +50,7 @@
   address: `10.0.0.${rank}:1`,
   hall: 'h',
   slots: ENGINE.slots,
+  coldRemainingMs: 0,
   isLeaving: false,
   sequence: 1,
   revision: 1,
--- a/src/forwarding/pools.test.ts
+++ b/src/forwarding/pools.test.ts
@@ -35,6 +35,7 @@
       address: `${id}:1`,
       hall: 'h',
       slots: 6,
+      coldRemainingMs: 0,
       isLeaving: false,
       revision: 1,
       sequence: 1,
@@ -59,8 +60,8 @@
       version: 1,
       routes: [route('model', 0), route('model', 170), route('model', 150)],
       services: [
-        {name: 'model', connectionLimit: 1, engine: {} as never},
-        {name: 'plain', connectionLimit: 1, engine: undefined},
+        {name: 'model', engine: {}} as never,
+        {name: 'plain'} as never,
       ],
       accounts: undefined,
       limits: {} as never,
--- a/src/roles/site-entry.ts
+++ b/src/roles/site-entry.ts
@@ -89,7 +89,11 @@
         metrics.recordDuration('predicted_pass', 'none', group!, passMs);
       },
     });
-    this.balancer = new LoadBalancer(cfg.hall, this.views);
+    this.balancer = new LoadBalancer(cfg.hall, this.views, ({lifetime}, now) =>
+      targets.warmUp.shareOf(lifetime, now),
+    );
+    targets.warmUp.onDelay = service =>
+      this.metrics.count('cold_delays_total', {service});
     this.suspensionDetector.suspensions.subscribe(suspendedMs => {
       this.site.age(suspendedMs);
       this.views.clear();
--- a/src/targets/limit-coordinator.ts
+++ b/src/targets/limit-coordinator.ts
@@ -12,6 +12,7 @@
 import type {RpcClient} from '../rpc/client';
 import type {RpcServer} from '../rpc/server';
 import * as app from './limit-app';
+import type {PeerReach} from './peer-reach';
 import type {
   RateLimitTracker,
   LimitChange,
@@ -43,6 +44,15 @@
   readonly peers: PeerRanking;
   readonly limits: RateLimitTracker;
   readonly log: Log;
+  /** By which peers request permits from each other. */
+  readonly method: typeof app.borrow;
+  /**
+   * Given where a limit must hold for processes that can't reach each other: the
+   * issuer then calls all peers, and issues the part of those that it reaches.
+   */
+  readonly reach?: PeerReach;
+  /** Called with the number of processes that a peer knows, itself included. */
+  onProcessCount?(count: number): void;
   /** Called when a peer reports a newer limit. */
   onChange(lifetime: string, change: LimitChange): void;
 }
@@ -66,11 +76,16 @@
 
   /** Answers peers on `server`. */
   open(server: Pick<RpcServer, 'handle'>): void {
-    server.handle(app.borrow, ({from, asks}) => {
+    server.handle(this.context.method, ({from, asks}) => {
       const now = performance.now();
       this.context.peers.markResponsive(from);
+      this.context.reach?.note(from, now);
       this.hasPeerContact = true;
-      return {answers: asks.map(ask => this.handleRequest(ask, now))};
+      const processes = 1 + this.context.peers.directory.known.length;
+      return {
+        processes,
+        answers: asks.map(ask => this.handleRequest(ask, now)),
+      };
     });
   }
 
@@ -207,7 +222,7 @@
 
   /** Undefined if the peer does not answer. */
   private async call(peer: string, requests: readonly PermitRequest[]) {
-    const {rpc, peers} = this.context;
+    const {rpc, peers, method} = this.context;
     const now = performance.now();
     const asks = requests.map(({lifetime, word, wanted}) => ({
       lifetime,
@@ -215,13 +230,15 @@
       wanted,
     }));
     const params = {from: peers.ownAddress, asks};
-    const answer = await rpc.call(peer, app.borrow, params, RPC_TIMEOUT_MS);
+    const answer = await rpc.call(peer, method, params, RPC_TIMEOUT_MS);
     if (!answer.ok) {
       peers.markUnresponsive(peer);
       return undefined;
     }
     peers.markResponsive(peer);
+    this.context.reach?.note(peer, performance.now());
     this.hasPeerContact = true;
+    this.context.onProcessCount?.(answer.value.processes);
     for (const {order, silent} of answer.value.answers) {
       // The peer counts these as responsive; the next call corrects an error.
       peers.markResponsive(...order);
@@ -265,7 +282,8 @@
     now: number,
   ): PermitGrant {
     const isNew = !this.isIssuing(lifetime);
-    const granted = this.issuer.grant(lifetime, word, wanted, now);
+    const share = this.context.reach?.share(now);
+    const granted = this.issuer.grant(lifetime, word, wanted, now, share);
     if (isNew) {
       this.context.log.event('limitLent', {
         lifetime,
@@ -292,8 +310,15 @@
   /** Announces this process as the issuer to peers that might issue too. */
   private heartbeat(): void {
     const now = performance.now();
-    for (const [lifetime, word] of this.issuer.heartbeat(now)) {
-      this.announce(lifetime, word, now);
+    const issued = this.issuer.heartbeat(now);
+    issued.forEach(([lifetime, word]) => this.announce(lifetime, word, now));
+    const [first] = issued;
+    if (this.context.reach !== undefined && first !== undefined) {
+      const [lifetime, word] = first;
+      const requests = [{lifetime, word, wanted: 0}];
+      this.context.peers.directory.known.forEach(
+        peer => void this.call(peer, requests),
+      );
     }
     const hasLimits = !this.isClosed && this.issuer.size > 0;
     this.heartbeatTimer = hasLimits ? this.scheduleHeartbeat() : undefined;
