Compare measured passes with the requests counted at their beginning

Change: predictions are kept with the time of their view and interpolated for the beginning of the gaps; later gaps wait for the next view.

--- a/src/forwarding/group-views.ts
+++ b/src/forwarding/group-views.ts
@@ -72,6 +72,8 @@
   readonly factors: groupRequestLimit.PassFactors;
   /** Requests of all entries. */
   readonly requests: number;
+  /** The same when the view was made; without a view: now. */
+  readonly counted: number;
 }
 
 export interface GroupViewsContext {
@@ -190,18 +192,19 @@
   ): GroupCapacity {
     const key = keyOf(target);
     const received = this.freshView(target, now);
-    const {factors, requests} =
+    const {factors, requests, counted} =
       received === undefined
         ? this.estimateLoad(key, now)
         : this.reportedLoad(key, received);
-    const perRank = requests / Math.max(factors.size, 1);
+    const size = Math.max(factors.size, 1);
     const predicted = {
+      at: received?.at ?? now,
       fixedMs: groupRequestLimit.passMs(engine, factors, 0),
       // Requests that wait for a slot don't lengthen passes.
       passMs: groupRequestLimit.passMs(
         engine,
         factors,
-        Math.min(perRank, engine.slots),
+        Math.min(counted / size, engine.slots),
       ),
     };
     const measurement = this.passes.compare(key, predicted, now);
@@ -225,7 +228,7 @@
       slowness: factors.slowness,
       correction,
       ageMs: received === undefined ? Infinity : now - received.at,
-      passMs: groupRequestLimit.passMs(engine, corrected, perRank),
+      passMs: groupRequestLimit.passMs(engine, corrected, requests / size),
     };
   }
 
@@ -247,6 +250,7 @@
         correction: 1,
       },
       requests: reported + (own - ownAtReceipt) * scale,
+      counted: reported,
     };
   }
 
@@ -265,9 +269,11 @@
     const entries = hasStarted
       ? Math.min(this.context.knownEntryCount(), MAX_ENTRIES)
       : MAX_ENTRIES;
+    const requests = sumOf(own) * entries;
     return {
       factors: {size: own.length, imbalance, slowness: 1, correction: 1},
-      requests: sumOf(own) * entries,
+      requests,
+      counted: requests,
     };
   }
 
--- a/src/forwarding/pass-observer.test.ts
+++ b/src/forwarding/pass-observer.test.ts
@@ -22,7 +22,7 @@
     if (now % tickMs === 0) {
       observer.tick(now);
     }
-    observer.compare('g', PREDICTED, now);
+    observer.compare('g', {...PREDICTED, at: now}, now);
   }
   return ms;
 }
--- a/src/forwarding/pass-observer.ts
+++ b/src/forwarding/pass-observer.ts
@@ -11,7 +11,7 @@
 /** With fewer gaps there is no measurement. */
 const MIN_GAPS = 10;
 /** Bounds the work per measurement. */
-const MAX_GAPS = 128;
+const MAX_GAPS = 1_024;
 /** Interval of `tick` calls. */
 export const TICK_MS = 50;
 /** Lateness of a tick from which gaps around it are ignored. */
@@ -37,17 +37,19 @@
 const MIN_VARIABLE_MS = 10;
 const MIN_VARIABLE_SHARE = 0.1;
 
-/** A group's pass time as predicted for its present requests. */
+/** A group's pass time as predicted for the requests that it had at a time. */
 export interface PredictedPass {
+  readonly at: number;
   /** Milliseconds of a pass without requests. */
   readonly fixedMs: number;
   /** Milliseconds with them. */
   readonly passMs: number;
 }
 
-/** A measured pass time and what was predicted for the same time. */
-export interface PassMeasurement extends PredictedPass {
+/** A measured pass time and the one predicted for the same time. */
+export interface PassMeasurement {
   readonly measuredMs: number;
+  readonly predictedMs: number;
 }
 
 interface Gap {
@@ -55,10 +57,6 @@
   readonly end: number;
 }
 
-interface Prediction extends PredictedPass {
-  readonly at: number;
-}
-
 export class PassObserver {
   private readonly groups = new Map<string, ObservedGroup>();
   private lastTick: number | undefined;
@@ -131,7 +129,7 @@
   /** Gaps since the last tick, oldest first. */
   readonly pending: Gap[] = [];
   private gaps: Gap[] = [];
-  private predictions: Prediction[] = [];
+  private predictions: PredictedPass[] = [];
   private ratio = 1;
   private comparedAt = -Infinity;
   private measuredAt = -Infinity;
@@ -164,20 +162,19 @@
     }
     this.comparedAt = now;
     this.gaps = this.gaps.filter(one => now - one.end < WINDOW_MS);
-    this.predictions.push({...predicted, at: now});
-    this.predictions = this.predictions.filter(one => now - one.at < EXPIRY_MS);
-    if (this.gaps.length < MIN_GAPS) {
+    this.predictions = this.predictions.filter(
+      one => one.at < predicted.at && now - one.at < EXPIRY_MS,
+    );
+    this.predictions.push(predicted);
+    // Later passes have requests that no view has counted yet.
+    const gaps = this.gaps.filter(one => one.from <= predicted.at);
+    if (gaps.length < MIN_GAPS) {
       return undefined;
     }
-    const measuredMs = statistics.median(
-      this.gaps.map(one => one.end - one.from),
-    );
-    // The gaps cover the time before their window too.
-    const covered = this.predictions.filter(
-      one => now - one.at <= WINDOW_MS + measuredMs,
-    );
-    const fixedMs = meanOf(covered.map(one => one.fixedMs));
-    const passMs = meanOf(covered.map(one => one.passMs));
+    const measuredMs = statistics.median(gaps.map(one => one.end - one.from));
+    // A pass takes as long as the requests at its beginning need.
+    const at = meanOf(gaps.map(one => one.from));
+    const {fixedMs, passMs} = interpolate(this.predictions, at);
     const minVariableMs = Math.max(
       MIN_VARIABLE_MS,
       fixedMs * MIN_VARIABLE_SHARE,
@@ -192,10 +189,27 @@
     }
     this.ratio += EWMA_ALPHA * (bounded - this.ratio);
     this.measuredAt = now;
-    return {measuredMs, fixedMs, passMs};
+    return {measuredMs, predictedMs: passMs};
   }
 }
 
+/** The prediction for a time; the list is in order of time, and not empty. */
+function interpolate(
+  predictions: readonly PredictedPass[],
+  at: number,
+): PredictedPass {
+  const next = predictions.find(one => one.at >= at);
+  const before = predictions.filter(one => one.at < at).pop() ?? next!;
+  const after = next ?? before;
+  const share =
+    after.at > before.at ? (at - before.at) / (after.at - before.at) : 0;
+  return {
+    at,
+    fixedMs: before.fixedMs + (after.fixedMs - before.fixedMs) * share,
+    passMs: before.passMs + (after.passMs - before.passMs) * share,
+  };
+}
+
 function meanOf(values: readonly number[]): number {
   return values.reduce((sum, one) => sum + one, 0) / values.length;
 }
--- a/src/roles/site-entry.ts
+++ b/src/roles/site-entry.ts
@@ -82,10 +82,10 @@
         }
       },
       inFlight: lifetime => this.balancer.inFlight(lifetime),
-      onPasses: ({group}, {measuredMs, passMs}) => {
+      onPasses: ({group}, {measuredMs, predictedMs}) => {
         const {metrics} = this;
         metrics.recordDuration('pass', 'none', group!, measuredMs);
-        metrics.recordDuration('predicted_pass', 'none', group!, passMs);
+        metrics.recordDuration('predicted_pass', 'none', group!, predictedMs);
       },
     });
     this.balancer = new LoadBalancer(cfg.hall, this.views);
