Tests of admission: shorter, one of the entries' cases in the simulated load

Measured: jest src/forwarding src/admission src/requests src/routes platform/settings platform/site-admission pass.

--- a/src/admission/fair-deadline-order.test.ts
+++ b/src/admission/fair-deadline-order.test.ts
@@ -32,14 +32,13 @@
     matches: (item: WaitingRequest) => boolean,
   ) => items.filter(matches).length / items.length;
 
-  // Guards against lower priorities that get nothing, and against ones that
-  // take more than their floor from a higher one.
+  // Guards against lower priorities that get nothing.
   it('is by priority, with a tenth for each lower one', () => {
     [0, 1, 2].forEach(priority => push(3, {priority}));
-    const items = starts(200);
-    expect(shareOf(items, one => one.priority === 0)).toBeCloseTo(0.8, 1);
-    expect(shareOf(items, one => one.priority === 1)).toBeCloseTo(0.1, 1);
-    expect(shareOf(items, one => one.priority === 2)).toBeCloseTo(0.1, 1);
+    const counts = [0, 0, 0];
+    starts(200).forEach(one => (counts[one.priority]! += 1));
+    expect(Math.min(...counts)).toBeGreaterThanOrEqual(19);
+    expect(counts[0]).toBeGreaterThanOrEqual(160);
   });
 
   // Guards against an account at ten times its share that crowds out the others,
--- a/src/forwarding/admission-controller.test.ts
+++ b/src/forwarding/admission-controller.test.ts
@@ -1,4 +1,10 @@
-import type {Admittee, Attempt, RefusalDetails} from '../admission/admittee';
+import type {
+  Admittee,
+  Attempt,
+  Blocked,
+  RefusalDetails,
+  Started,
+} from '../admission/admittee';
 import {ArrivalOrder} from '../admission/arrival-order';
 import {FairDeadlineOrder} from '../admission/fair-deadline-order';
 import {waitingRequest} from '../admission/request-kit';
@@ -11,6 +17,19 @@
 
 const SERVICE_MS = 50;
 const OBJECTIVE_MS = 250;
+const DURATION_MS = 6_000;
+/** Requests per second that the targets serve. */
+const CAPACITY = 160;
+
+const STARTED: Started<string> = {kind: 'started', value: 't', pool: 's'};
+const BLOCKED: Blocked = {
+  kind: 'blocked',
+  why: 'capacity',
+  isOwn: false,
+  waitsUntil: Infinity,
+  passMs: undefined,
+  pools: ['s'],
+};
 
 interface Load {
   readonly perSecond: number;
@@ -79,7 +98,7 @@
     });
   }
 
-  function itemOf(changes: Partial<Item>, signal?: AbortSignal): Item {
+  function itemOf(changes: Partial<Item>): Item {
     const now = performance.now();
     return {
       ...waitingRequest({
@@ -89,19 +108,9 @@
       }),
       service: 's',
       bodyBytes: 100,
-      signal: signal ?? new AbortController().signal,
+      signal: new AbortController().signal,
       unanswered: undefined,
-      tryStart: (): Attempt<string> =>
-        targets.hasRoom()
-          ? {kind: 'started', value: 't', pool: 's'}
-          : {
-              kind: 'blocked',
-              why: 'capacity',
-              isOwn: false,
-              waitsUntil: Infinity,
-              passMs: undefined,
-              pools: ['s'],
-            },
+      tryStart: () => (targets.hasRoom() ? STARTED : BLOCKED),
       refuse: details => details,
       ...changes,
     };
@@ -123,7 +132,7 @@
     responses.push({kind: 'served', request: item, ms: elapsed()});
   }
 
-  async function run(loads: readonly Load[], durationMs: number) {
+  async function run(loads: readonly Load[], durationMs = DURATION_MS) {
     const endsAt = performance.now() + durationMs;
     const dueAt = loads.map(() => performance.now());
     while (performance.now() < endsAt) {
@@ -146,10 +155,8 @@
     return matching.filter(isTimely).length / matching.length;
   }
 
-  const perSecond = (
-    matches: (response: Response) => boolean,
-    durationMs: number,
-  ) => (responses.filter(matches).length * 1_000) / durationMs;
+  const perSecond = (matches: (response: Response) => boolean) =>
+    (responses.filter(matches).length * 1_000) / DURATION_MS;
 
   // Guards against a burst of a lower priority that takes the places of the
   // higher one, and against capacity left unused because of it.
@@ -158,13 +165,11 @@
       {perSecond: 60, changes: {priority: 0}},
       {perSecond: 250, changes: {priority: 2}},
     ];
-    await run(loads, 6_000);
+    await run(loads);
     expect(timelyShare(one => one.priority === 0)).toBeGreaterThan(0.9);
-    const lower = perSecond(
-      one => isTimely(one) && one.request.priority === 2,
-      6_000,
-    );
-    expect(lower).toBeGreaterThan(0.8 * 100);
+    const lower = (one: Response) =>
+      isTimely(one) && one.request.priority === 2;
+    expect(perSecond(lower)).toBeGreaterThan(0.8 * (CAPACITY - 60));
   });
 
   // Guards against lower priorities that starve behind a higher one.
@@ -173,7 +178,7 @@
       {perSecond: 320, changes: {priority: 0}},
       {perSecond: 100, changes: {priority: 2}},
     ];
-    await run(loads, 6_000);
+    await run(loads);
     const served = responses.filter(({kind}) => kind === 'served');
     const lower = served.filter(({request}) => request.priority === 2);
     expect(lower.length / served.length).toBeGreaterThan(0.095);
@@ -186,15 +191,15 @@
       {perSecond: 320, changes: {account: 'large'}},
       {perSecond: 30, changes: {account: 'small'}},
     ];
-    await run(loads, 6_000);
+    await run(loads);
     expect(timelyShare(one => one.account === 'small')).toBeGreaterThan(0.85);
-    expect(perSecond(isTimely, 6_000)).toBeGreaterThan(0.9 * 160);
+    expect(perSecond(isTimely)).toBeGreaterThan(0.9 * CAPACITY);
   });
 
-  // Guards against refusals while capacity is free.
+  // Guards against refusals while capacity is free, and after a long wait.
   it('gives a single account all the capacity', async () => {
-    await run([{perSecond: 300}], 6_000);
-    expect(perSecond(isTimely, 6_000)).toBeGreaterThan(0.9 * 160);
+    await run([{perSecond: 300}]);
+    expect(perSecond(isTimely)).toBeGreaterThan(0.9 * CAPACITY);
     const refused = responses.filter(({kind}) => kind === 'refused');
     const early = refused.filter(({ms}) => ms <= OBJECTIVE_MS / 4);
     expect(early.length / refused.length).toBeGreaterThan(0.9);
@@ -232,31 +237,21 @@
       {perSecond: 270, changes: {cost: 1_000}},
       {perSecond: 30, changes: {cost: 8_000}},
     ];
-    await run(loads, 6_000);
+    await run(loads);
     const large = timelyShare(one => one.cost === 8_000);
     expect(large).toBeGreaterThan(timelyShare(() => true) / 2);
   });
 
   it('starts no more than its share of the pool', async () => {
     let share = 2;
+    const used = new Set<string>();
     class Shares extends CapacityShares {
-      readonly used = new Set<string>();
       shareOf = () => share;
-      noteUse = (pool: string) => void this.used.add(pool);
+      noteUse = (pool: string) => void used.add(pool);
     }
-    const shares = new Shares();
-    open(shares);
+    open(new Shares());
     const tryStart = (): Attempt<string> =>
-      controller.inFlight('s') < shares.shareOf()
-        ? {kind: 'started', value: 't', pool: 's'}
-        : {
-            kind: 'blocked',
-            why: 'share',
-            isOwn: false,
-            waitsUntil: Infinity,
-            passMs: undefined,
-            pools: ['s'],
-          };
+      controller.inFlight('s') < share ? STARTED : {...BLOCKED, why: 'share'};
     const objectiveAt = performance.now() + 1_000;
     for (let at = 0; at < 4; at += 1) {
       void send(itemOf({tryStart, objectiveAt, isRetry: true}), 5_000);
@@ -264,7 +259,7 @@
     await jest.advanceTimersByTimeAsync(1);
     const line = {priority: 1, account: 'a', inFlight: 2, waiting: 2};
     expect(controller.demandOf('s', 's')).toEqual([line]);
-    expect([...shares.used]).toEqual(['s']);
+    expect([...used]).toEqual(['s']);
     share = 3;
     controller.wake();
     expect(controller.inFlight('s')).toBe(3);
@@ -288,7 +283,7 @@
   it('drops requests whose callers have left or that a suspension outlasted', async () => {
     targets.slots = 0;
     const caller = new AbortController();
-    void send(itemOf({isRetry: true}, caller.signal));
+    void send(itemOf({isRetry: true, signal: caller.signal}));
     void send(itemOf({isRetry: true}));
     caller.abort();
     await jest.advanceTimersByTimeAsync(1);
@@ -309,9 +304,8 @@
   it('refuses at once without an objective where nothing may wait', async () => {
     hasObjective = false;
     targets.slots = 0;
-    const blocked = itemOf({}).tryStart(0, 0) as Attempt<string>;
     const waits = (waitsUntil: number) =>
-      itemOf({tryStart: () => ({...blocked, waitsUntil}) as Attempt<string>});
+      itemOf({tryStart: () => ({...BLOCKED, waitsUntil})});
     void send(waits(-Infinity));
     void send(waits(performance.now() + 1_000));
     await jest.advanceTimersByTimeAsync(900);
--- a/src/forwarding/pools.test.ts
+++ b/src/forwarding/pools.test.ts
@@ -26,29 +26,21 @@
   });
   const pools = new ForwarderPools({configuration, targets, views}, admission);
 
-  function target(id: string, service: string, group?: string): types.Target {
-    return {
+  const target = (id: string, service: string, group?: string) =>
+    ({
       id,
       lifetime: id,
       service,
-      address: `${id}:1`,
-      hall: 'h',
+      address: id,
       slots: 6,
-      isLeaving: false,
       revision: 1,
-      sequence: 1,
       group,
-      rank: 0,
-    };
-  }
+    }) as types.Target;
 
   const route = (service: string, pauseMs: number) =>
     ({
-      name: `${service} ${pauseMs}`,
-      host: 'h',
-      pathPrefix: '/',
+      host: String(pauseMs),
       services: [{service, weight: 1}],
-      latencyObjectiveMs: 100,
       pauseMs,
     }) as unknown as Route;
 
