Memory limit of a process in the settings of a site

Cause: what an entry holds for slow callers must be limited by its memory, which the settings file states and nothing reads. Change: the optional field limits.memory-mb, in bytes in SiteSettings. Result: platform/settings.test.ts fails without the field (7 of 7) and passes.

--- a/src/roles/site-settings.ts
+++ b/src/roles/site-settings.ts
@@ -38,4 +38,6 @@
   readonly retryBudget: RetryBudgetSettings;
   /** Time without progress of a group after which its requests are aborted. */
   readonly stallMs: number;
+  /** Memory limit of the process; undefined: not stated. */
+  readonly memoryLimitBytes?: number;
 }
