Engines are told the priority of a request

Cause: an engine admits its queued requests in the order of the header Priority, which nothing sets, so an urgent request queues behind others.

--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -6,7 +6,7 @@
 import {OutcomeObserver} from './outcome-observer';
 import * as outcomes from './outcomes';
 import type {RefusalBuilder} from './refusal-builder';
-import {RelayedRequest, digestOf} from './relayed-request';
+import {RelayedRequest, digestOf, priorityOf} from './relayed-request';
 import type {RetryBudget} from './retry-budget';
 import * as targetFinder from './target-finder';
 import type {TargetFinder} from './target-finder';
@@ -76,6 +76,7 @@
         timeLeftMs: call.timeLeftMs,
         account: request.account?.name,
         resumeAfterEventId,
+        priority: this.statedPriority(request, resumeAfterEventId),
       },
       isStream: request.route.kind === 'stream',
       deadline: call.deadline,
@@ -114,6 +115,21 @@
     return outcome;
   }
 
+  /**
+   * Priority that the target is told; undefined if it would be the same for all
+   * routes of the service.
+   */
+  private statedPriority(
+    request: RelayedRequest,
+    resumeAfterEventId: string | undefined,
+  ): number | undefined {
+    const {table} = this.context.configuration;
+    if (table?.differInPriority(request.service) !== true) {
+      return undefined;
+    }
+    return resumeAfterEventId === undefined ? priorityOf(request) : 0;
+  }
+
   /**
    * Marks a target as tried, except a rank that refused because its group is
    * closed: a request that probes the group repeatedly would otherwise run out
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -65,6 +65,8 @@
   readonly account: string | undefined;
   /** Id after which to resume a stream; undefined: the caller's own. */
   readonly resumeAfterEventId: string | undefined;
+  /** 0 is the highest; undefined: not stated to the target. */
+  readonly priority: number | undefined;
 }
 
 /** Status and headers of a target's response. */
--- a/src/routes/table.ts
+++ b/src/routes/table.ts
@@ -6,6 +6,8 @@
   private readonly byHost = new Map<string, types.Route[]>();
   private readonly byKey = new Map<string, types.ClientAccount>();
   private readonly byService = new Map<string, types.Service>();
+  /** Services whose routes have different priorities. */
+  private readonly withPriorities = new Set<string>();
 
   constructor(readonly snapshot: types.Snapshot) {
     for (const route of snapshot.routes) {
@@ -21,6 +23,15 @@
       account.keys.forEach(key => this.byKey.set(key, account));
     }
     snapshot.services.forEach(one => this.byService.set(one.name, one));
+    const first = new Map<string, number>();
+    for (const {services, priority} of snapshot.routes) {
+      for (const {service} of services) {
+        if ((first.get(service) ?? priority) !== priority) {
+          this.withPriorities.add(service);
+        }
+        first.set(service, priority);
+      }
+    }
   }
 
   /**
@@ -43,6 +54,11 @@
     return this.byService.get(name);
   }
 
+  /** True if the service's routes have different priorities. */
+  differInPriority(service: string): boolean {
+    return this.withPriorities.has(service);
+  }
+
   /** True if requests of the route must carry the API key of an account. */
   needsKey(route: types.Route): boolean {
     return !route.isPublic && this.snapshot.accounts !== undefined;
