Bounded buffers for unread answers

Cause: an answer that its caller doesn't read stays unread at the target, since the entry waits for the caller before it reads on.

--- /dev/null
+++ b/src/forwarding/held-bytes.ts
@@ -0,0 +1,213 @@
+/**
+ * The bytes that this process holds for callers and targets that read slowly.
+ * Above a bound, the slowest of them are cut off.
+ */
+
+/** Unread bytes of one answer above which its caller is behind. */
+export const SLOW_BYTES = 256 * 1024;
+/** The same while the process holds more than its bound: one chunk. */
+const SLOW_BYTES_OVER_BOUND = 64 * 1024;
+/** Time after which somebody who makes little progress counts as slow. */
+export const SLOW_AFTER_MS = 500;
+/** Bound if the settings state no memory limit. */
+export const DEFAULT_BOUND_BYTES = 16 * 1024 * 1024;
+/** Share of the process's memory limit that may be held. */
+const MEMORY_SHARE = 1 / 16;
+/**
+ * Interval of the checks while the bound is exceeded: no event tells that a
+ * holder has become slow or that the system has taken a part of a large write.
+ */
+const CHECK_INTERVAL_MS = 100;
+
+/** `memoryBytes`: memory limit of the process; undefined: not stated. */
+export function boundOf(memoryBytes: number | undefined): number {
+  return memoryBytes === undefined
+    ? DEFAULT_BOUND_BYTES
+    : memoryBytes * MEMORY_SHARE;
+}
+
+/** What is cut off first: the lowest class, within it the highest weight. */
+export interface CutRank {
+  readonly class: 'answer' | 'large-body' | 'small-body';
+  /** Bytes of an answer; of a body, milliseconds per byte of progress. */
+  readonly weight: number;
+}
+
+const CLASS_ORDER = {answer: 0, 'large-body': 1, 'small-body': 2} as const;
+
+/** What was cut off. `upload`: from a caller; `send`: to a target. */
+export type CutKind = 'answer' | 'upload' | 'send';
+
+/** Called when something was cut off that held bytes for some time. */
+export type CutListener = (of: CutKind, bytes: number, ms: number) => void;
+
+/** Something that holds bytes until somebody else takes them. */
+export abstract class Holder {
+  /** Bytes held at present. */
+  abstract bytes(): number;
+  /** Undefined: it must not be cut off at present. */
+  abstract rankAt(now: number): CutRank | undefined;
+  /** Cuts off and frees the bytes. */
+  abstract cut(now: number): void;
+  /** Called when the process holds no more than its bound again. */
+  onRoom(): void {
+    // Most holders don't wait for it.
+  }
+}
+
+/** The holder to cut off first; undefined: none may be cut off. */
+export function chooseCut<T extends Pick<Holder, 'rankAt'>>(
+  holders: Iterable<T>,
+  now: number,
+): T | undefined {
+  let first: {holder: T; rank: CutRank} | undefined;
+  for (const holder of holders) {
+    const rank = holder.rankAt(now);
+    if (rank !== undefined && (!first || precedes(rank, first.rank))) {
+      first = {holder, rank};
+    }
+  }
+  return first?.holder;
+}
+
+function precedes(a: CutRank, b: CutRank): boolean {
+  const order = CLASS_ORDER[a.class] - CLASS_ORDER[b.class];
+  return order < 0 || (order === 0 && a.weight > b.weight);
+}
+
+/** The bytes of all holders of a process. */
+export class HeldBytes {
+  /** Bytes when last counted; holders of nothing are left out. */
+  private readonly counted = new Map<Holder, number>();
+  private sum = 0;
+  private highest = 0;
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(readonly boundBytes: number) {}
+
+  /** True if more than the bound is held. */
+  get isOver(): boolean {
+    return this.sum > this.boundBytes;
+  }
+
+  /** Unread bytes of an answer above which its caller is behind. */
+  get slowBytes(): number {
+    return this.isOver ? SLOW_BYTES_OVER_BOUND : SLOW_BYTES;
+  }
+
+  /** Largest sum so far. */
+  get peakBytes(): number {
+    return this.highest;
+  }
+
+  /** Bytes held at present. */
+  bytes(): number {
+    this.recount();
+    return this.sum;
+  }
+
+  /** Counts a holder again; call when it holds more, or much less. */
+  update(holder: Holder): void {
+    this.count(holder, holder.bytes());
+    this.enforce();
+  }
+
+  /** Counts a holder no longer; does nothing if it is not counted. */
+  remove(holder: Holder): void {
+    this.count(holder, 0);
+    this.enforce();
+  }
+
+  /** Stops the checks. */
+  close(): void {
+    clearInterval(this.timer);
+    this.timer = undefined;
+  }
+
+  /** Cuts off holders until the bound is kept or none may be cut off. */
+  private enforce(): void {
+    if (this.isOver) {
+      // Counts may be too high: not every decrease is reported.
+      this.recount();
+    }
+    const now = performance.now();
+    while (this.isOver) {
+      const holder = chooseCut(this.counted.keys(), now);
+      if (holder === undefined) {
+        break;
+      }
+      holder.cut(now);
+      this.count(holder, 0);
+    }
+    this.highest = Math.max(this.highest, this.sum);
+    if (this.isOver) {
+      this.timer ??= setInterval(
+        () => this.enforce(),
+        CHECK_INTERVAL_MS,
+      ).unref();
+    } else if (this.timer !== undefined) {
+      this.close();
+      [...this.counted.keys()].forEach(holder => holder.onRoom());
+    }
+  }
+
+  private recount(): void {
+    for (const holder of this.counted.keys()) {
+      this.count(holder, holder.bytes());
+    }
+  }
+
+  private count(holder: Holder, bytes: number): void {
+    this.sum += bytes - (this.counted.get(holder) ?? 0);
+    if (bytes > 0) {
+      this.counted.set(holder, bytes);
+    } else {
+      this.counted.delete(holder);
+    }
+  }
+}
+
+/** How a caller keeps up with its answer. */
+export type Pace = 'normal' | 'behind' | 'slow';
+
+/**
+ * Judges whether a caller keeps up with its answer. A caller that is behind but
+ * goes on reading is not slow: its target merely sends faster.
+ */
+export class ReaderPace {
+  private behindAt: number | undefined;
+  private windowAt = 0;
+  private takenBefore = 0;
+  private isSlow = false;
+
+  /**
+   * Judges at a time, from the bytes that are unread and those taken so far. A
+   * caller is behind above `slowBytes`, until half of that is unread.
+   */
+  note(now: number, unread: number, taken: number, slowBytes: number): Pace {
+    const isBehind = this.behindAt !== undefined;
+    if (unread <= (isBehind ? slowBytes / 2 : slowBytes)) {
+      this.behindAt = undefined;
+      this.isSlow = false;
+      return 'normal';
+    }
+    if (this.behindAt === undefined) {
+      this.behindAt = now;
+      this.startWindow(now, taken);
+    } else if (now - this.windowAt >= SLOW_AFTER_MS) {
+      this.isSlow = taken - this.takenBefore < SLOW_BYTES;
+      this.startWindow(now, taken);
+    }
+    return this.isSlow ? 'slow' : 'behind';
+  }
+
+  /** Milliseconds since the caller fell behind; 0: it is not. */
+  behindMs(now: number): number {
+    return this.behindAt === undefined ? 0 : now - this.behindAt;
+  }
+
+  private startWindow(now: number, taken: number): void {
+    this.windowAt = now;
+    this.takenBefore = taken;
+  }
+}
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -37,6 +37,7 @@
   private readonly labelsOf = new Map<string, Record<string, string>>();
   private readonly accounts = new Set<string>();
   private readonly counters = new Map<string, Sample & {value: number}>();
+  private readonly observed = new Map<string, () => number>();
 
   recordDuration(
     timing: Timing,
@@ -71,6 +72,11 @@
     this.counters.set(key, {name, labels, value: (counter?.value ?? 0) + by});
   }
 
+  /** Adds a value that is read whenever the metrics are. */
+  observe(name: string, read: () => number): void {
+    this.observed.set(name, read);
+  }
+
   /** Records milliseconds spent in an admission queue. */
   recordQueueTime(account: string, ms: number): void {
     this.recordDuration('queue', account, 'all', ms);
@@ -89,9 +95,12 @@
     return sum;
   }
 
-  /** All counters, and the quantiles and counts of all histograms. */
+  /** All counters and observed values, and the quantiles and counts of all histograms. */
   samples(): Sample[] {
     const samples: Sample[] = [...this.counters.values()];
+    for (const [name, read] of this.observed) {
+      samples.push({name, labels: {}, value: read()});
+    }
     for (const [name, histogram] of this.histograms) {
       const {timing, ...labels} = this.labelsOf.get(name)!;
       const base = `${timing}_ms`;
