Entries read answers on for slow callers, within a bound

Cause: streams of 24 MB to six callers that don't read stayed unread at their targets (6 of 6 after 3 s), and slow bodies were held without limit. Change: streams go through a StreamBuffer, plain answers and request bodies are counted; above the bound the slowest are cut off and logged as slowReaderCut.

--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -3,6 +3,9 @@
 import type {Timing} from '../observability/metrics';
 import type {Route} from '../routes/types';
 import type {ForwarderContext} from './forwarder';
+import {HeldAnswer} from './held-answer';
+import {HeldBody} from './held-body';
+import type {CutKind} from './held-bytes';
 import type {ResponseHead, Refusal, RequestHead} from './types';
 
 /** Metric label of requests without a client account. */
@@ -21,9 +24,13 @@
   lossCount = 0;
   isLikelyRetry = false;
   lastTargetId = '';
+  readonly heldBody: HeldBody;
+  readonly heldAnswer: HeldAnswer;
   private route: Route | undefined;
   private readonly abortController = new AbortController();
   private isAnswered = false;
+  /** True if the caller was cut off because it read too slowly. */
+  private isCut = false;
   /** Milliseconds until the first event; undefined: none yet. */
   private firstEventMs: number | undefined;
   private lastEventAt = 0;
@@ -39,6 +46,9 @@
     private readonly context: ForwarderContext,
     private readonly shouldCloseConnection: () => boolean,
   ) {
+    const {held} = context;
+    this.heldBody = new HeldBody(held, this.noteCut);
+    this.heldAnswer = new HeldAnswer(res, held, this.noteCut);
     res.once('close', () => {
       if (!res.writableFinished) {
         this.abortController.abort();
@@ -78,6 +88,20 @@
     this.deadline = this.startedAt + timeMs;
   }
 
+  /** Records that this request's bytes were cut off. */
+  readonly noteCut = (of: CutKind, bytes: number, ms: number): void => {
+    const {log, metrics} = this.context;
+    this.isCut ||= of === 'answer';
+    metrics.count('slow_reader_cuts_total', {of});
+    log.event('slowReaderCut', {
+      request: this.head?.id,
+      account: this.account,
+      of,
+      bytes,
+      ms: Math.round(ms),
+    });
+  };
+
   noteOutcome(mayHaveRun: boolean): void {
     this.possibleRunCount += mayHaveRun ? 1 : 0;
   }
@@ -97,7 +121,7 @@
       'application/json',
       'Content-Length',
       String(body.length),
-      ...this.connectionHeaders(refusal.kind === 'too-large'),
+      ...this.connectionHeaders(isBodyUnread(refusal)),
     ]);
     this.res.end(body);
     this.end('why' in refusal ? refusal.why : refusal.kind, response.status);
@@ -117,6 +141,7 @@
       ...this.connectionHeaders(false),
     ]);
     this.res.end(body);
+    this.heldAnswer.noteGiven(body.length);
     this.end('answered', head.status);
   }
 
@@ -143,8 +168,10 @@
   }
 
   /** Records the end in log and metrics. */
-  end(outcome: string, status?: number): void {
+  end(reason: string, status?: number): void {
     const {log, metrics} = this.context;
+    const outcome =
+      this.isCut && reason === 'caller-left' ? 'slow-reader' : reason;
     const ms = Math.round(performance.now() - this.startedAt);
     const late = this.lateness(ms);
     metrics.count('requests_total', {outcome});
@@ -190,8 +217,10 @@
         };
   }
 
-  /** Closes the connection if nothing was answered. */
+  /** Closes the connection if nothing was answered, and frees the bodies. */
   close(): void {
+    this.heldBody.release();
+    this.heldAnswer.discard();
     if (!this.res.headersSent && !this.isCallerGone) {
       this.res.destroy();
     }
@@ -211,6 +240,14 @@
   }
 }
 
+/** True if the rest of the body is not read, so the connection must close. */
+function isBodyUnread(refusal: Refusal): boolean {
+  return (
+    refusal.kind === 'too-large' ||
+    (refusal.kind === 'not-run' && refusal.why === 'slow-upload')
+  );
+}
+
 function bodyOf(refusal: Refusal): object {
   return {error: refusal};
 }
--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -2,6 +2,8 @@
 import type * as http from 'node:http';
 import * as body from '../http/body';
 import * as httpClient from '../http/client';
+import type {HeldAnswer} from './held-answer';
+import type {HeldBody} from './held-body';
 import type {
   RequestMetadata,
   ResponseHead,
@@ -42,6 +44,8 @@
   readonly body: Buffer | undefined;
   readonly metadata: RequestMetadata;
   readonly isStream: boolean;
+  /** Counts the body and the answer as held; undefined: not counted. */
+  readonly holders?: SendHolders;
   /** Monotonic time in milliseconds by which the caller must be answered. */
   readonly deadline: number;
   /** Aborted when the caller disconnects. */
@@ -53,11 +57,19 @@
   onHead(head: ResponseHead): void;
 }
 
+export interface SendHolders {
+  readonly body: HeldBody;
+  readonly answer: HeldAnswer;
+  /** The send may be ended if the target is slow to read the body. */
+  readonly mayRepeat: boolean;
+}
+
 /** Sends a request and reads the whole response, or a stream's head. */
 export async function exchange(
   wire: Wire,
   send: SendOptions,
 ): Promise<Outcome> {
+  const {holders} = send;
   const timeLeftMs = send.deadline - performance.now();
   const response = await httpClient.send(send.agent, {
     address: send.target.address,
@@ -68,9 +80,13 @@
     timeoutMs: timeLeftMs,
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     signal: send.signal,
+    onRequest: req => holders?.body.startSend(req, holders.mayRepeat),
   });
+  const wasStopped = holders?.body.endSend() === true;
   if (!response.ok) {
-    return outcomeOfError(response.error);
+    return wasStopped
+      ? {kind: 'unknown', why: 'slow-target'}
+      : outcomeOfError(response.error);
   }
   const res = response.value;
   const head = wire.readResponse(res);
@@ -87,7 +103,11 @@
   if (isSuccess && send.isStream) {
     return {kind: 'streaming', head, res};
   }
-  return readWholeBody(send, head, res);
+  const outcome = await readWholeBody(send, head, res);
+  if (outcome.kind !== 'answered') {
+    holders?.answer.discard();
+  }
+  return outcome;
 }
 
 async function readWholeBody(
@@ -100,7 +120,7 @@
     isTimedOut = true;
     res.destroy();
   }, send.deadline - performance.now());
-  const read = await body.readBody(res, MAX_BODY_BYTES);
+  const read = await body.readBody(res, MAX_BODY_BYTES, send.holders?.answer);
   clearTimeout(timer);
   if (send.signal.aborted) {
     return {kind: 'cancelled'};
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -19,7 +19,9 @@
 import {LoadBalancer} from './load-balancer';
 import {GroupGate} from './group-gate';
 import {GroupViews} from './group-views';
+import type {HeldBytes} from './held-bytes';
 import {PlainRelay} from './plain-relay';
+import * as retryDelays from './retry-delays';
 import {RetryBudget} from './retry-budget';
 import {StreamRelay} from './stream-relay';
 import {TargetFinder} from './target-finder';
@@ -38,6 +40,8 @@
   readonly reach: LastContact;
   readonly connections: TargetConnections;
   readonly crashes: CrashCoordinator;
+  /** Bytes that this process holds for callers and targets. */
+  readonly held: HeldBytes;
   /** Known entries of the site, including this one. */
   knownEntryCount(): number;
   /** Resolves once requests can be routed, or after `waitMs`. */
@@ -133,10 +137,14 @@
         resolved.route.timeoutMs,
       );
     const limit = this.context.configuration.table!.snapshot.limits.bodyBytes;
-    const read = await body.readBody(call.req, limit);
+    const read = await body.readBody(call.req, limit, call.heldBody);
+    call.heldBody.noteRead();
     if (!read.ok) {
       if (read.error.kind === 'body-too-large') {
         call.refuse({kind: 'too-large', limitBytes: limit});
+      } else if (call.heldBody.wasStopped) {
+        const retryMs = retryDelays.afterFull(call.timeLeftMs);
+        call.refuse({kind: 'not-run', why: 'slow-upload', retryMs});
       }
       return;
     }
--- /dev/null
+++ b/src/forwarding/held-body.ts
@@ -0,0 +1,125 @@
+/**
+ * Bytes of a request's body, from its first byte until the request has ended:
+ * it may be sent again until then.
+ */
+import type {Readable, Writable} from 'node:stream';
+import type {BodyObserver} from '../http/body';
+import * as heldBytes from './held-bytes';
+
+/** Size from which a body is worth more to cut off than a smaller one. */
+const LARGE_BYTES = 256 * 1024;
+
+/** Somebody who is to take bytes, or to send them. */
+interface Transfer {
+  readonly kind: 'upload' | 'send';
+  readonly startedAt: number;
+  /** Bytes that have been moved. */
+  moved(): number;
+  /** True if it may be cut off and more is to be moved. */
+  mayCut(): boolean;
+  stop(): void;
+}
+
+export class HeldBody extends heldBytes.Holder implements BodyObserver {
+  private size = 0;
+  private transfer: Transfer | undefined;
+  /** The caller's request while its body is read. */
+  private source: Readable | undefined;
+  private isStopped = false;
+
+  constructor(
+    private readonly held: heldBytes.HeldBytes,
+    private readonly onCut: heldBytes.CutListener,
+  ) {
+    super();
+  }
+
+  onStart(source: Readable, stop: () => void): void {
+    this.source = source;
+    this.transfer = {
+      kind: 'upload',
+      startedAt: performance.now(),
+      moved: () => this.size,
+      mayCut: () => true,
+      stop,
+    };
+  }
+
+  onBytes(size: number): void {
+    this.size = size;
+    this.held.update(this);
+    if (this.held.isOver) {
+      this.source?.pause();
+    }
+  }
+
+  /** True if the reading of the body was cut off. */
+  get wasStopped(): boolean {
+    return this.isStopped;
+  }
+
+  /** Call when the body is not read any more. */
+  noteRead(): void {
+    this.source = undefined;
+    this.transfer = undefined;
+  }
+
+  /** Call when the body begins to be sent; `mayRepeat`: it may be cut off. */
+  startSend(req: Writable, mayRepeat: boolean): void {
+    this.isStopped = false;
+    this.transfer = {
+      kind: 'send',
+      startedAt: performance.now(),
+      moved: () => this.size - req.writableLength,
+      mayCut: () => mayRepeat && req.writableLength > 0 && !req.destroyed,
+      stop: () => req.destroy(),
+    };
+  }
+
+  /** Call when the target has answered or the send has failed; true: cut off. */
+  endSend(): boolean {
+    this.transfer = undefined;
+    return this.isStopped;
+  }
+
+  /** Counts the body no longer. */
+  release(): void {
+    this.size = 0;
+    this.noteRead();
+    this.held.remove(this);
+  }
+
+  bytes(): number {
+    return this.size;
+  }
+
+  rankAt(now: number): heldBytes.CutRank | undefined {
+    const {transfer} = this;
+    if (transfer === undefined || !transfer.mayCut()) {
+      return undefined;
+    }
+    const ms = now - transfer.startedAt;
+    if (ms < heldBytes.SLOW_AFTER_MS) {
+      return undefined;
+    }
+    return {
+      class: this.size > LARGE_BYTES ? 'large-body' : 'small-body',
+      weight: ms / Math.max(transfer.moved(), 1),
+    };
+  }
+
+  cut(now: number): void {
+    const {transfer, size} = this;
+    this.isStopped = true;
+    this.size = 0;
+    this.noteRead();
+    if (transfer !== undefined) {
+      transfer.stop();
+      this.onCut(transfer.kind, size, now - transfer.startedAt);
+    }
+  }
+
+  override onRoom(): void {
+    this.source?.resume();
+  }
+}
--- a/src/forwarding/outcomes.ts
+++ b/src/forwarding/outcomes.ts
@@ -46,10 +46,14 @@
   );
 }
 
-/** True if it may have run without success, so that a retry may succeed. */
+/**
+ * True if it may have run without success, so that a retry may succeed. A send
+ * that was ended because too many bytes were held is not retried: its body would
+ * still be held.
+ */
 export function hasFailed(outcome: exchanges.Outcome): boolean {
   return (
-    outcome.kind === 'unknown' ||
+    (outcome.kind === 'unknown' && outcome.why !== 'slow-target') ||
     (outcome.kind === 'answered' && outcome.head.status >= FIRST_SERVER_ERROR)
   );
 }
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -78,6 +78,7 @@
         resumeAfterEventId,
         priority: this.statedPriority(request, resumeAfterEventId),
       },
+      holders: {body: call.heldBody, answer: call.heldAnswer, mayRepeat},
       isStream: request.route.kind === 'stream',
       deadline: call.deadline,
       signal: call.signal,
@@ -246,7 +247,14 @@
         this.refuseUnsent(call, this.refusals.targetFull(call, target.service));
         return;
       case 'unknown':
-        call.refuse({kind: 'failed', why: outcome.why});
+        call.refuse({
+          kind: 'failed',
+          why: outcome.why,
+          retryMs:
+            outcome.why === 'slow-target'
+              ? retryDelays.afterFull(call.timeLeftMs)
+              : undefined,
+        });
         return;
       case 'timed-out':
         this.refuseUnsent(
--- a/src/forwarding/stream-relay.ts
+++ b/src/forwarding/stream-relay.ts
@@ -3,7 +3,6 @@
  * stream can resume at another target after the last one, within the same
  * response to the caller.
  */
-import * as body from '../http/body';
 import * as resets from '../http/resets';
 import {shouldMove} from './slow-ranks';
 import type {Call} from './call';
@@ -12,6 +11,7 @@
 import type {TriedTargets} from './outcomes';
 import {Relay} from './relay';
 import type {RelayedRequest} from './relayed-request';
+import {StreamBuffer} from './stream-buffer';
 import type {Target} from './types';
 import {isRetrySafe} from './types';
 
@@ -25,6 +25,7 @@
     const tried: TriedTargets = new Map();
     let last: exchanges.Outcome | undefined;
     const splitter = new EventSplitter();
+    const buffer = new StreamBuffer(call.res, this.context.held, call.noteCut);
     let hasBegun = false;
     for (;;) {
       const mayWait = hasBegun || call.isLikelyRetry;
@@ -61,6 +62,7 @@
           outcome,
           target,
           splitter,
+          buffer,
           begin,
           shouldMoveNow,
         );
@@ -69,7 +71,7 @@
         }
         if (end === 'done') {
           this.noteServed(request);
-          call.end('answered', outcome.head.status);
+          await this.deliver(call, buffer, outcome.head.status);
           return;
         }
         if (end === 'caller-left' || call.isCallerGone) {
@@ -139,6 +141,23 @@
       .some(({lifetime}) => !tried.has(lifetime));
   }
 
+  /** Waits until the caller has taken what its target has sent. */
+  private async deliver(
+    call: Call,
+    buffer: StreamBuffer,
+    status: number,
+  ): Promise<void> {
+    const delivery = await buffer.whenDelivered(call.timeLeftMs);
+    if (delivery === 'delivered') {
+      call.end('answered', status);
+    } else if (delivery === 'caller-left') {
+      call.end('caller-left');
+    } else {
+      call.res.destroy();
+      call.end('stream-cut');
+    }
+  }
+
   /** A started stream can't be refused any more, so its connection is cut. */
   private cutOrRefuse(call: Call, hasBegun: boolean, refuse: () => void): void {
     if (hasBegun) {
@@ -154,15 +173,20 @@
     from: StreamingOutcome,
     target: Target,
     splitter: EventSplitter,
+    buffer: StreamBuffer,
     begin: () => void,
     shouldMoveNow: () => boolean,
   ): Promise<PumpResult> {
     let isTimedOut = false;
     let isMoved = false;
+    const giveUp = () => {
+      from.res.destroy();
+      buffer.interrupt();
+    };
     const moves = this.context.views.updates.subscribe(() => {
       if (!isMoved && !from.res.complete && shouldMoveNow()) {
         isMoved = true;
-        from.res.destroy();
+        giveUp();
         this.context.log.event('streamMoved', {
           request: call.head?.id,
           target: target.id,
@@ -172,10 +196,9 @@
     });
     const timer = setTimeout(() => {
       isTimedOut = true;
-      from.res.destroy();
+      giveUp();
     }, call.timeLeftMs);
-    const onDisconnect = () => from.res.destroy();
-    call.signal.addEventListener('abort', onDisconnect, {once: true});
+    call.signal.addEventListener('abort', giveUp, {once: true});
     let end: PumpResult = 'broken';
     try {
       for await (const chunk of from.res) {
@@ -186,11 +209,13 @@
         if (events.length > 0) {
           begin();
           call.noteEvents();
-          await body.writeWithBackpressure(call.res, events);
+          await buffer.write(events);
         }
       }
       if (isComplete(from, splitter) && !call.isCallerGone) {
-        end = this.finishStream(call, splitter, begin);
+        begin();
+        buffer.end(splitter.partial);
+        end = 'done';
       }
     } catch (err) {
       if (!isMoved) {
@@ -204,7 +229,7 @@
     } finally {
       clearTimeout(timer);
       moves.unsubscribe();
-      call.signal.removeEventListener('abort', onDisconnect);
+      call.signal.removeEventListener('abort', giveUp);
       from.res.destroy();
       this.context.balancer.end(
         target,
@@ -222,19 +247,6 @@
     }
     return isTimedOut ? 'timed-out' : end;
   }
-
-  private finishStream(
-    call: Call,
-    splitter: EventSplitter,
-    begin: () => void,
-  ): PumpResult {
-    begin();
-    if (splitter.partial.length > 0) {
-      call.res.write(splitter.partial);
-    }
-    call.res.end();
-    return 'done';
-  }
 }
 
 /**
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -118,6 +118,8 @@
   | 'stopping'
   | 'no-target'
   | 'overloaded'
+  /** The caller was slow to send the body, and too many bytes were held. */
+  | 'slow-upload'
   | 'target-full'
   | 'targets-resting'
   | 'targets-limited'
@@ -130,7 +132,9 @@
   | 'foreign-answer'
   | 'unsigned-answer'
   | 'broken-answer'
-  | 'unproven-refusal';
+  | 'unproven-refusal'
+  /** The target was slow to read the body, and too many bytes were held. */
+  | 'slow-target';
 
 /** Translates between HTTP headers and these types. */
 export abstract class Wire {
--- a/src/http/body.ts
+++ b/src/http/body.ts
@@ -5,12 +5,23 @@
 import {Result, fail, ok} from '../result';
 import * as resets from './resets';
 
-/** Why a body could not be read. `body-cut`: it ended early. */
+/**
+ * Why a body could not be read. `body-cut`: it ended early, or its observer
+ * stopped the reading.
+ */
 export type BodyError =
   | {readonly kind: 'body-too-large'; readonly limitBytes: number}
   | {readonly kind: 'body-cut'}
   | {readonly kind: 'bad-json'; readonly detail: string};
 
+/** Follows the reading of a body; may pause the stream and resume it. */
+export interface BodyObserver {
+  /** `stop` ends the reading with `body-cut` and frees what was read. */
+  onStart(stream: Readable, stop: () => void): void;
+  /** `size`: bytes read so far. */
+  onBytes(size: number): void;
+}
+
 /**
  * Reads a body of at most `limitBytes`. Fails with `body-too-large` or
  * `body-cut`.
@@ -18,6 +29,7 @@
 export function readBody(
   stream: Readable,
   limitBytes: number,
+  observer?: BodyObserver,
 ): Promise<Result<Buffer, BodyError>> {
   if (stream instanceof http.IncomingMessage && hasNoBody(stream)) {
     stream.resume();
@@ -26,7 +38,17 @@
   return new Promise(resolve => {
     const chunks: Buffer[] = [];
     let size = 0;
+    let isStopped = false;
+    observer?.onStart(stream, () => {
+      isStopped = true;
+      chunks.length = 0;
+      stream.pause();
+      resolve(fail({kind: 'body-cut'}));
+    });
     stream.on('data', (chunk: Buffer) => {
+      if (isStopped) {
+        return;
+      }
       size += chunk.length;
       if (size > limitBytes) {
         stream.pause();
@@ -34,6 +56,7 @@
         return;
       }
       chunks.push(chunk);
+      observer?.onBytes(size);
     });
     stream.on('end', () => {
       const isCut =
--- a/src/http/client.ts
+++ b/src/http/client.ts
@@ -31,6 +31,8 @@
   /** Milliseconds until a connection must be open; 1,000 by default. */
   readonly connectTimeoutMs?: number;
   readonly signal?: AbortSignal;
+  /** Called before the body is sent. */
+  onRequest?(req: http.ClientRequest): void;
 }
 
 /** Makes a keep-alive agent; the caller must destroy it. */
@@ -107,6 +109,7 @@
     } else {
       call.signal?.addEventListener('abort', onAbort, {once: true});
     }
+    call.onRequest?.(req);
     req.end(call.body);
   });
 }
--- a/src/observability/catalogue.ts
+++ b/src/observability/catalogue.ts
@@ -54,6 +54,11 @@
     level: 'error',
     text: 'request crashes its targets: refused from now on',
   },
+  slowReaderCut: {
+    id: 'FC2015',
+    level: 'warn',
+    text: 'too many bytes held: slow reader or sender cut off',
+  },
   platformUnavailable: {
     id: 'FC3001',
     level: 'warn',
--- a/src/roles/site-entry.ts
+++ b/src/roles/site-entry.ts
@@ -5,6 +5,7 @@
 import {Forwarder} from '../forwarding/forwarder';
 import {GroupGate} from '../forwarding/group-gate';
 import {GroupViews} from '../forwarding/group-views';
+import * as heldBytes from '../forwarding/held-bytes';
 import type {Wire} from '../forwarding/types';
 import * as httpServer from '../http/server';
 import {SuspensionDetector} from '../suspension-detector';
@@ -39,6 +40,7 @@
   private readonly suspensionDetector = new SuspensionDetector();
   private readonly views: GroupViews;
   private readonly connections = new TargetConnections();
+  private readonly held: heldBytes.HeldBytes;
   private readonly forwarder: Forwarder;
   private readonly metrics = new Metrics();
   private readonly servers: http.Server[] = [];
@@ -88,6 +90,11 @@
       this.site.age(suspendedMs);
       this.views.clear();
     });
+    this.held = new heldBytes.HeldBytes(
+      heldBytes.boundOf(cfg.memoryLimitBytes),
+    );
+    this.metrics.observe('held_bytes', () => this.held.bytes());
+    this.metrics.observe('held_bytes_peak', () => this.held.peakBytes);
     this.forwarder = new Forwarder({
       cfg,
       wire,
@@ -99,6 +106,7 @@
       reach: this.lastContact,
       connections: this.connections,
       crashes: this.site.crashes,
+      held: this.held,
       knownEntryCount: () => this.site.knownEntryCount,
       whenRoutable: waitMs => this.site.whenRoutable(waitMs),
       isIsolated: () => this.site.isIsolated(performance.now()),
@@ -178,6 +186,7 @@
     this.callerServer?.close();
     this.callerServer?.closeAllConnections();
     this.connections.close();
+    this.held.close();
     this.views.close();
     this.rpc.close();
     this.store.close();
