Callers are judged by their reading rate; unread events precede a cut

Cause: a caller counted as slow only after 500 ms, twice that if the system's own buffers still grew, so on a loaded machine six answers were still unread after 3 s in 1 of 8 runs; plain answers above the bound waited for each other until their deadlines; a stream that broke lost what was still unread. Change: slow is below 512 bytes per ms for 250 ms; plain answers are counted but not paused while they are read; a broken stream is cut once the caller has what was sent.

--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -170,8 +170,7 @@
   /** Records the end in log and metrics. */
   end(reason: string, status?: number): void {
     const {log, metrics} = this.context;
-    const outcome =
-      this.isCut && reason === 'caller-left' ? 'slow-reader' : reason;
+    const outcome = this.isCut ? 'slow-reader' : reason;
     const ms = Math.round(performance.now() - this.startedAt);
     const late = this.lateness(ms);
     metrics.count('requests_total', {outcome});
--- a/src/forwarding/held-answer.ts
+++ b/src/forwarding/held-answer.ts
@@ -1,12 +1,14 @@
-/** Bytes of a plain answer: read from its target, then unread by its caller. */
-import type {Readable, Writable} from 'node:stream';
+/**
+ * Bytes of a plain answer: read from its target, then unread by its caller. Its
+ * reading is not paused above the bound: several answers would wait for each
+ * other until their deadlines.
+ */
+import type {Writable} from 'node:stream';
 import type {BodyObserver} from '../http/body';
 import * as heldBytes from './held-bytes';
 
 export class HeldAnswer extends heldBytes.Holder implements BodyObserver {
   private readonly pace = new heldBytes.ReaderPace();
-  /** The target's answer while it is read. */
-  private source: Readable | undefined;
   private readBytes = 0;
   /** Size of the answer once it was given to the caller; undefined: not yet. */
   private givenBytes: number | undefined;
@@ -19,33 +21,28 @@
     super();
   }
 
-  onStart(source: Readable): void {
-    this.source = source;
+  onStart(): void {
     this.readBytes = 0;
   }
 
   onBytes(size: number): void {
     this.readBytes = size;
     this.held.update(this);
-    if (this.held.isOver) {
-      this.source?.pause();
-    }
   }
 
   /** Call after the response's last bytes were written. */
   noteGiven(size: number): void {
     this.givenBytes = size;
-    this.source = undefined;
     const remove = () => this.held.remove(this);
     this.res.once('finish', remove);
     this.res.once('close', remove);
+    this.pace.note(performance.now(), size, 0, this.held.slowBytes);
     this.held.update(this);
   }
 
   /** Drops what was read, unless it was given to the caller. */
   discard(): void {
     if (this.givenBytes === undefined) {
-      this.source = undefined;
       this.readBytes = 0;
       this.held.remove(this);
     }
@@ -58,7 +55,6 @@
     return this.res.destroyed ? 0 : this.res.writableLength;
   }
 
-  /** An answer that is still read can't be cut off: its reading is paused. */
   rankAt(now: number): heldBytes.CutRank | undefined {
     if (this.givenBytes === undefined) {
       return undefined;
@@ -74,8 +70,4 @@
     this.res.destroy();
     this.onCut('answer', bytes, this.pace.behindMs(now));
   }
-
-  override onRoom(): void {
-    this.source?.resume();
-  }
 }
--- a/src/forwarding/held-bytes.ts
+++ b/src/forwarding/held-bytes.ts
@@ -8,7 +8,9 @@
 /** The same while the process holds more than its bound: one chunk. */
 const SLOW_BYTES_OVER_BOUND = 64 * 1024;
 /** Time after which somebody who makes little progress counts as slow. */
-export const SLOW_AFTER_MS = 500;
+export const SLOW_AFTER_MS = 250;
+/** Rate at which a caller that is behind is not slow, in bytes per ms. */
+const NORMAL_RATE = 512;
 /** Bound if the settings state no memory limit. */
 export const DEFAULT_BOUND_BYTES = 16 * 1024 * 1024;
 /** Share of the process's memory limit that may be held. */
@@ -129,15 +131,7 @@
     if (this.isOver) {
       // Counts may be too high: not every decrease is reported.
       this.recount();
-    }
-    const now = performance.now();
-    while (this.isOver) {
-      const holder = chooseCut(this.counted.keys(), now);
-      if (holder === undefined) {
-        break;
-      }
-      holder.cut(now);
-      this.count(holder, 0);
+      this.cutOff();
     }
     this.highest = Math.max(this.highest, this.sum);
     if (this.isOver) {
@@ -151,6 +145,18 @@
     }
   }
 
+  private cutOff(): void {
+    const now = performance.now();
+    while (this.isOver) {
+      const holder = chooseCut(this.counted.keys(), now);
+      if (holder === undefined) {
+        return;
+      }
+      holder.cut(now);
+      this.count(holder, 0);
+    }
+  }
+
   private recount(): void {
     for (const holder of this.counted.keys()) {
       this.count(holder, holder.bytes());
@@ -195,7 +201,8 @@
       this.behindAt = now;
       this.startWindow(now, taken);
     } else if (now - this.windowAt >= SLOW_AFTER_MS) {
-      this.isSlow = taken - this.takenBefore < SLOW_BYTES;
+      const rate = (taken - this.takenBefore) / (now - this.windowAt);
+      this.isSlow = rate < NORMAL_RATE;
       this.startWindow(now, taken);
     }
     return this.isSlow ? 'slow' : 'behind';
@@ -206,6 +213,11 @@
     return this.behindAt === undefined ? 0 : now - this.behindAt;
   }
 
+  /** Milliseconds until it is decided whether a caller that is behind is slow. */
+  undecidedMs(now: number): number {
+    return Math.max(this.windowAt + SLOW_AFTER_MS - now, 0);
+  }
+
   private startWindow(now: number, taken: number): void {
     this.windowAt = now;
     this.takenBefore = taken;
--- a/src/forwarding/stream-buffer.ts
+++ b/src/forwarding/stream-buffer.ts
@@ -7,6 +7,8 @@
 
 /** Events smaller than this are copied into blocks of this size. */
 const BLOCK_BYTES = 16 * 1024;
+/** The runtime tells only that a large write was taken, not a small one. */
+const EMPTY_CHECK_MS = 20;
 
 /** How the delivery of a stream ended. */
 export type Delivery = 'delivered' | 'caller-left' | 'timed-out';
@@ -60,7 +62,7 @@
       interrupts === this.interrupts &&
       !this.isClosed
     ) {
-      await this.waitForChange();
+      await this.waitForChange(this.pace.undecidedMs(performance.now()));
     }
   }
 
@@ -83,7 +85,15 @@
     this.flush();
   }
 
-  /** Resolves when the caller has taken everything, left, or after a time. */
+  /** Resolves when nothing is unread, the caller has left, or after a time. */
+  async whenEmpty(timeoutMs: number): Promise<void> {
+    const endsAt = performance.now() + timeoutMs;
+    while (this.bytes() > 0 && performance.now() < endsAt) {
+      await this.waitForChange(EMPTY_CHECK_MS);
+    }
+  }
+
+  /** Resolves when the ended response is taken, the caller left, or after a time. */
   whenDelivered(timeoutMs: number): Promise<Delivery> {
     const {res} = this;
     if (this.isClosed) {
@@ -198,9 +208,9 @@
     this.wake?.();
   }
 
-  private waitForChange(): Promise<void> {
+  private waitForChange(timeoutMs: number): Promise<void> {
     return new Promise(resolve => {
-      const timer = setTimeout(() => this.wake?.(), heldBytes.SLOW_AFTER_MS);
+      const timer = setTimeout(() => this.wake?.(), timeoutMs);
       this.wake = () => {
         clearTimeout(timer);
         this.wake = undefined;
--- a/src/forwarding/stream-relay.ts
+++ b/src/forwarding/stream-relay.ts
@@ -31,7 +31,7 @@
       const mayWait = hasBegun || call.isLikelyRetry;
       const found = await this.finder.find(call, request, tried, mayWait);
       if (!found.ok) {
-        this.cutOrRefuse(call, hasBegun, () =>
+        await this.cutOrRefuse(call, buffer, hasBegun, () =>
           this.refuseUnsent(call, found.error, last),
         );
         return;
@@ -79,7 +79,7 @@
           return;
         }
         if (end === 'timed-out') {
-          this.cutOrRefuse(call, hasBegun, () =>
+          await this.cutOrRefuse(call, buffer, hasBegun, () =>
             call.refuse({kind: 'timed-out'}),
           );
           return;
@@ -88,7 +88,7 @@
         if (this.mayResume(call, request, target, hasBegun, splitter)) {
           continue;
         }
-        this.cutOrRefuse(call, hasBegun, () =>
+        await this.cutOrRefuse(call, buffer, hasBegun, () =>
           call.refuse({kind: 'failed', why: 'broken-answer'}),
         );
         return;
@@ -100,7 +100,7 @@
       if (this.mayRetry(call, request, target, outcome)) {
         continue;
       }
-      this.cutOrRefuse(call, hasBegun, () =>
+      await this.cutOrRefuse(call, buffer, hasBegun, () =>
         this.finish(call, request, target, outcome),
       );
       return;
@@ -158,9 +158,18 @@
     }
   }
 
-  /** A started stream can't be refused any more, so its connection is cut. */
-  private cutOrRefuse(call: Call, hasBegun: boolean, refuse: () => void): void {
+  /**
+   * A started stream can't be refused any more, so its connection is cut, once
+   * the caller has the events that it can resume after.
+   */
+  private async cutOrRefuse(
+    call: Call,
+    buffer: StreamBuffer,
+    hasBegun: boolean,
+    refuse: () => void,
+  ): Promise<void> {
     if (hasBegun) {
+      await buffer.whenEmpty(call.timeLeftMs);
       call.res.destroy();
       call.end('stream-cut');
     } else {
