--- /dev/null
+++ b/src/forwarding/held-answer.ts
@@ -0,0 +1,73 @@
+/**
+ * Bytes of a plain answer: read from its target, then unread by its caller. Its
+ * reading is not paused above the bound: several answers would wait for each
+ * other until their deadlines.
+ */
+import type {Writable} from 'node:stream';
+import type {BodyObserver} from '../http/body';
+import * as heldBytes from './held-bytes';
+
+export class HeldAnswer extends heldBytes.Holder implements BodyObserver {
+  private readonly pace = new heldBytes.ReaderPace();
+  private readBytes = 0;
+  /** Size of the answer once it was given to the caller; undefined: not yet. */
+  private givenBytes: number | undefined;
+
+  constructor(
+    private readonly res: Writable,
+    private readonly held: heldBytes.HeldBytes,
+    private readonly onCut: heldBytes.CutListener,
+  ) {
+    super();
+  }
+
+  onStart(): void {
+    this.readBytes = 0;
+  }
+
+  onBytes(size: number): void {
+    this.readBytes = size;
+    this.held.update(this);
+  }
+
+  /** Call after the response's last bytes were written. */
+  noteGiven(size: number): void {
+    this.givenBytes = size;
+    const remove = () => this.held.remove(this);
+    this.res.once('finish', remove);
+    this.res.once('close', remove);
+    this.pace.note(performance.now(), size, 0, this.held.slowBytes);
+    this.held.update(this);
+  }
+
+  /** Drops what was read, unless it was given to the caller. */
+  discard(): void {
+    if (this.givenBytes === undefined) {
+      this.readBytes = 0;
+      this.held.remove(this);
+    }
+  }
+
+  bytes(): number {
+    if (this.givenBytes === undefined) {
+      return this.readBytes;
+    }
+    return this.res.destroyed ? 0 : this.res.writableLength;
+  }
+
+  rankAt(now: number): heldBytes.CutRank | undefined {
+    if (this.givenBytes === undefined) {
+      return undefined;
+    }
+    const unread = this.bytes();
+    const taken = this.givenBytes - unread;
+    const pace = this.pace.note(now, unread, taken, this.held.slowBytes);
+    return pace === 'slow' ? {class: 'answer', weight: unread} : undefined;
+  }
+
+  cut(now: number): void {
+    const bytes = this.bytes();
+    this.res.destroy();
+    this.onCut('answer', bytes, this.pace.behindMs(now));
+  }
+}
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -7,7 +7,7 @@
 import {OutcomeObserver} from './outcome-observer';
 import * as outcomes from './outcomes';
 import type {RefusalBuilder} from './refusal-builder';
-import {RelayedRequest, digestOf} from './relayed-request';
+import {RelayedRequest, digestOf, priorityOf} from './relayed-request';
 import type {RetryBudget} from './retry-budget';
 import type {TargetFinder} from './target-finder';
 import * as types from './types';
@@ -76,7 +76,9 @@
         timeLeftMs: call.timeLeftMs,
         account: request.account?.name,
         resumeAfterEventId,
+        priority: this.statedPriority(request, resumeAfterEventId),
       },
+      holders: {body: call.heldBody, answer: call.heldAnswer, mayRepeat},
       isStream: request.route.kind === 'stream',
       deadline: call.deadline,
       signal: call.signal,
@@ -115,6 +117,21 @@
     return outcome;
   }
 
+  /**
+   * Priority that the target is told; undefined if it would be the same for all
+   * routes of the service.
+   */
+  private statedPriority(
+    request: RelayedRequest,
+    resumeAfterEventId: string | undefined,
+  ): number | undefined {
+    const {table} = this.context.configuration;
+    if (table?.differInPriority(request.service) !== true) {
+      return undefined;
+    }
+    return resumeAfterEventId === undefined ? priorityOf(request) : 0;
+  }
+
   /**
    * Marks a target as tried, except a rank that refused because its group is
    * closed: a request that probes the group repeatedly would otherwise run out
@@ -231,7 +248,14 @@
         this.refuseUnsent(call, this.refusals.targetFull(call, target.service));
         return;
       case 'unknown':
-        call.refuse({kind: 'failed', why: outcome.why});
+        call.refuse({
+          kind: 'failed',
+          why: outcome.why,
+          retryMs:
+            outcome.why === 'slow-target'
+              ? retryDelays.afterFull(call.timeLeftMs)
+              : undefined,
+        });
         return;
       case 'timed-out':
         this.refuseUnsent(
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -67,6 +67,8 @@
   readonly account: string | undefined;
   /** Id after which to resume a stream; undefined: the caller's own. */
   readonly resumeAfterEventId: string | undefined;
+  /** 0 is the highest; undefined: not stated to the target. */
+  readonly priority: number | undefined;
 }
 
 /** Status and headers of a target's response. */
@@ -118,6 +120,8 @@
   | 'stopping'
   | 'no-target'
   | 'overloaded'
+  /** The caller was slow to send the body, and too many bytes were held. */
+  | 'slow-upload'
   | 'target-full'
   | 'targets-resting'
   | 'targets-limited'
@@ -130,7 +134,9 @@
   | 'foreign-answer'
   | 'unsigned-answer'
   | 'broken-answer'
-  | 'unproven-refusal';
+  | 'unproven-refusal'
+  /** The target was slow to read the body, and too many bytes were held. */
+  | 'slow-target';
 
 /** Translates between HTTP headers and these types. */
 export abstract class Wire {
--- a/src/observability/catalogue.ts
+++ b/src/observability/catalogue.ts
@@ -59,6 +59,11 @@
     level: 'info',
     text: 'requests wait for a target',
   },
+  slowReaderCut: {
+    id: 'FC2015',
+    level: 'warn',
+    text: 'too many bytes held: slow reader or sender cut off',
+  },
   platformUnavailable: {
     id: 'FC3001',
     level: 'warn',
--- a/src/roles/site-entry.ts
+++ b/src/roles/site-entry.ts
@@ -6,6 +6,7 @@
 import {Forwarder} from '../forwarding/forwarder';
 import {GroupGate} from '../forwarding/group-gate';
 import {GroupViews} from '../forwarding/group-views';
+import * as heldBytes from '../forwarding/held-bytes';
 import type {Wire} from '../forwarding/types';
 import * as httpServer from '../http/server';
 import {SuspensionDetector} from '../suspension-detector';
@@ -40,6 +41,7 @@
   private readonly suspensionDetector = new SuspensionDetector();
   private readonly views: GroupViews;
   private readonly connections = new TargetConnections();
+  private readonly held: heldBytes.HeldBytes;
   private readonly forwarder: Forwarder;
   private readonly metrics = new Metrics();
   private readonly servers: http.Server[] = [];
@@ -99,6 +101,11 @@
       this.views.clear();
       this.forwarder.noteSuspension(suspendedMs);
     });
+    this.held = new heldBytes.HeldBytes(
+      heldBytes.boundOf(cfg.memoryLimitBytes),
+    );
+    this.metrics.observe('held_bytes', () => this.held.bytes());
+    this.metrics.observe('held_bytes_peak', () => this.held.peakBytes);
     this.forwarder = new Forwarder({
       cfg,
       wire,
@@ -111,6 +118,7 @@
       connections: this.connections,
       crashes: this.site.crashes,
       shares: new UnlimitedShares(),
+      held: this.held,
       knownEntryCount: () => this.site.knownEntryCount,
       whenRoutable: waitMs => this.site.whenRoutable(waitMs),
       isIsolated: () => this.site.isIsolated(performance.now()),
@@ -191,6 +199,7 @@
     this.callerServer?.close();
     this.callerServer?.closeAllConnections();
     this.connections.close();
+    this.held.close();
     this.views.close();
     this.rpc.close();
     this.store.close();
--- a/src/roles/site-settings.ts
+++ b/src/roles/site-settings.ts
@@ -58,4 +58,6 @@
   readonly stallMs: number;
   /** Maximum requests to a cold target, from all entries together. */
   readonly warmUpBounds: WarmUpBounds;
+  /** Memory limit of the process; undefined: not stated. */
+  readonly memoryLimitBytes?: number;
 }
--- a/src/routes/table.ts
+++ b/src/routes/table.ts
@@ -7,6 +7,8 @@
   private readonly byKey = new Map<string, types.ClientAccount>();
   private readonly byService = new Map<string, types.Service>();
   private readonly withObjective = new Set<string>();
+  /** Services whose routes have different priorities. */
+  private readonly withPriorities = new Set<string>();
 
   constructor(readonly snapshot: types.Snapshot) {
     for (const route of snapshot.routes) {
@@ -27,6 +29,15 @@
       account.keys.forEach(key => this.byKey.set(key, account));
     }
     snapshot.services.forEach(one => this.byService.set(one.name, one));
+    const first = new Map<string, number>();
+    for (const {services, priority} of snapshot.routes) {
+      for (const {service} of services) {
+        if ((first.get(service) ?? priority) !== priority) {
+          this.withPriorities.add(service);
+        }
+        first.set(service, priority);
+      }
+    }
   }
 
   /**
@@ -54,6 +65,11 @@
     return this.withObjective.has(service);
   }
 
+  /** True if the service's routes have different priorities. */
+  differInPriority(service: string): boolean {
+    return this.withPriorities.has(service);
+  }
+
   /** True if requests of the route must carry the API key of an account. */
   needsKey(route: types.Route): boolean {
     return !route.isPublic && this.snapshot.accounts !== undefined;
