View of the peer order shared by its users

Cause: a second component will agree on a responsible peer. Result: src/targets tests of the coordinator pass unchanged.

--- a/src/peers/peer-ranking.ts
+++ b/src/peers/peer-ranking.ts
@@ -7,6 +7,14 @@
 import type {PeerDirectory} from './peer-directory';
 import {UnresponsivePeers} from './unresponsive-peers';
 
+/** The first processes for a key, as one process tells another. */
+export interface RankingView {
+  /** RPC addresses of those that answer, the responsible one first. */
+  readonly order: string[];
+  /** Addresses among the first that do not answer. */
+  readonly silent: string[];
+}
+
 export class PeerRanking {
   private readonly unresponsive = new UnresponsivePeers();
 
@@ -32,6 +40,22 @@
     );
   }
 
+  /** Up to `count` processes each that answer and that do not. */
+  view(key: string, count: number): RankingView {
+    return {
+      order: this.responsive(key).slice(0, count),
+      silent: this.ranked(key)
+        .slice(0, count)
+        .filter(one => this.isUnresponsive(one)),
+    };
+  }
+
+  /** Takes over the view of a peer; the next call corrects an error. */
+  learn({order, silent}: RankingView): void {
+    this.markResponsive(...order);
+    this.directory.add(silent);
+  }
+
   /** Unresponsive ones that rank before all that answer and are due for a retry. */
   takeDueRetries(key: string, now: number): string[] {
     const all = this.ranked(key);
--- a/src/targets/limit-coordinator.ts
+++ b/src/targets/limit-coordinator.ts
@@ -94,14 +94,8 @@
     const {lifetime, wanted} = ask;
     const word = fromMessage(ask.word, now);
     const {peers} = this.context;
-    const order = this.issuerOrder(lifetime, word, now).slice(
-      0,
-      1 + SUCCESSORS_NOTIFIED,
-    );
-    const silent = peers
-      .ranked(lifetime)
-      .slice(0, 1 + SUCCESSORS_NOTIFIED)
-      .filter(one => peers.isUnresponsive(one));
+    this.retrySilent(lifetime, word, now);
+    const {order, silent} = peers.view(lifetime, 1 + SUCCESSORS_NOTIFIED);
     const isIssuer = order[0] === peers.ownAddress;
     if (isIssuer && (wanted > 0 || this.isIssuing(lifetime))) {
       const granted = this.grant(lifetime, word, wanted, now);
@@ -222,11 +216,7 @@
     }
     peers.markResponsive(peer);
     this.hasPeerContact = true;
-    for (const {order, silent} of answer.value.answers) {
-      // The peer counts these as responsive; the next call corrects an error.
-      peers.markResponsive(...order);
-      peers.directory.add(silent);
-    }
+    answer.value.answers.forEach(view => peers.learn(view));
     return answer.value.answers;
   }
 
@@ -239,19 +229,23 @@
 
   /**
    * Responsive peers for a lifetime; the first issues its permits. Also calls
-   * silent peers ahead of them, to detect their recovery.
+   * silent peers ahead of them.
    */
   private issuerOrder(
     lifetime: string,
     word: RateLimit,
     now: number,
   ): string[] {
-    const {peers} = this.context;
-    peers
+    this.retrySilent(lifetime, word, now);
+    return this.context.peers.responsive(lifetime);
+  }
+
+  /** Calls silent peers ahead in the order, to detect their recovery. */
+  private retrySilent(lifetime: string, word: RateLimit, now: number): void {
+    this.context.peers
       .takeDueRetries(lifetime, now)
       .slice(0, MAX_SILENT_TRIED)
       .forEach(one => void this.call(one, [{lifetime, word, wanted: 0}]));
-    return peers.responsive(lifetime);
   }
 
   private isIssuing(lifetime: string): boolean {
