Answers of peers are taken over by LimitCoordinator itself

Cause: shared capacity must not clear the mark of a peer that it can't reach because another one can. Change: PeerRanking keeps only the view that both name to callers.

--- a/src/peers/peer-ranking.ts
+++ b/src/peers/peer-ranking.ts
@@ -50,12 +50,6 @@
     };
   }
 
-  /** Takes over the view of a peer; the next call corrects an error. */
-  learn({order, silent}: RankingView): void {
-    this.markResponsive(...order);
-    this.directory.add(silent);
-  }
-
   /** Unresponsive ones that rank before all that answer and are due for a retry. */
   takeDueRetries(key: string, now: number): string[] {
     const all = this.ranked(key);
--- a/src/targets/limit-coordinator.ts
+++ b/src/targets/limit-coordinator.ts
@@ -216,7 +216,11 @@
     }
     peers.markResponsive(peer);
     this.hasPeerContact = true;
-    answer.value.answers.forEach(view => peers.learn(view));
+    for (const {order, silent} of answer.value.answers) {
+      // The peer counts these as responsive; the next call corrects an error.
+      peers.markResponsive(...order);
+      peers.directory.add(silent);
+    }
     return answer.value.answers;
   }
 
