--- a/src/observability/catalogue.ts
+++ b/src/observability/catalogue.ts
@@ -195,6 +195,21 @@
     level: 'warn',
     text: 'target crashed with requests in progress',
   },
+  shareChanged: {
+    id: 'FC6022',
+    level: 'info',
+    text: 'share of a pool changed',
+  },
+  capacityHeld: {
+    id: 'FC6023',
+    level: 'info',
+    text: 'this process shares out the capacity of a pool',
+  },
+  capacityLeft: {
+    id: 'FC6024',
+    level: 'info',
+    text: 'another process shares out the capacity of a pool',
+  },
   targetUnreachable: {
     id: 'FC6004',
     level: 'warn',
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -71,6 +71,12 @@
     this.counters.set(key, {name, labels, value: (counter?.value ?? 0) + by});
   }
 
+  /** Sets the gauge with this name and these labels. */
+  set(name: string, labels: Record<string, string>, value: number): void {
+    const key = `${name} ${JSON.stringify(labels)}`;
+    this.counters.set(key, {name, labels, value});
+  }
+
   /** Records milliseconds spent in an admission queue. */
   recordQueueTime(account: string, ms: number): void {
     this.recordDuration('queue', account, 'all', ms);
