Capacity of pools shared among entries

Cause: no entry knows what the others have in flight in a pool, so they overload it together or leave it idle together. Change: entries report to an allocator while a pool is short and get leases on shares; a share rises only by what no other entry may use.

--- /dev/null
+++ b/src/capacity/lease.ts
@@ -0,0 +1,151 @@
+/**
+ * An entry's share of one pool: how many requests it may have in flight, with or
+ * without a valid lease, and when it reports. Takes the time as an argument.
+ */
+import {demandOf} from './allocate';
+import type {ShareGrant} from './app';
+import * as timing from './timing';
+import type {PoolDemand} from './types';
+
+/** Wait after a callee that found no allocator: its view has been learned. */
+const REDIRECT_DELAY_MS = 50;
+/** An announcement holds for this long; one may be lost. */
+const ANNOUNCED_MS = 2.2 * timing.ANNOUNCE_INTERVAL_MS;
+
+/** An entry's use of a pool at a moment. */
+export interface PoolUse {
+  /** Concurrent requests of all entries. */
+  readonly capacity: number;
+  /** Assumed number of entries, this one included. */
+  readonly entries: number;
+  /** The capacity divided by this is the equal part of an entry. */
+  readonly parts: number;
+  readonly lines: PoolDemand;
+}
+
+export class PoolLease {
+  private share: number | undefined;
+  /** Monotonic time at which the lease ends or has ended. */
+  private validUntil = -Infinity;
+  private shortUntil = -Infinity;
+  private announcedUntil = -Infinity;
+  private reportedAt = -Infinity;
+  private waitMs = 0;
+  private hadWaiting = false;
+  private demandAt = -Infinity;
+  private sequence = 0;
+  /** A report is under way. */
+  isReporting = false;
+  /** The allocator has a report of this entry that is not marked as the last. */
+  isKnown = false;
+
+  /** The pool is short, as far as this entry can tell. */
+  isShort(use: PoolUse, now: number): boolean {
+    const inFlight = inFlightOf(use);
+    return (
+      inFlight * use.entries > timing.SHORT_SHARE * use.capacity ||
+      hasWaiting(use) ||
+      now < this.shortUntil
+    );
+  }
+
+  /** Reports go on for a while after the last request, in case more follow. */
+  shouldReport(use: PoolUse, now: number): boolean {
+    if (hasDemand(use)) {
+      this.demandAt = now;
+    }
+    return this.isShort(use, now) && now - this.demandAt < timing.SHORT_MS;
+  }
+
+  /** Requests that the entry may have in flight; undefined: no limit. */
+  limit(use: PoolUse, now: number): number | undefined {
+    if (!this.isShort(use, now)) {
+      return undefined;
+    }
+    if (now < this.validUntil) {
+      return Math.max(this.share ?? 0, 1);
+    }
+    if (now < this.announcedUntil) {
+      return 1;
+    }
+    const equalPart = Math.max(Math.floor(use.capacity / use.parts), 1);
+    const isRecent = now < this.validUntil + timing.FALLBACK_MS;
+    return isRecent ? Math.max(this.share ?? 0, equalPart) : equalPart;
+  }
+
+  /** Monotonic time of the next report. */
+  nextReportAt(use: PoolUse): number {
+    const isSudden = hasWaiting(use) && !this.hadWaiting;
+    const waitMs = isSudden
+      ? Math.min(this.waitMs, timing.MIN_REPORT_INTERVAL_MS)
+      : this.waitMs;
+    return this.reportedAt + waitMs;
+  }
+
+  /** Returns the sequence number of a report that is now sent. */
+  startReport(use: PoolUse, isLast: boolean, now: number): number {
+    this.isReporting = true;
+    this.isKnown = !isLast;
+    if (isLast) {
+      this.share = undefined;
+      this.validUntil = -Infinity;
+    }
+    this.reportedAt = now;
+    this.waitMs = timing.REPORT_INTERVAL_MS;
+    this.hadWaiting = hasWaiting(use);
+    this.sequence += 1;
+    return this.sequence;
+  }
+
+  /** `sentAt`: when the report was sent. */
+  applyGrant(grant: ShareGrant, sentAt: number): void {
+    this.share = grant.share;
+    this.validUntil = sentAt + timing.LEASE_MS;
+    this.waitMs = grant.waitMs;
+    this.announcedUntil = -Infinity;
+    if (grant.isShort) {
+      this.shortUntil = sentAt + timing.SHORT_MS;
+    }
+  }
+
+  /** A peer has answered, but found no allocator. */
+  noteRedirected(): void {
+    this.waitMs = REDIRECT_DELAY_MS;
+    this.announcedUntil = -Infinity;
+  }
+
+  /** A report was not answered: the next one goes to another peer. */
+  noteUnanswered(): void {
+    this.waitMs = timing.MIN_REPORT_INTERVAL_MS;
+    this.announcedUntil = -Infinity;
+  }
+
+  /** The allocator has announced that the pool is short. */
+  noteAnnounced(now: number): void {
+    this.shortUntil = Math.max(this.shortUntil, now + timing.SHORT_MS);
+    this.announcedUntil = now + ANNOUNCED_MS;
+  }
+
+  /** Ends the lease, as after a suspension. */
+  invalidate(now: number): void {
+    this.validUntil = Math.min(this.validUntil, now);
+    this.announcedUntil = -Infinity;
+    this.waitMs = 0;
+  }
+}
+
+export function inFlightOf({lines}: PoolUse): number {
+  return lines.reduce((sum, {inFlight}) => sum + inFlight, 0);
+}
+
+export function waitingOf({lines}: PoolUse): number {
+  return lines.reduce((sum, {waiting}) => sum + waiting, 0);
+}
+
+export function hasDemand({lines}: PoolUse): boolean {
+  return demandOf(lines) > 0;
+}
+
+function hasWaiting({lines}: PoolUse): boolean {
+  return lines.some(({waiting}) => waiting > 0);
+}
--- /dev/null
+++ b/src/capacity/shared-capacity-rpc.test.ts
@@ -0,0 +1,65 @@
+/** Three entries of one process that share a pool over real RPC. */
+import * as http from 'node:http';
+import type * as net from 'node:net';
+import {SILENT_LOG} from '../observability/log';
+import {Metrics} from '../observability/metrics';
+import {PeerDirectory} from '../peers/peer-directory';
+import {PeerRanking} from '../peers/peer-ranking';
+import {RpcClient} from '../rpc/client';
+import {RpcServer} from '../rpc/server';
+import {SharedCapacity} from './shared-capacity';
+import {PoolSource} from './types';
+
+const POOL = 'plain';
+
+class FixedDemand extends PoolSource {
+  constructor(private readonly waiting: number) {
+    super();
+  }
+
+  demandOf() {
+    return [{priority: 1, account: 'a', inFlight: 0, waiting: this.waiting}];
+  }
+
+  capacityOf() {
+    return 60;
+  }
+}
+
+it('entries agree on shares over real RPC', async () => {
+  const rpc = new RpcClient();
+  const opened = await Promise.all(
+    [10, 20, 300].map(async waiting => {
+      const rpcServer = new RpcServer(SILENT_LOG);
+      const server = http.createServer((req, res) => {
+        void rpcServer.handleRequest(req, res);
+      });
+      await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
+      const {port} = server.address() as net.AddressInfo;
+      return {waiting, rpcServer, server, address: `127.0.0.1:${port}`};
+    }),
+  );
+  const addresses = opened.map(({address}) => address);
+  const entries = opened.map(({waiting, rpcServer, address}) => {
+    const shares = new SharedCapacity({
+      rpc,
+      peers: new PeerRanking(address, new PeerDirectory(address, addresses)),
+      source: new FixedDemand(waiting),
+      log: SILENT_LOG,
+      metrics: new Metrics(),
+      knownEntryCount: () => addresses.length,
+      weightOf: () => 1,
+      floorShare: 0.1,
+    });
+    shares.open(rpcServer);
+    return shares;
+  });
+  entries.forEach(one => one.noteUse(POOL, performance.now()));
+  await new Promise(resolve => setTimeout(resolve, 2_500));
+  const now = performance.now();
+  // One account: in proportion to the demand.
+  expect(entries.map(one => one.shareOf(POOL, now))).toEqual([2, 4, 54]);
+  entries.forEach(one => one.close());
+  opened.forEach(({server}) => server.close());
+  rpc.close();
+});
--- /dev/null
+++ b/src/capacity/shared-capacity.test.ts
@@ -0,0 +1,490 @@
+/**
+ * Entries that share a pool over a simulated network: what they may use together
+ * under waves of demand, faults and views that differ.
+ */
+import {SILENT_LOG} from '../observability/log';
+import {Metrics} from '../observability/metrics';
+import {PeerDirectory} from '../peers/peer-directory';
+import {PeerRanking} from '../peers/peer-ranking';
+import * as random from '../random';
+import {fail, ok} from '../result';
+import * as rendezvous from '../routing/rendezvous';
+import type {RpcClient} from '../rpc/client';
+import {demandOf} from './allocate';
+import {SharedCapacity} from './shared-capacity';
+import {DemandLine, PoolDemand, PoolSource} from './types';
+
+const POOL = 'model group-1';
+const STEP_MS = 10;
+const SECOND_MS = 1_000;
+/** A new pool: first reports, handover, reports after it. */
+const SETTLE_MS = 3_000;
+/** Mean time between two polls of a peer by each entry. */
+const DISCOVERY_MS = 300;
+/** Bound for the return under the capacity after a fault. */
+const RECOVERY_MS = 2_000;
+
+type Handler = (params: unknown, peer: unknown) => unknown;
+
+/** An entry that starts waiting requests whenever its share allows. */
+class SimulatedEntry extends PoolSource {
+  /** Requests that its callers want to have in flight, by account. */
+  wanted: {priority: number; account: string; amount: number}[] = [];
+  isFrozen = false;
+  isDead = false;
+  readonly handlers = new Map<string, Handler>();
+  readonly directory: PeerDirectory;
+  readonly shares: SharedCapacity;
+  private lines: DemandLine[] = [];
+
+  constructor(
+    readonly address: string,
+    private readonly site: Site,
+    seeds: readonly string[],
+  ) {
+    super();
+    this.directory = new PeerDirectory(address, seeds);
+    this.shares = new SharedCapacity({
+      rpc: {call: site.callFrom(this)},
+      peers: new PeerRanking(address, this.directory),
+      source: this,
+      log: SILENT_LOG,
+      metrics: new Metrics(),
+      knownEntryCount: () => 1 + this.directory.known.length,
+      weightOf: () => 1,
+      floorShare: 0.1,
+    });
+    this.shares.open({
+      handle: (method, handler) =>
+        void this.handlers.set(method.name, handler as Handler),
+    });
+  }
+
+  get isRunning(): boolean {
+    return !this.isFrozen && !this.isDead;
+  }
+
+  get demand(): number {
+    return demandOf(this.lines);
+  }
+
+  get inFlight(): number {
+    return this.lines.reduce((sum, {inFlight}) => sum + inFlight, 0);
+  }
+
+  /** Share; an entry without a limit may use what it has in flight. */
+  get mayUse(): number {
+    return this.shares.shareOf(POOL, performance.now()) ?? this.inFlight;
+  }
+
+  demandOf(): PoolDemand {
+    return this.lines;
+  }
+
+  capacityOf(): number {
+    return this.site.capacity;
+  }
+
+  want(amount: number, priority = 1, account = ''): void {
+    this.wanted = [{priority, account, amount: Math.round(amount)}];
+  }
+
+  step(): void {
+    const now = performance.now();
+    this.lines = this.wanted.map(({priority, account, amount}) => {
+      const before = this.lines.find(
+        one => one.priority === priority && one.account === account,
+      );
+      const ended = Array.from({length: before?.inFlight ?? 0}).filter(
+        () => random.uniform() < STEP_MS / this.site.requestMs,
+      ).length;
+      const inFlight = (before?.inFlight ?? 0) - ended;
+      const waiting = Math.max(amount - inFlight, 0);
+      return {priority, account, inFlight, waiting};
+    });
+    // Starts in proportion to what waits, a request of each line at a time.
+    let hasStarted = true;
+    while (hasStarted) {
+      hasStarted = false;
+      for (const line of this.lines) {
+        const share = this.shares.shareOf(POOL, now) ?? Infinity;
+        if (line.waiting > 0 && this.inFlight < share) {
+          line.waiting -= 1;
+          line.inFlight += 1;
+          hasStarted = true;
+        }
+      }
+    }
+    if (this.demand > 0) {
+      this.shares.noteUse(POOL, now);
+    }
+  }
+}
+
+/** Entries, the network between them and what they may use over time. */
+class Site {
+  readonly entries = new Map<string, SimulatedEntry>();
+  capacity = 160;
+  /** Mean duration of a request. */
+  requestMs = 300;
+  lossShare = 0;
+  calls = 0;
+  /** True for a message that the network drops. */
+  isCut: (from: string, to: string) => boolean = () => false;
+  /** Time and sum of what the running entries may use, for each step. */
+  readonly sums: {at: number; mayUse: number; minima: number}[] = [];
+  /** Time and part of the usable capacity that is handed out. */
+  readonly handedOut: {at: number; share: number}[] = [];
+
+  constructor(count: number, seedsOf?: (all: string[]) => string[]) {
+    const all = Array.from({length: count}, (_, at) => `10.0.${at}.1:7`);
+    all.forEach(one => this.add(one, seedsOf?.(all) ?? all));
+  }
+
+  get all(): SimulatedEntry[] {
+    return [...this.entries.values()];
+  }
+
+  get allocator(): SimulatedEntry {
+    const [first] = rendezvous.rankByKey(POOL, this.all, one => one.address);
+    return first!;
+  }
+
+  add(address: string, seeds: readonly string[]): SimulatedEntry {
+    const entry = new SimulatedEntry(address, this, seeds);
+    this.entries.set(address, entry);
+    return entry;
+  }
+
+  kill(entry: SimulatedEntry): void {
+    entry.isDead = true;
+    entry.want(0);
+    entry.shares.close();
+  }
+
+  callFrom(from: SimulatedEntry): RpcClient['call'] {
+    return async (address, method, params, timeoutMs = SECOND_MS) => {
+      const startedAt = performance.now();
+      this.calls += 1;
+      await sleep(1 + random.uniform() * 10);
+      const to = this.entries.get(address);
+      if (to === undefined || to.isDead) {
+        return fail({kind: 'unreachable', sent: false});
+      }
+      const isLost = (a: SimulatedEntry, b: SimulatedEntry) =>
+        a.isFrozen ||
+        b.isFrozen ||
+        a.isDead ||
+        this.isCut(a.address, b.address) ||
+        random.uniform() < this.lossShare;
+      if (!isLost(from, to)) {
+        const result = await to.handlers.get(method.name)!(params, {});
+        await sleep(1 + random.uniform() * 10);
+        if (!isLost(to, from)) {
+          return ok(structuredClone(result) as never);
+        }
+      }
+      await sleep(Math.max(timeoutMs - (performance.now() - startedAt), 0));
+      while (from.isFrozen) {
+        await sleep(STEP_MS);
+      }
+      return fail({kind: 'unreachable', sent: true});
+    };
+  }
+
+  async run(ms: number, onStep: (now: number) => void = () => {}) {
+    const endsAt = performance.now() + ms;
+    while (performance.now() < endsAt) {
+      onStep(performance.now());
+      if (random.uniform() < STEP_MS / DISCOVERY_MS) {
+        this.discoverPeers();
+      }
+      this.all.filter(one => one.isRunning).forEach(one => one.step());
+      this.measure();
+      await jest.advanceTimersByTimeAsync(STEP_MS);
+    }
+  }
+
+  /** Each entry polls a peer, which is how entries learn of others. */
+  private discoverPeers(): void {
+    for (const entry of this.all.filter(one => one.isRunning)) {
+      const [address] = entry.directory.chooseRandom();
+      const peer = this.entries.get(address ?? '');
+      if (
+        peer?.isRunning === true &&
+        !this.isCut(entry.address, peer.address) &&
+        !this.isCut(peer.address, entry.address)
+      ) {
+        peer.directory.add([entry.address]);
+        entry.directory.add(peer.directory.chooseToShare());
+      }
+    }
+  }
+
+  close(): void {
+    this.all.forEach(entry => entry.shares.close());
+  }
+
+  private measure(): void {
+    const at = performance.now();
+    const active = this.all.filter(one => one.isRunning && one.demand > 0);
+    const sum = (of: (one: SimulatedEntry) => number) =>
+      active.reduce((total, one) => total + of(one), 0);
+    const usable = Math.min(
+      this.capacity,
+      sum(one => one.demand),
+    );
+    this.sums.push({
+      at,
+      mayUse: sum(one => one.mayUse),
+      minima: active.filter(one => one.mayUse <= 1).length,
+    });
+    const handedOut = sum(one =>
+      Math.min(one.demand, Math.max(one.mayUse, one.inFlight)),
+    );
+    this.handedOut.push({at, share: usable > 0 ? handedOut / usable : 1});
+  }
+
+  /** Maximum of what entries may use, over the capacity, without minima of one. */
+  maxSum(from: number, until = Infinity): number {
+    const sums = this.sums.filter(({at}) => at >= from && at < until);
+    return Math.max(
+      ...sums.map(({mayUse, minima}) => (mayUse - minima) / this.capacity),
+    );
+  }
+
+  minHandedOut(from: number, until = Infinity): number {
+    const counted = this.handedOut.filter(({at}) => at >= from && at < until);
+    return Math.min(...counted.map(({share}) => share));
+  }
+
+  /** The capacity is kept, and what entries have demand for is handed out. */
+  expectShared(from: number, until?: number, handedOutFrom = from): void {
+    expect(this.maxSum(from, until)).toBeLessThanOrEqual(1);
+    expect(this.minHandedOut(handedOutFrom, until)).toBeGreaterThan(0.85);
+  }
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
+
+let site: Site;
+
+beforeEach(() => {
+  jest.useFakeTimers();
+  random.seed(1);
+});
+
+afterEach(() => {
+  site.close();
+  jest.useRealTimers();
+});
+
+/** A wave of demand over three halls, nearly in phase; larger at some entries. */
+function wave(now: number): void {
+  site.all
+    .filter(one => one.isRunning)
+    .forEach((one, at) => {
+      const phase = (2 * Math.PI * now) / 17_000 + (at % 3) * 0.2;
+      const size = (1 + (at % 5)) / 3;
+      one.want(11 * size * (1 + 0.55 * Math.sin(phase)));
+    });
+}
+
+/** All entries want more than the capacity together. */
+function overload(): void {
+  const running = site.all.filter(one => one.isRunning);
+  const mean = (1.5 * site.capacity) / running.length;
+  running.forEach((one, at) => one.want(mean * (0.5 + at / running.length)));
+}
+
+describe('entries that share a pool', () => {
+  it('keep the capacity and use it under a wave in phase over three halls', async () => {
+    site = new Site(17);
+    const from = performance.now() + SETTLE_MS;
+    await site.run(40_000, wave);
+    site.expectShared(from);
+    // 16 entries report five times per second.
+    expect(site.calls / 40).toBeLessThan(100);
+  });
+
+  it('hand over capacity within half a second of a change of demand', async () => {
+    site = new Site(17);
+    site.requestMs = 50;
+    const wantAt = (busy: number) => () =>
+      site.all.forEach((one, at) => one.want(at % 3 === busy ? 30 : 3));
+    await site.run(SETTLE_MS, wantAt(0));
+    for (const busy of [1, 2, 0, 1]) {
+      const changedAt = performance.now();
+      await site.run(3_000, wantAt(busy));
+      expect(site.maxSum(changedAt)).toBeLessThanOrEqual(1);
+      expect(site.minHandedOut(changedAt + 500)).toBeGreaterThan(0.85);
+    }
+  });
+
+  it('give the urgent priority what it asks for, and the other a tenth', async () => {
+    site = new Site(3);
+    const [urgent, ...others] = site.all;
+    const offer = (amount: number) => () => {
+      urgent!.want(amount, 0);
+      others.forEach(one => one.want(150, 2));
+    };
+    await site.run(SETTLE_MS, offer(60));
+    expect(urgent!.inFlight).toBeGreaterThanOrEqual(0.9 * 60);
+    await site.run(SETTLE_MS, offer(600));
+    const rest = others.reduce((sum, one) => sum + one.inFlight, 0);
+    expect(rest).toBeGreaterThanOrEqual(0.1 * site.capacity);
+    expect(urgent!.inFlight).toBeGreaterThanOrEqual(0.8 * site.capacity);
+  });
+
+  it('let an entry with a sudden request start it at once, and more soon', async () => {
+    site = new Site(17);
+    const idle = site.all[4]!;
+    await site.run(SETTLE_MS + 1_000, () => {
+      overload();
+      idle.want(0);
+    });
+    const startedAt = performance.now();
+    idle.want(20);
+    await site.run(STEP_MS);
+    expect(idle.inFlight).toBeGreaterThanOrEqual(1);
+    await site.run(490);
+    // Its part is 12 of 160.
+    expect(idle.mayUse).toBeGreaterThanOrEqual(11);
+    expect(site.maxSum(startedAt)).toBeLessThanOrEqual(1);
+  });
+
+  it('make no calls while the pool is not short', async () => {
+    site = new Site(17);
+    await site.run(10_000, () => site.all.forEach(one => one.want(5)));
+    expect(site.calls).toBe(0);
+  });
+
+  it.each([
+    ['killed', (one: SimulatedEntry) => site.kill(one)],
+    ['suspended', (one: SimulatedEntry) => (one.isFrozen = true)],
+    [
+      'cut off',
+      ({address}: SimulatedEntry) =>
+        (site.isCut = (a, b) => a === address || b === address),
+    ],
+    [
+      'unreachable for others',
+      ({address}: SimulatedEntry) => (site.isCut = (_, to) => to === address),
+    ],
+    [
+      'not able to call',
+      ({address}: SimulatedEntry) => (site.isCut = from => from === address),
+    ],
+    [
+      'cut off from some entries',
+      ({address}: SimulatedEntry) => {
+        const some = site.all.slice(0, 5).map(one => one.address);
+        site.isCut = (a, b) =>
+          (a === address && some.includes(b)) ||
+          (b === address && some.includes(a));
+      },
+    ],
+    [
+      'cut off with some entries',
+      ({address}: SimulatedEntry) => {
+        const some = site.all.slice(0, 5).map(one => one.address);
+        const isInside = (a: string) => a === address || some.includes(a);
+        site.isCut = (a, b) => isInside(a) !== isInside(b);
+      },
+    ],
+  ])('stay bounded while the allocator is %s', async (_, breakIt) => {
+    site = new Site(17);
+    await site.run(SETTLE_MS, overload);
+    const {allocator} = site;
+    const brokenAt = performance.now();
+    breakIt(allocator);
+    await site.run(8_000, overload);
+    const mendedAt = performance.now();
+    site.isCut = () => false;
+    if (allocator.isFrozen) {
+      allocator.isFrozen = false;
+      allocator.shares.handleResume();
+    }
+    await site.run(6_000, overload);
+    expect(site.maxSum(brokenAt)).toBeLessThan(2);
+    const from = brokenAt + RECOVERY_MS;
+    // The last shares of entries that are cut off are kept free until then.
+    site.expectShared(from, mendedAt, from + SECOND_MS);
+    site.expectShared(mendedAt + RECOVERY_MS);
+  });
+
+  it('stay bounded if their number doubles and new ones know three others', async () => {
+    site = new Site(17);
+    await site.run(SETTLE_MS, overload);
+    const joinedAt = performance.now();
+    const seeds = site.all.slice(0, 3).map(({address}) => address);
+    for (let at = 0; at < 17; at += 1) {
+      site.add(`10.1.${at}.1:7`, seeds);
+    }
+    await site.run(8_000, overload);
+    expect(site.maxSum(joinedAt)).toBeLessThan(2);
+    site.expectShared(joinedAt + RECOVERY_MS);
+  });
+
+  it('stay bounded if each knows only some of the others', async () => {
+    site = new Site(17, all => [...all.slice(0, 2), ...random.sample(all, 3)]);
+    const startedAt = performance.now();
+    await site.run(10_000, overload);
+    expect(site.maxSum(startedAt)).toBeLessThan(2);
+    site.expectShared(startedAt + SETTLE_MS);
+  });
+
+  it('stay bounded if one in ten messages is lost', async () => {
+    site = new Site(12);
+    site.lossShare = 0.1;
+    const startedAt = performance.now();
+    await site.run(15_000, overload);
+    expect(site.maxSum(startedAt)).toBeLessThan(2);
+    expect(site.maxSum(startedAt + SETTLE_MS)).toBeLessThan(1.1);
+    expect(site.minHandedOut(startedAt + SETTLE_MS)).toBeGreaterThan(0.85);
+  });
+
+  // Random, overlapping faults: suspensions, cuts, restarts and new entries.
+  it.each(Array.from({length: 12}, (_, seed) => seed))(
+    'stay bounded under random faults: seed %d',
+    async seed => {
+      random.seed(seed);
+      site = new Site(8, all => all.slice(0, 4));
+      const startedAt = performance.now();
+      await site.run(SETTLE_MS, overload);
+      const seeds = site.all.slice(0, 3).map(({address}) => address);
+      for (let turn = 0; turn < 8; turn += 1) {
+        const faulty = random.pick(site.all);
+        const fault = random.integerBelow(4);
+        if (fault === 0 && faulty.isRunning) {
+          faulty.isFrozen = true;
+          const resume = () => {
+            faulty.isFrozen = false;
+            faulty.shares.handleResume();
+          };
+          setTimeout(resume, 300 + random.integerBelow(4_000));
+        } else if (fault === 1) {
+          const cut = random.sample(site.all, 3).map(({address}) => address);
+          const isOneWay = random.uniform() < 0.5;
+          site.isCut = (a, b) =>
+            cut.includes(a) !== cut.includes(b) &&
+            (!isOneWay || cut.includes(a));
+        } else if (fault === 2) {
+          site.kill(faulty);
+          site.add(faulty.address, seeds);
+        } else {
+          site.add(`10.2.${turn}.1:7`, [random.pick(site.all).address]);
+        }
+        await site.run(random.integerBelow(2_500), overload);
+      }
+      site.isCut = () => false;
+      await site.run(5_000, overload);
+      const mendedAt = performance.now();
+      await site.run(3_000, overload);
+      expect(site.maxSum(startedAt)).toBeLessThan(2);
+      site.expectShared(mendedAt);
+    },
+  );
+});
