--- a/src/capacity/allocator-role.ts
+++ b/src/capacity/allocator-role.ts
@@ -8,7 +8,8 @@
 import type {PeerRanking} from '../peers/peer-ranking';
 import * as grouping from '../grouping';
 import type {RpcClient} from '../rpc/client';
-import {AllocationRules} from './allocate';
+import type {RpcError} from '../rpc/types';
+import type {AllocationRules} from './allocate';
 import {CapacityAllocator, Reporter} from './allocator';
 import * as app from './app';
 import type {EntryContacts} from './entry-contacts';
@@ -124,6 +125,13 @@
     }
   }
 
+  /** A peer that rejects a call answers; it may be of an earlier version. */
+  noteFailedCall(peer: string, error: RpcError): void {
+    if (error.kind !== 'rejected') {
+      this.context.peers.markUnresponsive(peer);
+    }
+  }
+
   close(): void {
     this.isClosed = true;
     clearTimeout(this.heartbeatTimer);
@@ -169,7 +177,7 @@
     metrics.count('capacity_calls_total', {method: app.report.name});
     const answer = await rpc.call(peer, app.report, params, RELAY_TIMEOUT_MS);
     if (!answer.ok) {
-      peers.markUnresponsive(peer);
+      this.noteFailedCall(peer, answer.error);
       return undefined;
     }
     peers.markResponsive(peer);
@@ -253,7 +261,7 @@
     );
     const now = performance.now();
     if (!answer.ok) {
-      peers.markUnresponsive(entry);
+      this.noteFailedCall(entry, answer.error);
       // Refused at once: nothing listens there. A cut lets the time run out.
       const isGone =
         answer.error.kind === 'unreachable' &&
--- a/src/capacity/shared-capacity.ts
+++ b/src/capacity/shared-capacity.ts
@@ -153,7 +153,7 @@
   private useOf(pool: string, now: number): PoolUse | undefined {
     const {source} = this.context;
     const capacity = source.capacityOf(pool, now);
-    if (capacity === undefined) {
+    if (capacity === undefined || !Number.isFinite(capacity)) {
       return undefined;
     }
     const {count, parts} = this.contacts.known(now);
@@ -302,7 +302,7 @@
         this.settle(own, report, grant ?? undefined, sentAt);
       });
     } else {
-      peers.markUnresponsive(peer);
+      this.role.noteFailedCall(peer, answer.error);
       batch.forEach(({own: {lease}}) => {
         lease.isReporting = false;
         lease.noteUnanswered();
