--- a/src/capacity/allocator.ts
+++ b/src/capacity/allocator.ts
@@ -48,6 +48,7 @@
 interface EntryRecord extends Reporter {
   readonly report: PoolReport;
   readonly inFlight: number;
+  readonly demand: number;
   readonly share: number;
   readonly at: number;
 }
@@ -101,7 +102,8 @@
       return {share: 0, isShort: false, waitMs: 0};
     }
     const inFlight = report.lines.reduce((sum, line) => sum + line.inFlight, 0);
-    const record = {entry, incarnation, report, inFlight, share: 0, at: now};
+    const demand = demandOf(report.lines);
+    const record = {...reporter, report, inFlight, demand, share: 0, at: now};
     state.records.set(entry, record);
     state.reportedAt = now;
     const grant = this.grant(state, record, known, now);
@@ -223,7 +225,7 @@
       one => one.entry !== record.entry,
     );
     const used = others.reduce((sum, one) => sum + maxUse(one), 0);
-    const {held, lines} = record.report;
+    const {held} = record.report;
     const limit = isHandover
       ? Math.floor(Math.max(record.inFlight, equalPart))
       : Infinity;
@@ -231,7 +233,7 @@
     const mayRise =
       !isHandover || missing.every(one => state.missing.isKnown(one));
     const free = mayRise ? Math.floor(available - used) : 0;
-    const min = demandOf(lines) > 0 ? 1 : 0;
+    const min = record.demand > 0 ? 1 : 0;
     const share = Math.max(Math.min(target, limit, Math.max(held, free)), min);
     return {
       share,
@@ -273,11 +275,11 @@
 }
 
 function isShort(records: readonly EntryRecord[], capacity: number): boolean {
-  const lines = records.flatMap(({report}) => report.lines);
-  return (
-    lines.some(({waiting}) => waiting > 0) ||
-    demandOf(lines) > timing.SHORT_SHARE * capacity
-  );
+  const total = (of: (one: EntryRecord) => number) =>
+    records.reduce((sum, one) => sum + of(one), 0);
+  const demand = total(one => one.demand);
+  const waiting = demand - total(one => one.inFlight);
+  return waiting > 0 || demand > timing.SHORT_SHARE * capacity;
 }
 
 /** Entries report earlier while a part of a share moves from one to another. */
