--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -79,6 +79,12 @@
     this.observed.set(name, read);
   }
 
+  /** Sets the gauge with this name and these labels. */
+  set(name: string, labels: Record<string, string>, value: number): void {
+    const key = `${name} ${JSON.stringify(labels)}`;
+    this.counters.set(key, {name, labels, value});
+  }
+
   /** Records milliseconds spent in an admission queue. */
   recordQueueTime(account: string, ms: number): void {
     this.recordDuration('queue', account, 'all', ms);
