Entries share the capacity of their pools

Cause: each entry used the plain targets of a service, and the rest of a group, as if it were alone. Change: SiteEntry opens SharedCapacity with the forwarder's pools as its source; a test of three entries at two targets plays the loads. The reason of a refusal in the test of one entry is now 'share', because all capacity is granted as shares, also to a single entry.

--- a/src/roles/site-entry.ts
+++ b/src/roles/site-entry.ts
@@ -1,6 +1,6 @@
 /** The entry of a site: forwards callers' requests to the targets that it knows. */
 import * as http from 'node:http';
-import {UnlimitedShares} from '../capacity/types';
+import {SharedCapacity} from '../capacity/shared-capacity';
 import {TargetConnections} from '../forwarding/target-connections';
 import {LoadBalancer} from '../forwarding/load-balancer';
 import {Forwarder} from '../forwarding/forwarder';
@@ -42,6 +42,7 @@
   private readonly views: GroupViews;
   private readonly connections = new TargetConnections();
   private readonly held: heldBytes.HeldBytes;
+  private readonly shares: SharedCapacity;
   private readonly forwarder: Forwarder;
   private readonly metrics = new Metrics();
   private readonly servers: http.Server[] = [];
@@ -99,6 +100,7 @@
     this.suspensionDetector.suspensions.subscribe(suspendedMs => {
       this.site.age(suspendedMs);
       this.views.clear();
+      this.shares.handleResume();
       this.forwarder.noteSuspension(suspendedMs);
     });
     this.held = new heldBytes.HeldBytes(
@@ -106,6 +108,19 @@
     );
     this.metrics.observe('held_bytes', () => this.held.bytes());
     this.metrics.observe('held_bytes_peak', () => this.held.peakBytes);
+    this.shares = new SharedCapacity({
+      rpc: this.rpc,
+      peers: this.site.peers,
+      source: {
+        demandOf: pool => this.forwarder.pools.demandOf(pool),
+        capacityOf: (pool, now) => this.forwarder.pools.capacityOf(pool, now),
+      },
+      log,
+      metrics: this.metrics,
+      knownEntryCount: () => this.site.knownEntryCount,
+      weightOf: account => cfg.admission.weights.get(account) ?? 1,
+      floorShare: cfg.admission.floorShare,
+    });
     this.forwarder = new Forwarder({
       cfg,
       wire,
@@ -117,7 +132,7 @@
       reach: this.lastContact,
       connections: this.connections,
       crashes: this.site.crashes,
-      shares: new UnlimitedShares(),
+      shares: this.shares,
       held: this.held,
       knownEntryCount: () => this.site.knownEntryCount,
       whenRoutable: waitMs => this.site.whenRoutable(waitMs),
@@ -125,6 +140,7 @@
       log,
       metrics: this.metrics,
     });
+    this.shares.changes.subscribe(() => this.forwarder.noteSharesChanged());
   }
 
   get isReady(): boolean {
@@ -161,6 +177,7 @@
       await serveMetrics(`${cfg.host}:${cfg.metricsPort}`, this.metrics),
     );
     this.log.event('processReady', {id: cfg.id, hall: cfg.hall});
+    this.shares.open(this.rpcServer);
     this.site.open(this.rpcServer);
   }
 
@@ -191,6 +208,7 @@
   close(): void {
     this.suspensionDetector.close();
     this.forwarder.close();
+    this.shares.close();
     this.site.close();
     for (const server of this.servers) {
       server.close();
--- a/src/roles/site-follower.ts
+++ b/src/roles/site-follower.ts
@@ -90,6 +90,8 @@
   /** Era of the last targets update; undefined before the first. */
   private era: number | undefined;
   private readonly peerDirectory: PeerDirectory;
+  /** Which entry is responsible for what entries decide together. */
+  readonly peers: PeerRanking;
   private readonly peerPoller: PeerPoller;
   private readonly limits: LimitCoordinator;
   /** Issues permits for cold targets. */
@@ -124,6 +126,7 @@
     );
     this.peerDirectory = new PeerDirectory(context.rpcAddress, cfg.seeds);
     const peers = new PeerRanking(context.rpcAddress, this.peerDirectory);
+    this.peers = peers;
     this.crashes = new CrashCoordinator({
       rpc: context.rpc,
       peers,
