--- a/src/forwarding/group-feedback.test.ts
+++ b/src/forwarding/group-feedback.test.ts
@@ -237,6 +237,18 @@
     group.close();
   });
 
+  it('fall within a second in a full group whose passes become longer', async () => {
+    const group = new FakeGroup();
+    await group.run(5_000);
+    group.imbalance = 3.3;
+    await group.run(5_000);
+    expect(group.since(6_000)[0]!.most).toBeLessThan(400);
+    const settled = group.since(7_000).map(one => one.passMs);
+    expect(Math.max(...settled)).toBeLessThan(150);
+    expect(Math.min(...settled)).toBeGreaterThan(110);
+    group.close();
+  });
+
   it('are as the model says where its prediction is right', async () => {
     const group = new FakeGroup();
     await group.run(6_000);
