Admission: a share replaces the estimate of the other entries' use of a group

The estimate multiplies each change of this entry's requests by the number of entries and would leave shares unused. Waiting requests without an objective are tried one at a time when a request ends, and all of them at ticks, as before.

--- a/src/forwarding/admission-controller.ts
+++ b/src/forwarding/admission-controller.ts
@@ -226,9 +226,11 @@
       }
       skipped.add(item);
       permitsAhead += item.needsPermit ? 1 : 0;
-      const isForAll = !blocked.isOwn && blocked.why !== 'unavailable';
-      // Without an objective, each waiting request is tried at each tick.
-      if (isForAll && (hasObjective || maxBlockedTries < Infinity)) {
+      // Without an objective, each waiting request is tried, but at ticks only.
+      const isForAll = hasObjective
+        ? blocked.why !== 'unavailable'
+        : maxBlockedTries < Infinity;
+      if (isForAll && !blocked.isOwn) {
         return;
       }
     }
--- a/src/forwarding/group-choice.test.ts
+++ b/src/forwarding/group-choice.test.ts
@@ -1,5 +1,11 @@
 import * as random from '../random';
-import {GroupOption, chooseGroup, groupsOf, leastLoaded} from './group-choice';
+import {
+  GroupOption,
+  chooseGroup,
+  groupsOf,
+  leastLoaded,
+  limitToShare,
+} from './group-choice';
 import type {Target} from './types';
 
 function rank(group: string | undefined, at: number): Target {
@@ -68,6 +74,15 @@
     expect(leastLoaded(options)?.requests).toBe(100);
   });
 
+  // Guards against shares that stay unused because the others' use of a group is
+  // overestimated.
+  it('goes by the share of this entry where it has one', () => {
+    const full = option('a', 100, 130);
+    expect(limitToShare(full, undefined, 9)).toBe(full);
+    expect(limitToShare(full, 10, 10)).toBeUndefined();
+    expect(chooseGroup([limitToShare(full, 10, 9)!])?.name).toBe('a');
+  });
+
   it('treats targets without a group as one without a limit', () => {
     const [plain] = groupsOf([rank(undefined, 0), rank(undefined, 1)]);
     expect(chooseGroup([{...plain!, capacity: undefined}])).toMatchObject(
--- a/src/forwarding/group-choice.ts
+++ b/src/forwarding/group-choice.ts
@@ -46,6 +46,27 @@
   });
 }
 
+/**
+ * The option as far as this entry may use it; undefined if it may not. A share
+ * replaces the estimate of what the other entries use, which multiplies each
+ * change of this entry's requests by the number of entries.
+ */
+export function limitToShare(
+  option: GroupOption,
+  share: number | undefined,
+  inFlight: number,
+): GroupOption | undefined {
+  if (share === undefined) {
+    return option;
+  }
+  const capacity = option.capacity && {
+    ...option.capacity,
+    most: share,
+    requests: inFlight,
+  };
+  return inFlight < share ? {...option, capacity} : undefined;
+}
+
 /** The capacity of the group with the lowest load, for the log. */
 export function leastLoaded(
   options: readonly GroupOption[],
--- a/src/forwarding/target-candidate.ts
+++ b/src/forwarding/target-candidate.ts
@@ -115,7 +115,7 @@
       ...one,
       capacity: this.capacityFor(one.targets, now),
     }));
-    const shared = options.filter(one => this.hasShare(one.name, now));
+    const shared = options.flatMap(one => this.limitToShare(one, now) ?? []);
     const group = groupChoice.chooseGroup(shared);
     const target = group && this.chooseTarget(group, now);
     if (target !== undefined) {
@@ -212,15 +212,18 @@
     return found === undefined ? [] : [found];
   }
 
-  /** False if this entry uses its share of the pool; started streams go on. */
-  private hasShare(group: string | undefined, now: number): boolean {
+  /** Applies this entry's share of the pool; started streams go on. */
+  private limitToShare(
+    option: groupChoice.GroupOption,
+    now: number,
+  ): groupChoice.GroupOption | undefined {
     const {context, admission, hasObjective} = this.search;
     if (!hasObjective || this.isStarted) {
-      return true;
+      return option;
     }
-    const pool = pools.poolOf(this.service, group);
+    const pool = pools.poolOf(this.service, option.name);
     const share = context.shares.shareOf(pool, now);
-    return share === undefined || admission.inFlight(pool) < share;
+    return groupChoice.limitToShare(option, share, admission.inFlight(pool));
   }
 
   /**
