--- a/src/forwarding/group-views.ts
+++ b/src/forwarding/group-views.ts
@@ -109,10 +109,10 @@
   private readonly polledGroups = new Set<string>();
   private readonly passes = new PassObserver();
   private readonly startedAt = performance.now();
-  /** Reasons of the last limits, by group key and allowed pause. */
+  /** Reasons of the last limits, by group key and then by allowed pause. */
   private readonly limitReasons = new Map<
     string,
-    groupRequestLimit.LimitReason
+    Map<number, groupRequestLimit.LimitReason>
   >();
   /** Runs once a pass was noted. */
   private tickTimer: NodeJS.Timeout | undefined;
@@ -213,14 +213,15 @@
     }
     const correction = this.passes.correctionOf(key, now);
     const corrected = {...factors, correction};
-    const limitKey = `${key} ${allowed.pauseMs}`;
+    const reasons = this.limitReasons.get(key) ?? new Map();
+    this.limitReasons.set(key, reasons);
     const limit = groupRequestLimit.limitRequests(
       engine,
       corrected,
       allowed,
-      this.limitReasons.get(limitKey),
+      reasons.get(allowed.pauseMs),
     );
-    this.limitReasons.set(limitKey, limit.limitedBy);
+    reasons.set(allowed.pauseMs, limit.limitedBy);
     return {
       ...limit,
       requests,
@@ -300,6 +301,7 @@
     this.views.delete(key);
     this.openedAt.delete(key);
     this.passes.forget(key);
+    this.limitReasons.delete(key);
   }
 
   /** Polls one sidecar, if possible in the same hall; false without a result. */
