Rising share beside others only, older entries of cold targets ignored

Cause: where the shares of all targets of a service rise, holding back their room would refuse requests that they can take; an entry from a store that was set back could restart a cold period. Change: the room is held back beside other targets only; a cold period starts with a newer entry only; cold_delays_total counts requests for which all targets were cold, no longer those that another target took. Result: tests of src/forwarding and of cold targets pass.

--- a/src/forwarding/load-balancer.ts
+++ b/src/forwarding/load-balancer.ts
@@ -109,7 +109,7 @@
     let best: Target | undefined;
     let bestScore = Infinity;
     const free = this.drawRising(targets, now);
-    const freePermitted = permitted.filter(one => this.hasRoom(one, now));
+    const freePermitted = permitted.filter(target => this.hasRoom(target));
     for (const target of [...freePermitted, ...this.candidatesOf(free, now)]) {
       const bonus = permitted.includes(target) ? PERMIT_BONUS : 0;
       const score =
@@ -122,21 +122,25 @@
     return best;
   }
 
-  private hasRoom(target: Target, now: number): boolean {
-    const room = target.slots * MAX_REQUESTS_PER_SLOT;
-    const risingRoom = Math.max(room * this.shareOf(target, now), 1);
-    return this.inFlight(target.lifetime) < Math.min(room, risingRoom);
+  private hasRoom({lifetime, slots}: Target, share = 1): boolean {
+    const room = slots * MAX_REQUESTS_PER_SLOT;
+    return this.inFlight(lifetime) < Math.max(room * share, 1);
   }
 
   /**
-   * Targets with room. One whose share rises is left out of the other choices:
-   * it is idle at first and would get all requests.
+   * Targets with room. One whose share rises gets a part of the choices and of
+   * the room beside others: it is idle at first and would get all requests.
    */
   private drawRising(
     targets: readonly Target[],
     now: number,
   ): readonly Target[] {
-    const free = targets.filter(target => this.hasRoom(target, now));
+    if (targets.every(target => this.shareOf(target, now) < 1)) {
+      return targets.filter(target => this.hasRoom(target));
+    }
+    const free = targets.filter(target =>
+      this.hasRoom(target, this.shareOf(target, now)),
+    );
     const drawn = free.filter(target => {
       const share = this.shareOf(target, now);
       return share === 1 || random.uniform() < share;
--- a/src/forwarding/target-list.ts
+++ b/src/forwarding/target-list.ts
@@ -161,7 +161,7 @@
     if (isNew) {
       this.onChange({kind: 'joined', target});
     }
-    this.warmUp.applyEntry(target, !isNew, now);
+    this.warmUp.applyEntry(target, isNew ? undefined : before, now);
   }
 
   /** The entry of a target is gone from the store. */
--- a/src/targets/warm-up.ts
+++ b/src/targets/warm-up.ts
@@ -75,7 +75,7 @@
 export class WarmUpTracker {
   /** Permits for cold targets. */
   readonly permits = new RateLimitTracker(COLD_PERMIT_TTL_MS);
-  /** Called for a request that could use a cold target only later. */
+  /** Called for a request that has to wait since all targets are cold. */
   onDelay: (service: string) => void = () => undefined;
   private readonly states = new Map<string, LifetimeState>();
   private services: ReadonlyMap<string, ColdService> = new Map();
@@ -101,11 +101,20 @@
   }
 
   /**
-   * Applies a target's entry; `isInUse`: its lifetime was listed before. Reading
-   * the same entry again does not restart the cold period.
+   * Applies a target's entry; `before`: the last one of its lifetime, if it is in
+   * use. Reading an entry again, or an older one from a store that was set back,
+   * does not restart the cold period.
    */
-  applyEntry(entry: ColdEntry, isInUse: boolean, now: number): void {
+  applyEntry(
+    entry: ColdEntry,
+    before: ColdEntry | undefined,
+    now: number,
+  ): void {
     const state = this.states.get(entry.lifetime);
+    const last = state?.entry ?? before;
+    if (last !== undefined && !isNewer(entry, last)) {
+      return;
+    }
     const until = now + entry.coldRemainingMs;
     if (state === undefined) {
       if (entry.coldRemainingMs > 0) {
@@ -113,13 +122,13 @@
           entry,
           since: now,
           until,
-          wasWarm: isInUse,
+          wasWarm: before !== undefined,
           isReported: false,
           limit: undefined,
         });
         bounded.dropOldest(this.states, MAX_LIFETIMES);
       }
-    } else if (!isSameEntry(state.entry, entry)) {
+    } else {
       state.entry = entry;
       if (state.until <= now && until > now) {
         state.since = now;
@@ -128,8 +137,6 @@
       }
       // A later entry of a warm target leaves the end of its cold period.
       state.until = until > now ? until : Math.min(state.until, now);
-    } else {
-      return;
     }
     this.refresh(now);
   }
@@ -165,11 +172,11 @@
 
   /** A request of the service could be sent to any of the lifetimes. */
   noteDemand(service: string, lifetimes: readonly string[], now: number): void {
-    const limits = lifetimes.flatMap(one => this.limitOf(one, now) ?? []);
-    if (limits.some(limit => limit.waitMs(now) > 0)) {
+    const limits = lifetimes.map(one => this.limitOf(one, now));
+    if (limits.length > 0 && limits.every(one => one && one.waitMs(now) > 0)) {
       this.onDelay(service);
     }
-    limits.forEach(limit => limit.noteDemand(now));
+    limits.forEach(limit => limit?.noteDemand(now));
   }
 
   noteSent(lifetime: string, now: number): void {
@@ -286,10 +293,11 @@
   }
 }
 
-function isSameEntry(one: ColdEntry, other: ColdEntry): boolean {
+function isNewer(entry: ColdEntry, last: ColdEntry): boolean {
   return (
-    one.sequence === other.sequence &&
-    one.coldRemainingMs === other.coldRemainingMs
+    entry.sequence > last.sequence ||
+    (entry.sequence === last.sequence &&
+      entry.coldRemainingMs !== last.coldRemainingMs)
   );
 }
 
