--- a/src/targets/warm-up.ts
+++ b/src/targets/warm-up.ts
@@ -56,7 +56,7 @@
 export interface WarmUpContext {
   readonly bounds: WarmUpBounds;
   /** Processes that may send to the targets, including this one. */
-  knownProcesses(): number;
+  readonly knownProcesses: () => number;
   onChange(change: WarmUpChange): void;
 }
 
@@ -75,11 +75,11 @@
 export class WarmUpTracker {
   /** Permits for cold targets. */
   readonly permits = new RateLimitTracker(COLD_PERMIT_TTL_MS);
-  /** Called for a request that could use a cold target only later. */
+  /** Called for a request that has to wait since all targets are cold. */
   onDelay: (service: string) => void = () => undefined;
   private readonly states = new Map<string, LifetimeState>();
   private services: ReadonlyMap<string, ColdService> = new Map();
-  private readonly counter: ProcessCounter;
+  readonly processes: ProcessCounter;
   private count: ProcessCount = {known: 1, isProvisional: true};
   private countedAt = -Infinity;
   /** Monotonic time after which no target is cold or rising. */
@@ -92,7 +92,7 @@
     private readonly context: WarmUpContext,
     startedAt: number,
   ) {
-    this.counter = new ProcessCounter(startedAt);
+    this.processes = new ProcessCounter(context.knownProcesses, startedAt);
   }
 
   setServices(services: readonly ColdService[], now: number): void {
@@ -101,11 +101,20 @@
   }
 
   /**
-   * Applies a target's entry; `isInUse`: its lifetime was listed before. Reading
-   * the same entry again does not restart the cold period.
+   * Applies a target's entry; `before`: the last one of its lifetime, if it is in
+   * use. Reading an entry again, or an older one from a store that was set back,
+   * does not restart the cold period.
    */
-  applyEntry(entry: ColdEntry, isInUse: boolean, now: number): void {
+  applyEntry(
+    entry: ColdEntry,
+    before: ColdEntry | undefined,
+    now: number,
+  ): void {
     const state = this.states.get(entry.lifetime);
+    const last = state?.entry ?? before;
+    if (last !== undefined && !isNewer(entry, last)) {
+      return;
+    }
     const until = now + entry.coldRemainingMs;
     if (state === undefined) {
       if (entry.coldRemainingMs > 0) {
@@ -113,13 +122,13 @@
           entry,
           since: now,
           until,
-          wasWarm: isInUse,
+          wasWarm: before !== undefined,
           isReported: false,
           limit: undefined,
         });
         bounded.dropOldest(this.states, MAX_LIFETIMES);
       }
-    } else if (!isSameEntry(state.entry, entry)) {
+    } else {
       state.entry = entry;
       if (state.until <= now && until > now) {
         state.since = now;
@@ -128,17 +137,10 @@
       }
       // A later entry of a warm target leaves the end of its cold period.
       state.until = until > now ? until : Math.min(state.until, now);
-    } else {
-      return;
     }
     this.refresh(now);
   }
 
-  /** `count`: processes that a peer knows, itself included. */
-  notePeerCount(count: number, now: number): void {
-    this.counter.note(count, now);
-  }
-
   /** The targets that a request may be sent to now. */
   filterAvailable<T>(
     targets: readonly T[],
@@ -170,11 +172,11 @@
 
   /** A request of the service could be sent to any of the lifetimes. */
   noteDemand(service: string, lifetimes: readonly string[], now: number): void {
-    const limits = lifetimes.flatMap(one => this.limitOf(one, now) ?? []);
-    if (limits.some(limit => limit.waitMs(now) > 0)) {
+    const limits = lifetimes.map(one => this.limitOf(one, now));
+    if (limits.length > 0 && limits.every(one => one && one.waitMs(now) > 0)) {
       this.onDelay(service);
     }
-    limits.forEach(limit => limit.noteDemand(now));
+    limits.forEach(limit => limit?.noteDemand(now));
   }
 
   noteSent(lifetime: string, now: number): void {
@@ -206,8 +208,7 @@
   /** Processes that may send, as far as this one knows. */
   countAt(now: number): ProcessCount {
     if (now !== this.countedAt) {
-      this.counter.note(this.context.knownProcesses(), now);
-      this.count = this.counter.count(now);
+      this.count = this.processes.count(now);
       this.countedAt = now;
     }
     return this.count;
@@ -292,10 +293,11 @@
   }
 }
 
-function isSameEntry(one: ColdEntry, other: ColdEntry): boolean {
+function isNewer(entry: ColdEntry, last: ColdEntry): boolean {
   return (
-    one.sequence === other.sequence &&
-    one.coldRemainingMs === other.coldRemainingMs
+    entry.sequence > last.sequence ||
+    (entry.sequence === last.sequence &&
+      entry.coldRemainingMs !== last.coldRemainingMs)
   );
 }
 
