Refused uploads are read and dropped; cheaper counting of held bytes

Cause: closing the connection of a caller that still sends may reset it before the caller has read the refusal; each event cost several reads of the bytes held. Change: the rest of a refused body is dropped while the connection stays open; a holder keeps its own count.

--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -121,7 +121,7 @@
       'application/json',
       'Content-Length',
       String(body.length),
-      ...this.connectionHeaders(isBodyUnread(refusal)),
+      ...this.connectionHeaders(refusal.kind === 'too-large'),
     ]);
     this.res.end(body);
     this.end('why' in refusal ? refusal.why : refusal.kind, response.status);
@@ -239,14 +239,6 @@
   }
 }
 
-/** True if the rest of the body is not read, so the connection must close. */
-function isBodyUnread(refusal: Refusal): boolean {
-  return (
-    refusal.kind === 'too-large' ||
-    (refusal.kind === 'not-run' && refusal.why === 'slow-upload')
-  );
-}
-
 function bodyOf(refusal: Refusal): object {
   return {error: refusal};
 }
--- a/src/forwarding/held-bytes.ts
+++ b/src/forwarding/held-bytes.ts
@@ -45,6 +45,8 @@
 
 /** Something that holds bytes until somebody else takes them. */
 export abstract class Holder {
+  /** Bytes when `HeldBytes` last counted this holder. */
+  countedBytes = 0;
   /** Bytes held at present. */
   abstract bytes(): number;
   /** Undefined: it must not be cut off at present. */
@@ -79,8 +81,8 @@
 
 /** The bytes of all holders of a process. */
 export class HeldBytes {
-  /** Bytes when last counted; holders of nothing are left out. */
-  private readonly counted = new Map<Holder, number>();
+  /** Those that held something when last counted. */
+  private readonly holders = new Set<Holder>();
   private sum = 0;
   private highest = 0;
   private timer: NodeJS.Timeout | undefined;
@@ -108,10 +110,14 @@
     return this.sum;
   }
 
-  /** Counts a holder again; call when it holds more, or much less. */
-  update(holder: Holder): void {
+  /**
+   * Counts a holder again; call when it holds more, or much less. Returns the
+   * bytes that it holds then.
+   */
+  update(holder: Holder): number {
     this.count(holder, holder.bytes());
     this.enforce();
+    return holder.countedBytes;
   }
 
   /** Counts a holder no longer; does nothing if it is not counted. */
@@ -141,14 +147,14 @@
       ).unref();
     } else if (this.timer !== undefined) {
       this.close();
-      [...this.counted.keys()].forEach(holder => holder.onRoom());
+      [...this.holders].forEach(holder => holder.onRoom());
     }
   }
 
   private cutOff(): void {
     const now = performance.now();
     while (this.isOver) {
-      const holder = chooseCut(this.counted.keys(), now);
+      const holder = chooseCut(this.holders, now);
       if (holder === undefined) {
         return;
       }
@@ -158,17 +164,19 @@
   }
 
   private recount(): void {
-    for (const holder of this.counted.keys()) {
+    for (const holder of this.holders) {
       this.count(holder, holder.bytes());
     }
   }
 
   private count(holder: Holder, bytes: number): void {
-    this.sum += bytes - (this.counted.get(holder) ?? 0);
-    if (bytes > 0) {
-      this.counted.set(holder, bytes);
-    } else {
-      this.counted.delete(holder);
+    const {countedBytes} = holder;
+    this.sum += bytes - countedBytes;
+    holder.countedBytes = bytes;
+    if (bytes > 0 && countedBytes === 0) {
+      this.holders.add(holder);
+    } else if (bytes === 0 && countedBytes > 0) {
+      this.holders.delete(holder);
     }
   }
 }
@@ -191,8 +199,7 @@
    * caller is behind above `slowBytes`, until half of that is unread.
    */
   note(now: number, unread: number, taken: number, slowBytes: number): Pace {
-    const isBehind = this.behindAt !== undefined;
-    if (unread <= (isBehind ? slowBytes / 2 : slowBytes)) {
+    if (unread <= (this.isBehind ? slowBytes / 2 : slowBytes)) {
       this.behindAt = undefined;
       this.isSlow = false;
       return 'normal';
@@ -208,6 +215,10 @@
     return this.isSlow ? 'slow' : 'behind';
   }
 
+  get isBehind(): boolean {
+    return this.behindAt !== undefined;
+  }
+
   /** Milliseconds since the caller fell behind; 0: it is not. */
   behindMs(now: number): number {
     return this.behindAt === undefined ? 0 : now - this.behindAt;
--- a/src/forwarding/stream-buffer.ts
+++ b/src/forwarding/stream-buffer.ts
@@ -55,7 +55,10 @@
     } else {
       this.enqueue(events);
     }
-    this.held.update(this);
+    const unread = this.held.update(this);
+    if (unread <= this.held.slowBytes && !this.pace.isBehind) {
+      return;
+    }
     const {interrupts} = this;
     while (
       this.paceAt(performance.now()) === 'behind' &&
--- a/src/http/body.ts
+++ b/src/http/body.ts
@@ -16,7 +16,7 @@
 
 /** Follows the reading of a body; may pause the stream and resume it. */
 export interface BodyObserver {
-  /** `stop` ends the reading with `body-cut` and frees what was read. */
+  /** `stop` ends the reading with `body-cut`; the rest is read and dropped. */
   onStart(stream: Readable, stop: () => void): void;
   /** `size`: bytes read so far. */
   onBytes(size: number): void;
@@ -42,7 +42,9 @@
     observer?.onStart(stream, () => {
       isStopped = true;
       chunks.length = 0;
-      stream.pause();
+      // What follows is read and dropped: closing the connection with unread
+      // data would reset it before the peer has read its response.
+      stream.resume();
       resolve(fail({kind: 'body-cut'}));
     });
     stream.on('data', (chunk: Buffer) => {
