Cold targets used while they would get more

Cause: at equal shares a cold target got 17.4 to 17.8 requests a second of 32 (14 entries, 150 a second to three targets): a full bucket collects nothing, and buckets that all started empty filled at the same moments. Change: a token counts as a permit in the choice while the target's fair part of the requests exceeds the share; a target that turns cold while in use starts with a random part of a token; a target that is cold again while its share rises continues its period.

--- a/src/targets/warm-up-limit.ts
+++ b/src/targets/warm-up-limit.ts
@@ -42,10 +42,13 @@
 export abstract class WarmUpLimit {
   /** Milliseconds until a request may be sent; 0 means now. */
   abstract waitMs(now: number): number;
-  /** True if a request may be sent now and that expires if it is not used. */
+  /** True if a request may be sent now and should be: what is unused is lost. */
   abstract hasPermit(now: number): boolean;
-  /** A request could be sent to the target. */
-  abstract noteDemand(now: number): void;
+  /**
+   * A request could be sent to the target. `fairPerSecond`: requests per second
+   * that it would get from this process without the limit.
+   */
+  abstract noteDemand(fairPerSecond: number, now: number): void;
   abstract noteSent(now: number): void;
   /** `perSecond`: what the target accepts from all processes together. */
   abstract setRate(perSecond: number, count: ProcessCount, now: number): void;
@@ -55,6 +58,8 @@
 /** An equal part of the rate, in a token bucket of size one. Makes no calls. */
 export class EqualShare extends WarmUpLimit {
   private ownPerSecond = 0;
+  /** The target would get more than this part without the limit. */
+  private isShort = false;
 
   /** `tokens`: 1 if a request may be sent at once. */
   constructor(
@@ -69,11 +74,13 @@
     return missing < EPSILON ? 0 : (missing * SECOND_MS) / this.ownPerSecond;
   }
 
-  hasPermit(): boolean {
-    return false;
+  hasPermit(now: number): boolean {
+    return this.isShort && this.waitMs(now) === 0;
   }
 
-  noteDemand(): void {}
+  noteDemand(fairPerSecond: number): void {
+    this.isShort = fairPerSecond > this.ownPerSecond;
+  }
 
   noteSent(now: number): void {
     this.tokens = Math.max(this.tokensAt(now) - 1, 0);
@@ -122,7 +129,7 @@
     return this.permits.hasPermit(this.lifetime, now);
   }
 
-  noteDemand(now: number): void {
+  noteDemand(_: number, now: number): void {
     this.permits.requestPermits([this.lifetime], now);
   }
 
--- a/src/targets/warm-up.ts
+++ b/src/targets/warm-up.ts
@@ -4,6 +4,8 @@
  * counts from when the target's entry was read. Takes the time as an argument.
  */
 import * as bounded from '../bounded';
+import * as random from '../random';
+import {EventRate} from './event-rate';
 import {ProcessCounter} from './process-count';
 import {RateLimitTracker} from './rate-limit-tracker';
 import {
@@ -18,6 +20,7 @@
 
 /** The lifetime that was added first is dropped first. */
 const MAX_LIFETIMES = 4_096;
+const MAX_SERVICES = 256;
 /** Share of its normal requests that a target gets at the end of a cold period. */
 const MIN_RISING_SHARE = 0.1;
 
@@ -80,6 +83,8 @@
   private readonly states = new Map<string, LifetimeState>();
   private services: ReadonlyMap<string, ColdService> = new Map();
   readonly processes: ProcessCounter;
+  /** Requests of this process by service. */
+  private readonly demands = new Map<string, EventRate>();
   private count: ProcessCount = {known: 1, isProvisional: true};
   private countedAt = -Infinity;
   /** Monotonic time after which no target is cold or rising. */
@@ -131,7 +136,9 @@
     } else {
       state.entry = entry;
       if (state.until <= now && until > now) {
-        state.since = now;
+        // The target's clock may run late: that continues the period.
+        const isRising = this.shareOf(entry.lifetime, now) < 1;
+        state.since = isRising ? state.since : now;
         state.wasWarm = true;
         state.limit = undefined;
       }
@@ -148,7 +155,7 @@
     now: number,
   ): readonly T[] {
     this.reportEnds(now);
-    return now >= this.activeUntil
+    return !this.isActive(now)
       ? targets
       : targets.filter(target => this.waitMs(lifetimeOf(target), now) === 0);
   }
@@ -176,7 +183,9 @@
     if (limits.length > 0 && limits.every(one => one && one.waitMs(now) > 0)) {
       this.onDelay(service);
     }
-    limits.forEach(limit => limit?.noteDemand(now));
+    const fairPerSecond =
+      this.demandOf(service).note(now) / Math.max(lifetimes.length, 1);
+    limits.forEach(limit => limit?.noteDemand(fairPerSecond, now));
   }
 
   noteSent(lifetime: string, now: number): void {
@@ -205,6 +214,16 @@
     return now < this.activeUntil;
   }
 
+  private demandOf(service: string): EventRate {
+    let demand = this.demands.get(service);
+    if (demand === undefined) {
+      demand = new EventRate();
+      this.demands.set(service, demand);
+      bounded.dropOldest(this.demands, MAX_SERVICES);
+    }
+    return demand;
+  }
+
   /** Processes that may send, as far as this one knows. */
   countAt(now: number): ProcessCount {
     if (now !== this.countedAt) {
@@ -226,8 +245,10 @@
     const {bounds} = this.context;
     const isEqual = fitsEqualShares(rate, bounds, count);
     if (state.limit === undefined || isEqual !== isEqualShare(state.limit)) {
-      // What was sent until now is not known, except to a new target.
-      const tokens = state.limit === undefined && !state.wasWarm ? 1 : 0;
+      // A part of a token otherwise, since requests may be on their way; random,
+      // or all processes would send at the same moments.
+      const isNew = state.limit === undefined && !state.wasWarm;
+      const tokens = isNew ? 1 : random.uniform();
       state.limit?.close();
       state.limit = isEqual
         ? new EqualShare(tokens, now)
