--- a/src/capacity/allocator-role.ts
+++ b/src/capacity/allocator-role.ts
@@ -101,7 +101,7 @@
     return grant;
   }
 
-  /** Peers for a pool; also calls silent ones ahead to detect their recovery. */
+  /** The peer that ranks first; also calls silent ones ahead of it. */
   firstOf(pool: string): string {
     const {peers} = this.context;
     peers
@@ -114,8 +114,7 @@
   /** Call after this instance was suspended: others may allocate by now. */
   handleResume(now: number): void {
     this.lastHeartbeatAt = now;
-    this.allocator.restart(now);
-    this.announce(now);
+    this.allocator.restart();
   }
 
   /** `by` has announced itself as the allocator. */
@@ -217,7 +216,7 @@
       this.heartbeatTimer !== undefined &&
       now - this.lastHeartbeatAt > HEARTBEAT_TIMEOUT_MS
     ) {
-      this.allocator.restart(now);
+      this.allocator.restart();
     }
     this.lastHeartbeatAt = now;
   }
@@ -238,7 +237,7 @@
       if (entry === peers.ownAddress) {
         pools.forEach(pool => {
           const held = this.context.noteAnnounced(pool, now);
-          this.allocator.notePresent(pool, entry, held, now);
+          this.allocator.noteHeld(pool, entry, held, now);
         });
       } else {
         void this.announceTo(entry, pools);
@@ -281,7 +280,7 @@
       peers.directory.add([...order, ...silent]);
       const pool = pools[at];
       if (pool !== undefined) {
-        this.allocator.notePresent(pool, entry, held, now);
+        this.allocator.noteHeld(pool, entry, held, now);
       }
     });
   }
--- a/src/capacity/allocator.ts
+++ b/src/capacity/allocator.ts
@@ -117,12 +117,9 @@
     this.pools.delete(pool);
   }
 
-  /** Waits as a new allocator does: others may have granted shares meanwhile. */
-  restart(now: number): void {
-    for (const pool of this.allocating) {
-      this.pools.delete(pool);
-      this.stateOf(pool, now);
-    }
+  /** Forgets all pools: others may have granted shares meanwhile. */
+  restart(): void {
+    this.pools.clear();
   }
 
   /** Removes pools that nobody has reported about for a while. */
@@ -157,7 +154,7 @@
   }
 
   /** An entry has answered an announcement; it may use `held`. */
-  notePresent(pool: string, entry: string, held: number, now: number): void {
+  noteHeld(pool: string, entry: string, held: number, now: number): void {
     this.missingOf(pool, entry)?.noteHeld(entry, held, now);
   }
 
--- a/src/capacity/lease.ts
+++ b/src/capacity/lease.ts
@@ -9,6 +9,8 @@
 
 /** Wait after a callee that found no allocator: its view has been learned. */
 const REDIRECT_DELAY_MS = 50;
+/** Bounds the rate of reports whatever a peer answers. */
+const MIN_WAIT_MS = 20;
 /** An announcement holds for this long; one may be lost. */
 const ANNOUNCED_MS = 2.2 * timing.ANNOUNCE_INTERVAL_MS;
 
@@ -33,7 +35,6 @@
   private waitMs = 0;
   private hadWaiting = false;
   private demandAt = -Infinity;
-  private sequence = 0;
   /** A report is under way. */
   isReporting = false;
   /** The allocator has a report of this entry that is not marked as the last. */
@@ -82,8 +83,8 @@
     return this.reportedAt + waitMs;
   }
 
-  /** Returns the sequence number of a report that is now sent. */
-  startReport(use: PoolUse, isLast: boolean, now: number): number {
+  /** A report is now sent. */
+  startReport(use: PoolUse, isLast: boolean, now: number): void {
     this.isReporting = true;
     this.isKnown = !isLast;
     if (isLast) {
@@ -93,15 +94,16 @@
     this.reportedAt = now;
     this.waitMs = timing.REPORT_INTERVAL_MS;
     this.hadWaiting = hasWaiting(use);
-    this.sequence += 1;
-    return this.sequence;
   }
 
   /** `sentAt`: when the report was sent. */
   applyGrant(grant: ShareGrant, sentAt: number): void {
     this.share = grant.share;
     this.validUntil = sentAt + timing.LEASE_MS;
-    this.waitMs = grant.waitMs;
+    this.waitMs = Math.min(
+      Math.max(grant.waitMs, MIN_WAIT_MS),
+      timing.REPORT_INTERVAL_MS,
+    );
     this.announcedUntil = -Infinity;
     if (grant.isShort) {
       this.shortUntil = sentAt + timing.SHORT_MS;
--- a/src/capacity/shared-capacity-rpc.test.ts
+++ b/src/capacity/shared-capacity-rpc.test.ts
@@ -10,6 +10,8 @@
 import {SharedCapacity} from './shared-capacity';
 
 const POOL = 'plain';
+/** A handover of 1.5 s and some reports, beside load. */
+const MAX_WAIT_MS = 10_000;
 
 it('entries agree on shares over real RPC', async () => {
   const rpc = new RpcClient();
@@ -42,11 +44,18 @@
     shares.open(rpcServer);
     return shares;
   });
+  const onRisen = jest.fn();
+  entries[2]!.changes.subscribe(onRisen);
   entries.forEach(one => one.noteUse(POOL, performance.now()));
-  await new Promise(resolve => setTimeout(resolve, 2_500));
-  const now = performance.now();
+  const shares = () => entries.map(one => one.shareOf(POOL, performance.now()));
   // One account: in proportion to the demand.
-  expect(entries.map(one => one.shareOf(POOL, now))).toEqual([2, 4, 54]);
+  const expected = [2, 4, 54];
+  const endsAt = performance.now() + MAX_WAIT_MS;
+  while (performance.now() < endsAt && `${shares()}` !== `${expected}`) {
+    await new Promise(resolve => setTimeout(resolve, 50));
+  }
+  expect(shares()).toEqual(expected);
+  expect(onRisen).toHaveBeenCalledWith(POOL);
   entries.forEach(one => one.close());
   opened.forEach(({server}) => server.close());
   rpc.close();
--- a/src/capacity/shared-capacity.ts
+++ b/src/capacity/shared-capacity.ts
@@ -68,6 +68,8 @@
   private timer: NodeJS.Timeout | undefined;
   /** Monotonic time at which the timer fires. */
   private timerAt = Infinity;
+  /** Of the last report about any pool. */
+  private sequence = 0;
   private isClosed = false;
 
   constructor(private readonly context: SharedCapacityContext) {
@@ -265,10 +267,11 @@
     }
     const sent = use ?? {capacity: 0, entries: 1, parts: 1, lines: []};
     const held = lease.limit(sent, now) ?? leases.inFlightOf(sent);
-    const sequence = lease.startReport(sent, isLast, now);
+    lease.startReport(sent, isLast, now);
+    this.sequence += 1;
     return {
       pool,
-      sequence,
+      sequence: this.sequence,
       capacity: sent.capacity,
       held,
       lines: demandLines.compact(sent.lines),
