Late limit of a group allows for passes that are long without requests

Cause: with slow ranks an empty pass takes 273 ms, so the limit for late service fell to its minimum, 0.3 of the slots, although 529 requests on an even map would lengthen passes by a quarter only: fewer requests were served.

--- a/src/forwarding/group-request-limit.ts
+++ b/src/forwarding/group-request-limit.ts
@@ -54,6 +54,12 @@
 const RETURN_FACTOR = 1.2;
 /** Share of a stream's time limit in which one of mean length should complete. */
 const TIMEOUT_SHARE = 0.7;
+/**
+ * Factor on the duration of an empty pass that is allowed where that alone
+ * exceeds this time, as with slow ranks: there a few requests hardly shorten the
+ * passes, and refusing more would only serve fewer.
+ */
+const SLOW_PASS_FACTOR = 1.15;
 /** Maximum requests as a share of the slots; those above 1 wait for a slot. */
 const MAX_SLOT_SHARE = 1.05;
 const THOUSAND = 1_000;
@@ -106,7 +112,10 @@
     return {most: Math.min(inTime, cap), limitedBy: 'in-time'};
   }
   const passes = engine.meanAnswerTokens / engine.stride + 1;
-  const lateMs = (allowed.timeoutMs * TIMEOUT_SHARE) / passes;
+  const lateMs = Math.max(
+    (allowed.timeoutMs * TIMEOUT_SHARE) / passes,
+    passMs(engine, group, 0) * SLOW_PASS_FACTOR,
+  );
   const late = requestsWithin(engine, group, lateMs);
   return late >= minimum
     ? {most: Math.min(late, cap), limitedBy: 'late'}
