--- a/src/forwarding/admission-controller.test.ts
+++ b/src/forwarding/admission-controller.test.ts
@@ -293,6 +293,18 @@
     expect(responses[1]!.details?.reason).toBe('expired');
   });
 
+  // Guards against requests that are held up by one that has tried the free
+  // targets.
+  it('lets others overtake a request that is blocked on its own', async () => {
+    targets.slots = 0;
+    const tryStart = () => ({...BLOCKED, isOwn: true});
+    void send(itemOf({priority: 0, tryStart}));
+    void send(itemOf({}));
+    targets.slots = 8;
+    controller.wake();
+    expect(controller.inFlight('s')).toBe(1);
+  });
+
   it('uses no timer while nothing waits', async () => {
     void send(itemOf({}), 1);
     await Promise.resolve();
--- a/src/forwarding/pools.ts
+++ b/src/forwarding/pools.ts
@@ -28,9 +28,9 @@
 export class ForwarderPools extends PoolSource {
   constructor(
     private readonly context: PoolsContext,
-    private readonly admission: AdmissionController<
-      types.Target,
-      types.Refusal
+    private readonly admission: Pick<
+      AdmissionController<types.Target, types.Refusal>,
+      'demandOf'
     >,
   ) {
     super();
