Admission: permits and closed groups keep their own limits of the wait

Predicted waits were also applied to permits and trials. A failing try no longer suppresses later wake-ups.

--- a/src/admission/service-queue.ts
+++ b/src/admission/service-queue.ts
@@ -4,7 +4,7 @@
  */
 import {StartRate} from './start-rate';
 import * as timing from './timing';
-import type {Ahead, AdmissionOrder, WaitingRequest} from './types';
+import {Ahead, AdmissionOrder, WaitingRequest, totalOf} from './types';
 
 /** Weight of the newest duration in the moving mean and deviation. */
 const DURATION_WEIGHT = 0.1;
@@ -62,9 +62,9 @@
     return this.passMs ?? this.meanMs + DEVIATIONS * this.deviationMs;
   }
 
-  /** Predicted duration of a pass of the group that is available soonest. */
-  notePassMs(ms: number): void {
-    this.passMs = ms;
+  /** Predicted duration of a pass of the fastest group; undefined: not known. */
+  notePassMs(ms: number | undefined): void {
+    this.passMs = ms ?? this.passMs;
   }
 
   push(item: T, now: number): void {
@@ -108,6 +108,14 @@
     return Math.max(observed, possible);
   }
 
+  /** Waiting requests to which a new or the last tried one leaves permits. */
+  permitsAhead(item: WaitingRequest): number {
+    const needing = this.order
+      .items()
+      .filter(one => one !== item && one.needsPermit);
+    return Math.min(needing.length, totalOf(this.order.countAhead(item)));
+  }
+
   predict(item: WaitingRequest, now: number): Prediction {
     const ahead = this.order.countAhead(item);
     const rates = {
--- a/src/forwarding/admission-controller.test.ts
+++ b/src/forwarding/admission-controller.test.ts
@@ -305,6 +305,20 @@
     expect(controller.inFlight('s')).toBe(1);
   });
 
+  // Guards against requests that leave permits to ones that wait for a group.
+  it('leaves permits to the requests ahead that need them', async () => {
+    const aheads: number[] = [];
+    const tryStart = (_now: number, ahead: number): Attempt<string> => {
+      aheads.push(ahead);
+      return {...BLOCKED, why: 'unavailable'};
+    };
+    for (const needsPermit of [false, true, true, true]) {
+      void send(itemOf({tryStart, needsPermit}));
+    }
+    expect(Math.max(...aheads)).toBe(2);
+    expect(aheads.at(-1)).toBe(2);
+  });
+
   it('uses no timer while nothing waits', async () => {
     void send(itemOf({}), 1);
     await Promise.resolve();
--- a/src/forwarding/admission-controller.ts
+++ b/src/forwarding/admission-controller.ts
@@ -14,7 +14,6 @@
 import {PoolUsage} from '../admission/pool-usage';
 import * as queueSummary from '../admission/queue-summary';
 import {RefusalReason, ServiceQueue} from '../admission/service-queue';
-import {totalOf} from '../admission/types';
 import {WaitingSet} from '../admission/waiting-set';
 import type {PoolDemand} from '../capacity/types';
 import {Result, fail, ok} from '../result';
@@ -79,7 +78,7 @@
         this.refuseIfHopeless(state, item, now);
       });
     }
-    const ahead = queue.size === 0 ? 0 : totalOf(queue.order.countAhead(item));
+    const ahead = queue.size === 0 ? 0 : queue.permitsAhead(item);
     const attempt = this.attempt(state, item, ahead, now);
     if (attempt.kind === 'started') {
       return ok(this.begin(state, item, attempt, now));
@@ -100,7 +99,7 @@
     }
     const now = performance.now();
     for (const state of this.services.values()) {
-      const isMeant = service === undefined || state.service === service;
+      const isMeant = (service ?? state.service) === state.service;
       if (isMeant && state.queue.size > 0) {
         this.drain(state, now, MAX_BLOCKED_TRIES);
       }
@@ -151,15 +150,16 @@
     now: number,
   ): Attempt<V> {
     this.isTrying = true;
-    const attempt = item.tryStart(now, ahead);
-    this.isTrying = false;
-    if (attempt.kind === 'blocked') {
-      state.blocked = attempt;
-      if (attempt.passMs !== undefined) {
+    try {
+      const attempt = item.tryStart(now, ahead);
+      if (attempt.kind === 'blocked') {
+        state.blocked = attempt;
         state.queue.notePassMs(attempt.passMs);
       }
+      return attempt;
+    } finally {
+      this.isTrying = false;
     }
-    return attempt;
   }
 
   private enqueue(
@@ -189,8 +189,7 @@
       return;
     }
     if (state.blocked?.why === 'unavailable') {
-      const ahead = totalOf(state.queue.order.countAhead(item));
-      this.tryWaiting(state, item, ahead, now);
+      this.tryWaiting(state, item, state.queue.permitsAhead(item), now);
       return;
     }
     const reason = this.reasonToRefuse(state, item, now, true);
@@ -290,7 +289,8 @@
     now: number,
     isNew: boolean,
   ): RefusalReason | undefined {
-    if (!hasObjective) {
+    // What is unavailable for other reasons has its own limits of the wait.
+    if (!hasObjective || blocked?.why === 'unavailable') {
       return undefined;
     }
     const verdict = queue.verdict(item, now, queue.predict(item, now), isNew);
@@ -303,15 +303,13 @@
     reason: RefusalReason,
     now: number,
   ): R {
-    if (!hasObjective) {
-      return item.refuse(undefined);
-    }
-    return item.refuse({
+    const details = {
       reason,
       waitedMs: now - item.arrivedAt,
       prediction: queue.predict(item, now),
       newcomer: queue.predictNewcomer(item, now),
-    });
+    };
+    return item.refuse(hasObjective ? details : undefined);
   }
 
   private refuse(
--- a/src/forwarding/target-candidate.ts
+++ b/src/forwarding/target-candidate.ts
@@ -170,7 +170,7 @@
   ): Blocked {
     const capacities = options.flatMap(({capacity}) => capacity ?? []);
     const waitsUntil = this.search.hasObjective
-      ? Infinity
+      ? this.deadlineAt - timing.MIN_TIME_LEFT_MS
       : this.mayWait
         ? this.waitsUntil
         : -Infinity;
