Predicted waits need evidence

Cause: at a few starts a second the predicted wait, (ahead + 0.5) / starts per second, was 0.5 to 5 s, and a request was refused on arrival although the one in flight ended in 43 ms. Change: fewer than 5 starts in the last second are no rate; then the requests in flight over their mean duration count, and without these there is no prediction. A caller's retry is not refused on arrival without a rate.

--- /dev/null
+++ b/src/admission/service-queue.test.ts
@@ -0,0 +1,70 @@
+import {FairDeadlineOrder} from './fair-deadline-order';
+import {waitingRequest} from './request-kit';
+import {ServiceQueue} from './service-queue';
+import type {WaitingRequest} from './types';
+
+const NOW = 10_000;
+const FIRST_ATTEMPT = waitingRequest({
+  arrivedAt: NOW,
+  objectiveAt: NOW + 250,
+  deadlineAt: NOW + 1_500,
+});
+const RETRY = {...FIRST_ATTEMPT, isRetry: true};
+
+/** A queue after so many starts in the last second. */
+function queueAfter(starts: number, inFlight: number, meanMs?: number) {
+  const order = new FairDeadlineOrder<WaitingRequest>(0.1);
+  const queue = new ServiceQueue<WaitingRequest>(order, 0.1);
+  for (let at = 0; at < starts; at += 1) {
+    queue.noteStart(FIRST_ATTEMPT, NOW - 500);
+  }
+  for (let at = inFlight; at < starts; at += 1) {
+    queue.noteEnd(meanMs);
+  }
+  return queue;
+}
+
+function verdictOn(queue: ServiceQueue<WaitingRequest>, item: WaitingRequest) {
+  return queue.verdict(item, NOW, queue.predict(item, NOW), true);
+}
+
+// Guards against refusals because few requests have arrived.
+describe('the prediction after few starts', () => {
+  it('expects a place when one of the requests in flight ends', () => {
+    const queue = queueAfter(2, 1, 40);
+    const {waitMs} = queue.predict(FIRST_ATTEMPT, NOW);
+    expect(waitMs).toBeLessThanOrEqual(40);
+    expect(verdictOn(queue, FIRST_ATTEMPT)).toBe(undefined);
+  });
+
+  it('still does so once requests have waited for a second', () => {
+    const queue = queueAfter(3, 2, 40);
+    queue.push(waitingRequest({arrivedAt: NOW - 1_100}), NOW - 1_100);
+    expect(queue.predict(FIRST_ATTEMPT, NOW).waitMs).toBeLessThanOrEqual(40);
+  });
+
+  it('is not made without a mean duration', () => {
+    const queue = queueAfter(3, 1);
+    expect(queue.predict(FIRST_ATTEMPT, NOW).waitMs).toBe(undefined);
+    expect(verdictOn(queue, FIRST_ATTEMPT)).toBe(undefined);
+  });
+
+  it('is not made if nothing is in flight', () => {
+    const queue = queueAfter(3, 0, 40);
+    expect(queue.predict(FIRST_ATTEMPT, NOW).waitMs).toBe(undefined);
+  });
+
+  it('refuses no retry on arrival', () => {
+    const queue = queueAfter(4, 1, 5_000);
+    queue.notePassMs(20);
+    expect(verdictOn(queue, FIRST_ATTEMPT)).toBe('late');
+    expect(verdictOn(queue, RETRY)).toBe(undefined);
+    // With more starts the rate is evidence enough, for a retry as well.
+    const busy = queueAfter(6, 6, 5_000);
+    busy.notePassMs(20);
+    for (let at = 0; at < 60; at += 1) {
+      busy.push({...RETRY}, NOW);
+    }
+    expect(verdictOn(busy, RETRY)).toBe('late');
+  });
+});
--- a/src/admission/service-queue.ts
+++ b/src/admission/service-queue.ts
@@ -15,6 +15,11 @@
 const DEVIATIONS = 1.5;
 /** Time over which starts are counted. */
 const RATE_WINDOW_MS = 1_000;
+/**
+ * Starts within that time from which they count as a rate. Fewer may be all that
+ * arrived: a rate of two a second predicted 250 ms where 43 ms were needed.
+ */
+const MIN_OBSERVED = 5;
 
 /** Why a request is refused; for the log. */
 export type RefusalReason =
@@ -30,9 +35,9 @@
 /** Prediction for one request. */
 export interface Prediction {
   readonly ahead: Ahead;
-  /** Starts per second for its priority; 0: nothing has started lately. */
+  /** Starts per second for its priority; 0: too little is known. */
   readonly perSecond: number;
-  /** Undefined: nothing has started lately. */
+  /** Undefined: too little is known. */
   readonly waitMs: number | undefined;
 }
 
@@ -93,19 +98,20 @@
   }
 
   /**
-   * Starts per second. Until requests have waited for a whole second, the starts
-   * may be only what arrived; then the requests in flight over their mean
-   * duration count if these give more.
+   * Starts per second; 0: not known. Until requests have waited for a whole
+   * second, the starts may be only what arrived; then the requests in flight over
+   * their mean duration count if these give more. Few starts don't count at all.
    */
   perSecond(now: number): number {
+    const possible =
+      this.meanMs === 0 ? 0 : (this.inFlight * RATE_WINDOW_MS) / this.meanMs;
+    if (!this.hasRate(now)) {
+      return possible;
+    }
     const observed = this.starts.perSecond(now);
     const isObserved =
       this.order.size > 0 && now - this.waitingSince >= RATE_WINDOW_MS;
-    const possible =
-      isObserved || this.meanMs === 0
-        ? 0
-        : (this.inFlight * RATE_WINDOW_MS) / this.meanMs;
-    return Math.max(observed, possible);
+    return isObserved ? observed : Math.max(observed, possible);
   }
 
   predict(item: WaitingRequest, now: number): Prediction {
@@ -135,8 +141,9 @@
 
   /**
    * Why a request that can't start now is refused; undefined: it waits. For a
-   * new one the predicted wait counts as it is, later only where it is clearly
-   * too long, and not for the next one.
+   * new one the predicted wait counts as it is, but for a retry, which has no
+   * attempt left, only with a rate of starts; later only where it is clearly too
+   * long, and not for the next one.
    */
   verdict(
     item: T,
@@ -148,7 +155,8 @@
     if (leftMs <= 0) {
       return isNew ? 'late' : 'expired';
     }
-    if (item.isStarted || waitMs === undefined) {
+    const isUncertain = isNew && item.isRetry && !this.hasRate(now);
+    if (item.isStarted || waitMs === undefined || isUncertain) {
       return undefined;
     }
     const isNext = ahead.higher + ahead.same === 0;
@@ -157,4 +165,9 @@
       : !isNext && waitMs > leftMs * timing.WAITING_TOLERANCE;
     return isLate ? 'late' : undefined;
   }
+
+  /** True if enough requests have started lately to predict by their number. */
+  private hasRate(now: number): boolean {
+    return this.starts.perSecond(now) >= MIN_OBSERVED;
+  }
 }
