--- a/src/capacity/allocator.ts
+++ b/src/capacity/allocator.ts
@@ -24,6 +24,11 @@
 const MIN_RAISE_SHARE = 0.1;
 /** Targets are reused for this long: 40 divisions per second at most. */
 const TARGETS_TTL_MS = 25;
+/**
+ * A pool whose demand exceeds this part of its capacity is short. Reports stand for
+ * 200 ms: requests that have ended meanwhile still count, so it is not lower.
+ */
+const SHORT_DEMAND = 0.75;
 /** A pool without reports is removed after this time. */
 const IDLE_TIMEOUT_MS = 30_000;
 const MAX_ENTRIES = 128;
@@ -276,7 +281,7 @@
     records.reduce((sum, one) => sum + of(one), 0);
   const demand = total(one => one.demand);
   const waiting = demand - total(one => one.inFlight);
-  return waiting > 0 || demand > timing.SHORT_SHARE * capacity;
+  return waiting > 0 || demand > SHORT_DEMAND * capacity;
 }
 
 /** Entries report earlier while a part of a share moves from one to another. */
--- a/src/capacity/shared-capacity.ts
+++ b/src/capacity/shared-capacity.ts
@@ -1,9 +1,9 @@
 /**
  * Shares the capacity of pools among the entries of a site. For each pool one
- * entry allocates: the first responsive peer in rendezvous order. While a pool is
- * short, the entries that use it report their demand to the allocator and may
- * have as many requests in flight as it grants. No calls are made while no pool
- * is short or without peers.
+ * entry allocates: the first responsive peer in rendezvous order. While a pool may
+ * be short, the entries that use it report their demand to the allocator; while it
+ * is short, they may have as many requests in flight as it grants. No calls are
+ * made while no pool may be short or without peers.
  */
 import {Subject} from 'rxjs';
 import * as grouping from '../grouping';
@@ -28,6 +28,8 @@
 /** Allows for a round trip and one lost packet. */
 const RPC_TIMEOUT_MS = 400;
 const LOG_INTERVAL_MS = 1_000;
+/** The capacity of a group sums over its ranks, and each start asks for it. */
+const CAPACITY_TTL_MS = 20;
 /** Relative change of a share that is logged. */
 const MIN_LOGGED_CHANGE = 0.1;
 const INCARNATIONS = 2 ** 31;
@@ -62,6 +64,11 @@
   /** Emits a pool when this entry's share of it has risen. */
   readonly changes = new Subject<string>();
   private readonly pools = new Map<string, OwnPool>();
+  /** Capacities that were computed last, and when. */
+  private readonly capacities = new Map<
+    string,
+    {readonly capacity: number | undefined; readonly at: number}
+  >();
   private readonly contacts: EntryContacts;
   private readonly role: AllocatorRole;
   private readonly self: Reporter;
@@ -118,17 +125,23 @@
   }
 
   shareOf(pool: string, now: number): number | undefined {
-    const use = this.useOf(pool, now);
-    const lease = this.pools.get(pool)?.lease ?? UNUSED_LEASE;
-    return use && lease.limit(use, now);
+    const own = this.pools.get(pool);
+    // Without a suspicion nothing limits this entry, and each request asks.
+    const use = own && this.useOf(pool, now);
+    return use && own?.lease.limit(use, now);
   }
 
-  noteUse(pool: string, now: number): void {
+  noteUse(pool: string, now: number, isFull = false): void {
     const use = this.useOf(pool, now);
     const lease = this.pools.get(pool)?.lease ?? UNUSED_LEASE;
-    if (use !== undefined && lease.isShort(use, now)) {
-      this.schedule(this.ownPool(pool).lease, use, now);
+    if (use === undefined || !lease.isSuspected(use, now)) {
+      return;
+    }
+    const own = this.ownPool(pool);
+    if (isFull) {
+      own.lease.noteFull(now);
     }
+    this.schedule(own.lease, use, now);
   }
 
   /** Call after this instance was suspended: its shares have been given away. */
@@ -154,7 +167,7 @@
   /** Undefined if the pool has no limit. */
   private useOf(pool: string, now: number): PoolUse | undefined {
     const {source} = this.context;
-    const capacity = source.capacityOf(pool, now);
+    const capacity = this.capacityOf(pool, now);
     if (capacity === undefined || !Number.isFinite(capacity)) {
       return undefined;
     }
@@ -162,6 +175,17 @@
     return {capacity, entries: count, parts, lines: source.demandOf(pool)};
   }
 
+  private capacityOf(pool: string, now: number): number | undefined {
+    const cached = this.capacities.get(pool);
+    if (cached !== undefined && now - cached.at < CAPACITY_TTL_MS) {
+      return cached.capacity;
+    }
+    const capacity = this.context.source.capacityOf(pool, now);
+    this.capacities.set(pool, {capacity, at: now});
+    bounded.dropOldest(this.capacities, timing.MAX_POOLS);
+    return capacity;
+  }
+
   private ownPool(pool: string): OwnPool {
     let own = this.pools.get(pool);
     if (own === undefined) {
@@ -257,7 +281,7 @@
     this.updateLimit(pool, own, now);
     const isLast = use === undefined || !lease.shouldReport(use, now);
     if (lease.isReporting || (isLast && !lease.isKnown)) {
-      if (isLast && (use === undefined || !lease.isShort(use, now))) {
+      if (isLast && (use === undefined || !lease.isSuspected(use, now))) {
         this.pools.delete(pool);
       }
       return undefined;
