A suspected shortage limits no entry

Cause: with 17 entries and a capacity of 22, one request in flight at an entry counted as a shortage (1 x 17 > 0.6 x 22). Without a grant, and in a handover, the entry then had an equal part of 1, so that a second request waited and was refused although the pool was nearly empty. Change: a suspicion only makes an entry report. It is limited if the allocator says so, or, without a valid grant that denies it, if a request that found the targets full waits or its own requests exceed 0.6 of the capacity. Admission says which requests found the targets full.

--- a/src/capacity/lease.ts
+++ b/src/capacity/lease.ts
@@ -9,6 +9,8 @@
 
 /** Wait after a callee that found no allocator: its view has been learned. */
 const REDIRECT_DELAY_MS = 50;
+/** Covers some intervals at which waiting requests are tried. */
+const FULL_MS = 200;
 /** An announcement holds for this long; one may be lost. */
 const ANNOUNCED_MS = 2.2 * timing.ANNOUNCE_INTERVAL_MS;
 
@@ -28,6 +30,9 @@
   /** Monotonic time at which the lease ends or has ended. */
   private validUntil = -Infinity;
   private shortUntil = -Infinity;
+  /** What the allocator said last, by a grant or an announcement. */
+  private isSaidShort = false;
+  private fullUntil = -Infinity;
   private announcedUntil = -Infinity;
   private reportedAt = -Infinity;
   private waitMs = 0;
@@ -39,8 +44,11 @@
   /** The allocator has a report of this entry that is not marked as the last. */
   isKnown = false;
 
-  /** The pool is short, as far as this entry can tell. */
-  isShort(use: PoolUse, now: number): boolean {
+  /**
+   * The pool may be short, so that its allocator must know of this entry's demand.
+   * A single request can be enough: this alone limits nothing.
+   */
+  isSuspected(use: PoolUse, now: number): boolean {
     const inFlight = inFlightOf(use);
     return (
       inFlight * use.entries > timing.SHORT_SHARE * use.capacity ||
@@ -49,12 +57,26 @@
     );
   }
 
+  /**
+   * The allocator has said so lately, or, unless it has denied it in a valid
+   * grant, this entry's own requests show it.
+   */
+  private isShort(use: PoolUse, now: number): boolean {
+    if (this.isSaidShort && now < this.shortUntil) {
+      return true;
+    }
+    const isDenied = !this.isSaidShort && now < this.validUntil;
+    const hasFoundFull = now < this.fullUntil && hasWaiting(use);
+    const isOwn = inFlightOf(use) > timing.SHORT_SHARE * use.capacity;
+    return !isDenied && (hasFoundFull || isOwn);
+  }
+
   /** Reports go on for a while after the last request, in case more follow. */
   shouldReport(use: PoolUse, now: number): boolean {
     if (hasDemand(use)) {
       this.demandAt = now;
     }
-    return this.isShort(use, now) && now - this.demandAt < timing.SHORT_MS;
+    return this.isSuspected(use, now) && now - this.demandAt < timing.SHORT_MS;
   }
 
   /** Requests that the entry may have in flight; undefined: no limit. */
@@ -103,6 +125,7 @@
     this.validUntil = sentAt + timing.LEASE_MS;
     this.waitMs = grant.waitMs;
     this.announcedUntil = -Infinity;
+    this.isSaidShort = grant.isShort;
     if (grant.isShort) {
       this.shortUntil = sentAt + timing.SHORT_MS;
     }
@@ -123,9 +146,15 @@
   /** The allocator has announced that the pool is short. */
   noteAnnounced(now: number): void {
     this.shortUntil = Math.max(this.shortUntil, now + timing.SHORT_MS);
+    this.isSaidShort = true;
     this.announcedUntil = now + ANNOUNCED_MS;
   }
 
+  /** A request that found the targets full waits. */
+  noteFull(now: number): void {
+    this.fullUntil = now + FULL_MS;
+  }
+
   /** Ends the lease, as after a suspension. */
   invalidate(now: number): void {
     this.validUntil = Math.min(this.validUntil, now);
--- a/src/capacity/shared-capacity.test.ts
+++ b/src/capacity/shared-capacity.test.ts
@@ -453,3 +453,98 @@
     },
   );
 });
+
+describe('entries that share a pool of few requests', () => {
+  /** Of all entries, as three plain targets of six slots give. */
+  const FEW = 22;
+  const BURST_MEAN = 2;
+
+  beforeEach(() => {
+    site = new Site(17);
+    site.capacity = FEW;
+    site.requestMs = 43;
+  });
+
+  /** One to three requests at once at an entry; one in flight in all on average. */
+  function offerLittle(): void {
+    const requestMs = site.requestMs + STEP_MS / 2;
+    const startShare = STEP_MS / (site.all.length * BURST_MEAN * requestMs);
+    site.all.forEach(one => {
+      const isIdle = one.line.inFlight === 0 && !one.isDead;
+      const isBurst = isIdle && random.uniform() < startShare;
+      one.want(isBurst ? 1 + random.integerBelow(3) : 0);
+    });
+  }
+
+  function offerTwice(): void {
+    site.all.forEach((one, at) => one.want(at % 5 < 3 ? 3 : 2));
+  }
+
+  // Guards against entries that take their own requests for those of all, and
+  // then limit themselves to an equal part of a pool that is nearly empty.
+  it.each<[string, (one: SimulatedEntry) => unknown]>([
+    ['is new', () => {}],
+    ['is killed', one => site.kill(one)],
+    ['is suspended', one => (one.isFrozen = true)],
+    ['is cut off', one => (site.isCut = (a, b) => a === one || b === one)],
+    ['and all others are cut off', () => (site.isCut = () => true)],
+  ])(
+    'limit no entry without a shortage if the allocator %s',
+    async (_, fault) => {
+      const limited: number[] = [];
+      const totals: number[] = [];
+      let peak = 0;
+      const onStep = () => {
+        const {all} = site;
+        limited.push(...all.flatMap(one => one.line.waiting || []));
+        const inFlight = all.map(one => one.line.inFlight);
+        totals.push(inFlight.reduce((sum, one) => sum + one, 0));
+        peak = Math.max(peak, ...inFlight);
+        offerLittle();
+      };
+      await site.run(5_000, onStep);
+      fault(site.allocator);
+      await site.run(8_000, onStep);
+      site.mend();
+      await site.run(5_000, onStep);
+      expect(limited).toEqual([]);
+      expect(peak).toBe(3);
+      const mean = totals.reduce((sum, one) => sum + one, 0) / totals.length;
+      expect(Math.abs(mean - 1)).toBeLessThan(0.25);
+    },
+  );
+
+  // Guards against an entry that takes all it can while nobody answers it.
+  it('are limited before any answer by what they see themselves', () => {
+    const [entry] = site.all;
+    const shareWith = (inFlight: number, waiting: number, isFull = false) => {
+      entry!.line = {...entry!.line, inFlight, waiting};
+      const now = performance.now();
+      entry!.shares.noteUse(POOL, now, isFull);
+      return entry!.shares.shareOf(POOL, now);
+    };
+    expect(shareWith(13, 0)).toBe(undefined);
+    expect(shareWith(14, 0)).toBe(1);
+    expect(shareWith(2, 1)).toBe(undefined);
+    expect(shareWith(2, 1, true)).toBe(1);
+  });
+
+  // Guards against a shortage that no single entry can see.
+  it('are limited within half a second of a demand of twice the capacity', async () => {
+    const expectLimited = async () => {
+      await site.run(500, offerTwice);
+      const now = performance.now();
+      const limits = site.all.map(one => one.shares.shareOf(POOL, now));
+      const sum = limits.reduce<number>((all, one) => all + (one ?? NaN), 0);
+      expect(sum).toBeLessThanOrEqual(FEW);
+      await site.run(500, offerTwice);
+      const inFlight = site.all.map(one => one.line.inFlight);
+      expect(inFlight.reduce((all, one) => all + one, 0)).toBeLessThanOrEqual(
+        FEW,
+      );
+    };
+    await expectLimited();
+    await site.run(8_000, offerLittle);
+    await expectLimited();
+  });
+});
--- a/src/capacity/shared-capacity.ts
+++ b/src/capacity/shared-capacity.ts
@@ -1,9 +1,9 @@
 /**
  * Shares the capacity of pools among the entries of a site. For each pool one
- * entry allocates: the first responsive peer in rendezvous order. While a pool is
- * short, the entries that use it report their demand to the allocator and may
- * have as many requests in flight as it grants. No calls are made while no pool
- * is short or without peers.
+ * entry allocates: the first responsive peer in rendezvous order. While a pool may
+ * be short, the entries that use it report their demand to the allocator; while it
+ * is short, they may have as many requests in flight as it grants. No calls are
+ * made while no pool may be short or without peers.
  */
 import {Subject} from 'rxjs';
 import * as grouping from '../grouping';
@@ -121,12 +121,17 @@
     return use && lease.limit(use, now);
   }
 
-  noteUse(pool: string, now: number): void {
+  noteUse(pool: string, now: number, isFull = false): void {
     const use = this.useOf(pool, now);
     const lease = this.pools.get(pool)?.lease ?? UNUSED_LEASE;
-    if (use !== undefined && lease.isShort(use, now)) {
-      this.schedule(this.ownPool(pool).lease, use, now);
+    if (use === undefined || !lease.isSuspected(use, now)) {
+      return;
+    }
+    const own = this.ownPool(pool);
+    if (isFull) {
+      own.lease.noteFull(now);
     }
+    this.schedule(own.lease, use, now);
   }
 
   /** Call after this instance was suspended: its shares have been given away. */
@@ -255,7 +260,7 @@
     this.updateLimit(pool, own, now);
     const isLast = use === undefined || !lease.shouldReport(use, now);
     if (lease.isReporting || (isLast && !lease.isKnown)) {
-      if (isLast && (use === undefined || !lease.isShort(use, now))) {
+      if (isLast && (use === undefined || !lease.isSuspected(use, now))) {
         this.pools.delete(pool);
       }
       return undefined;
--- a/src/capacity/types.ts
+++ b/src/capacity/types.ts
@@ -32,8 +32,11 @@
 export abstract class CapacityShares {
   /** Maximum concurrent requests of this entry; undefined: no limit. */
   abstract shareOf(pool: string, now: number): number | undefined;
-  /** Call when requests start or wait in a pool. */
-  abstract noteUse(pool: string, now: number): void;
+  /**
+   * Call when requests start or wait in a pool. `isFull`: one that found the
+   * targets full waits.
+   */
+  abstract noteUse(pool: string, now: number, isFull?: boolean): void;
 }
 
 /** Limits nothing. */
--- a/src/forwarding/admission-controller.test.ts
+++ b/src/forwarding/admission-controller.test.ts
@@ -215,6 +215,38 @@
     expect(responses.filter(one => !isTimely(one))).toEqual([]);
   });
 
+  // Guards against refusals by the rate of an entry that gets few requests.
+  it('serves two requests at once where one at a time may be in flight', async () => {
+    const tryStart = (): Attempt<string> =>
+      controller.inFlight('s') < 1 ? STARTED : {...BLOCKED, why: 'share'};
+    for (let at = 0; at < 5; at += 1) {
+      void send(itemOf({tryStart}));
+      void send(itemOf({tryStart, isRetry: at % 2 === 1}));
+      await jest.advanceTimersByTimeAsync(1_000);
+    }
+    expect(responses.map(isTimely)).toEqual(Array(10).fill(true));
+  });
+
+  // Without it an entry that no allocator answers can't tell a shortage.
+  it('tells the sharing of capacity that requests found the targets full', async () => {
+    const notes: Array<boolean | undefined> = [];
+    class Shares extends CapacityShares {
+      shareOf = () => undefined;
+      noteUse = (_pool: string, _now: number, isFull?: boolean) =>
+        void notes.push(isFull);
+    }
+    open(new Shares());
+    void send(itemOf({isRetry: true, tryStart: () => BLOCKED}));
+    const byShare: Blocked = {...BLOCKED, why: 'share'};
+    await jest.advanceTimersByTimeAsync(1);
+    expect(notes).toEqual([true]);
+    controller.close();
+    open(new Shares());
+    void send(itemOf({isRetry: true, tryStart: () => byShare}));
+    await jest.advanceTimersByTimeAsync(1);
+    expect(notes).toEqual([true, false]);
+  });
+
   // Guards against overload that sustains itself after its cause has ended.
   it('serves new requests in time once capacity has returned', async () => {
     const loads = [
--- a/src/forwarding/admission-controller.ts
+++ b/src/forwarding/admission-controller.ts
@@ -383,9 +383,16 @@
   }
 
   /** Tells the sharing of capacity that requests wait. */
-  private noteWaiting(state: ServiceState<V, R>, now: number): void {
-    const pools = state.hasObjective ? state.blocked?.pools : undefined;
-    pools?.forEach(pool => this.context.shares.noteUse(pool, now));
+  private noteWaiting(
+    {hasObjective, blocked}: ServiceState<V, R>,
+    now: number,
+  ): void {
+    if (hasObjective && blocked !== undefined) {
+      const isFull = blocked.why === 'capacity';
+      blocked.pools.forEach(pool =>
+        this.context.shares.noteUse(pool, now, isFull),
+      );
+    }
   }
 
   private summarize(state: ServiceState<V, R>, now: number): void {
