--- a/src/admission/service-queue.ts
+++ b/src/admission/service-queue.ts
@@ -147,6 +147,11 @@
     return now > timing.lastUsefulStart(item, this.paceMs);
   }
 
+  /** True for a retry that would be refused as expired soon. */
+  isLastChance(item: T, now: number, soonMs: number): boolean {
+    return item.isRetry && this.isUseless(item, now + soonMs);
+  }
+
   /**
    * Why a request that can't start now is refused; undefined: it waits. For a
    * new one the predicted wait counts as it is, but for a retry, which has no
@@ -163,10 +168,14 @@
     if (leftMs <= 0) {
       return isNew ? 'late' : 'expired';
     }
-    const isUncertain = isNew && item.isRetry && !this.hasRate(now);
-    if (item.isStarted || waitMs === undefined || isUncertain) {
+    if (item.isStarted || waitMs === undefined) {
       return undefined;
     }
+    if (item.isRetry) {
+      // It has no attempt left and may use slots at the end of its wait.
+      const isHopeless = waitMs > leftMs * timing.RETRY_TOLERANCE;
+      return this.hasRate(now) && isHopeless ? 'late' : undefined;
+    }
     const isNext = ahead.higher + ahead.same === 0;
     const isLate = isNew
       ? waitMs * timing.ARRIVAL_MARGIN > leftMs
--- a/src/admission/timing.ts
+++ b/src/admission/timing.ts
@@ -29,6 +29,11 @@
  * longer than what is left by this factor: rates observed over a second vary.
  */
 export const WAITING_TOLERANCE = 1.5;
+/**
+ * The same for a caller's retry, which has no attempt left: served late is better
+ * than not at all.
+ */
+export const RETRY_TOLERANCE = 3;
 const SECOND_MS = 1_000;
 
 /** What a request's headers say about its length, in tokens. */
--- a/src/forwarding/admission-controller.ts
+++ b/src/forwarding/admission-controller.ts
@@ -21,6 +21,8 @@
 
 /** Interval of tries while anything waits: permits arrive without notice. */
 const TICK_MS = 60;
+/** Two ticks. */
+const LAST_CHANCE_MS = 2 * TICK_MS;
 /** Interval of the summaries of a service whose requests wait. */
 const SUMMARY_INTERVAL_MS = 1_000;
 /** Maximum tries of a wake-up between ticks that start nothing. */
@@ -362,6 +364,7 @@
     for (const state of this.services.values()) {
       if (state.queue.size > 0) {
         this.drain(state, now, Infinity);
+        this.tryLastChances(state, now);
         this.refuseHopeless(state, now);
         this.noteWaiting(state, now);
         this.summarize(state, now);
@@ -370,6 +373,19 @@
     this.schedule();
   }
 
+  /**
+   * Tries the retries that would be refused before the next ticks, also where the
+   * head of the queue is blocked: they may use slots beyond the limits for it.
+   */
+  private tryLastChances(state: ServiceState<V, R>, now: number): void {
+    const {queue, hasObjective} = state;
+    for (const item of hasObjective ? queue.order.items() : []) {
+      if (queue.isLastChance(item, now, LAST_CHANCE_MS)) {
+        this.tryWaiting(state, item, queue.permitsAhead(item), now);
+      }
+    }
+  }
+
   /** Refuses the waiting requests that can no longer be served in time. */
   private refuseHopeless(state: ServiceState<V, R>, now: number): void {
     for (const item of state.hasObjective ? state.queue.order.items() : []) {
--- a/src/forwarding/target-candidate.ts
+++ b/src/forwarding/target-candidate.ts
@@ -24,6 +24,8 @@
 import type * as types from './types';
 
 const SECOND_MS = 1_000;
+/** Before the end of its wait, in which a caller's retry is tried as urgent. */
+const LAST_TRY_MS = 180;
 
 /** What a search for a target depends on. */
 export interface SearchContext {
@@ -212,13 +214,13 @@
     return found === undefined ? [] : [found];
   }
 
-  /** Applies this entry's share of the pool; started streams go on. */
+  /** Applies this entry's share of the pool, unless the request is urgent. */
   private limitToShare(
     option: groupChoice.GroupOption,
     now: number,
   ): groupChoice.GroupOption | undefined {
     const {context, admission, hasObjective} = this.search;
-    if (!hasObjective || this.isStarted) {
+    if (!hasObjective || this.isStarted || this.isUrgent(now)) {
       return option;
     }
     const pool = pools.poolOf(this.service, option.name);
@@ -249,11 +251,14 @@
   }
 
   /**
-   * True if only the slots limit it: a started stream, and without an objective
-   * any request at its maximum wait.
+   * True if only the slots limit it: a started stream, a retry at the end of its
+   * wait, and without an objective any request there.
    */
   private isUrgent(now: number): boolean {
-    const isAtEnd = !this.search.hasObjective && now >= this.waitsUntil;
+    const {hasObjective} = this.search;
+    const lastTryMs = hasObjective ? LAST_TRY_MS : 0;
+    const isAtEnd =
+      (!hasObjective || this.isRetry) && now >= this.waitsUntil - lastTryMs;
     return this.mayWait && (this.isStarted || isAtEnd);
   }
 
