--- a/src/forwarding/admission-controller.test.ts
+++ b/src/forwarding/admission-controller.test.ts
@@ -196,6 +196,25 @@
     expect(perSecond(isTimely)).toBeGreaterThan(0.9 * CAPACITY);
   });
 
+  // Guards against retries that are refused although slots beyond the limit for
+  // the head of the queue are free: their callers have no attempt left.
+  it('tries a retry as urgent before it would be refused', async () => {
+    targets.slots = 0;
+    const arrivedAt = performance.now();
+    const mayUseSlots = () => performance.now() - arrivedAt > 1_050;
+    void send(itemOf({objectiveAt: Infinity, deadlineAt: Infinity}));
+    void send(
+      itemOf({
+        isRetry: true,
+        deadlineAt: arrivedAt + 8_000,
+        tryStart: () => (mayUseSlots() ? STARTED : BLOCKED),
+      }),
+    );
+    await jest.advanceTimersByTimeAsync(1_300);
+    const retries = responses.filter(({request}) => request.isRetry);
+    expect(retries.map(({kind}) => kind)).toEqual(['served']);
+  });
+
   // Guards against refusals while capacity is free, and after a long wait.
   it('gives a single account all the capacity', async () => {
     await run([{perSecond: 300}]);
--- a/src/forwarding/admission-controller.ts
+++ b/src/forwarding/admission-controller.ts
@@ -13,7 +13,8 @@
 } from '../admission/admittee';
 import {PoolUsage} from '../admission/pool-usage';
 import * as queueSummary from '../admission/queue-summary';
-import {RefusalReason, ServiceQueue} from '../admission/service-queue';
+import type {RefusalReason} from '../admission/service-queue';
+import {ServiceState, ServiceStates} from '../admission/service-states';
 import {WaitingSet} from '../admission/waiting-set';
 import type {PoolDemand} from '../capacity/types';
 import {Result, fail, ok} from '../result';
@@ -28,19 +29,9 @@
 /** Maximum tries of a wake-up between ticks that start nothing. */
 const MAX_BLOCKED_TRIES = 8;
 
-/** The state of one service. */
-interface ServiceState<V, R> {
-  readonly service: string;
-  hasObjective: boolean;
-  readonly queue: ServiceQueue<Admittee<V, R>>;
-  /** The last try that started nothing. */
-  blocked: Blocked | undefined;
-  summarizedAt: number;
-}
-
 export class AdmissionController<V, R> {
   private readonly usage = new PoolUsage();
-  private readonly services = new Map<string, ServiceState<V, R>>();
+  private readonly services: ServiceStates<V, R>;
   private readonly waiting = new WaitingSet<V, R>();
   private readonly metrics: AdmissionMetrics;
   private timer: NodeJS.Timeout | undefined;
@@ -49,6 +40,7 @@
 
   constructor(private readonly context: AdmissionContext<V, R>) {
     this.metrics = new AdmissionMetrics(context.metrics);
+    this.services = new ServiceStates(context);
   }
 
   /** Requests in flight from this entry in a pool. */
@@ -70,7 +62,7 @@
       return fail(item.unanswered);
     }
     const now = performance.now();
-    const state = this.stateOf(item.service);
+    const state = this.services.of(item.service);
     const {queue} = state;
     // Without an objective, requests hold up others only where permits are short.
     if (queue.size > 0 && state.hasObjective) {
@@ -129,22 +121,6 @@
     clearTimeout(this.timer);
   }
 
-  private stateOf(service: string): ServiceState<V, R> {
-    const hasObjective = this.context.hasObjective(service);
-    let state = this.services.get(service);
-    if (state === undefined) {
-      const order = this.context.makeOrder(hasObjective);
-      const queue = new ServiceQueue(order, this.context.floorShare);
-      const summarizedAt = -Infinity;
-      state = {service, hasObjective, queue, blocked: undefined, summarizedAt};
-      this.services.set(service, state);
-    } else if (state.hasObjective !== hasObjective && state.queue.size === 0) {
-      state.hasObjective = hasObjective;
-      state.queue.order = this.context.makeOrder(hasObjective);
-    }
-    return state;
-  }
-
   private attempt(
     state: ServiceState<V, R>,
     item: Admittee<V, R>,
