Drifts of small groups are detected as before

Ruled out: a tolerance that grows with repeated detections (23, 6 or 9 detections of lasting prompts in 25 s, and one variant failed the test of steady demand), and the least of the first distances as the noise (44 late detections in the test of drifts). Change: groups of 32 ranks or more use LargeGroupDemand, others RecentDemand as it was; the test of small groups is the former one again, and the two tests of drifts go with LargeGroupDemand.

--- a/src/experts/demand.ts
+++ b/src/experts/demand.ts
@@ -6,213 +6,134 @@
  * long exponential average that is reset once the newest growth deviates from
  * it.
  */
-import * as statistics from '../statistics';
-import type {Demand} from './plan-types';
+import {DemandEstimate, DemandUpdate, totalOf} from './demand-estimate';
 import type {Growth} from './types';
 
 const HALF_LIFE_MS = 1_500;
+/**
+ * Windows of the newest readings that are compared with the average. A longer
+ * window has less noise and detects a drift later.
+ */
+const DRIFT_WINDOWS = [
+  {readings: 1, noise: 0.14, factor: 1.8, margin: 0.06},
+  {readings: 2, noise: 0.12, factor: 1.6, margin: 0.06},
+] as const;
+/**
+ * Below this noise the margin shrinks in proportion, to detect small drifts of
+ * a large group, whose readings hardly differ.
+ */
+const FULL_MARGIN_NOISE = 0.07;
 /** A new map would gain little after a smaller drift. */
 const MIN_DRIFT = 0.04;
-/** The same until the noise is known. */
-const MIN_INITIAL_DRIFT = 0.11;
 const EWMA_ALPHA = 0.05;
-/** Distances between consecutive readings that the noise is estimated from. */
-const MAX_DISTANCES = 25;
 /**
- * Assumed in place of one distance at the start. Larger values miss drifts
- * that fall on the second reading.
+ * Readings whose mean distance replaces a window's initial noise: a drift in a
+ * large group can be as small as the noise in a small one.
  */
-const INITIAL_NOISE = 0.075;
-/** Distances from which their spread is known. */
-const MIN_DISTANCES = 9;
-/** Distance that counts as a drift, over the expected one, until then. */
-const INITIAL_FACTOR = 1.9;
-/**
- * Median deviations from the expected distance that count as a drift: few
- * prompts per reading make distances vary more than many.
- */
-const DEVIATIONS = 8;
-const MIN_FACTOR = 1.5;
-const MAX_FACTOR = 2.4;
+const NOISE_WARM_UP_READINGS = 5;
 /** A window with a smaller share of the mean tokens is not compared. */
 const MIN_TOKEN_SHARE = 0.4;
 
-export interface DemandUpdate {
-  /** Share of tokens that went to other experts than the average predicts. */
-  readonly distance: number;
-  /** The average was reset to the newest growth. */
-  readonly hasDrifted: boolean;
-}
-
-/** Newest readings and the average of those before them. */
-interface Comparison {
-  readonly newest: Growth;
-  readonly average: Growth;
-  readonly readings: number;
-}
-
-export class RecentDemand {
-  private sum: Float64Array | undefined;
-  /** `sum` without its newest reading; undefined: it has only that one. */
-  private sumBefore: Float64Array | undefined;
+export class RecentDemand extends DemandEstimate {
   private lastAt = 0;
-  /** The newest reading; undefined: none. */
-  private last: Growth | undefined;
-  private readonly noise = new NoiseEstimate();
+  private readonly newest: Growth[] = [];
+  private readonly noiseByWindow = DRIFT_WINDOWS.map(
+    one => new NoiseEstimate(one.noise),
+  );
   private meanTokens = 0;
 
-  constructor(private readonly sets: number) {}
-
   /** Adds the growth since the last reading; `now` is monotonic. */
   update(growth: Growth, now: number): DemandUpdate {
     const decay = 0.5 ** ((now - this.lastAt) / HALF_LIFE_MS);
-    const tokens = totalOf(growth);
-    if (tokens === 0) {
+    if (totalOf(growth) === 0) {
       return {distance: 0, hasDrifted: false};
     }
     this.lastAt = now;
-    const {sum, last} = this;
-    this.last = growth;
-    if (
-      sum === undefined ||
-      last === undefined ||
-      sum.length !== growth.length
-    ) {
-      this.reset(growth);
+    if (this.sum === undefined || this.sum.length !== growth.length) {
+      this.reset([growth]);
       return {distance: 0, hasDrifted: false};
     }
-    this.meanTokens += EWMA_ALPHA * (tokens - this.meanTokens);
-    this.noise.update(this.distanceOf(growth, last), growth, last);
-    const comparisons = this.comparisonsOf(growth, sum, last);
-    const distances = comparisons.map(one =>
-      this.distanceOf(one.newest, one.average),
-    );
-    const hasDrifted = distances.some((one, at) =>
-      this.isDrift(comparisons[at]!, one),
-    );
-    const distance = Math.max(0, ...distances);
+    this.addToNewest(growth);
+    const distances = DRIFT_WINDOWS.map((_, at) => this.distanceIn(at));
+    const hasDrifted = distances.some((one, at) => this.isDrift(at, one));
+    const distance = Math.max(...distances.map(one => one ?? 0));
     if (hasDrifted) {
       // A longer window may span the drift, so only the newest reading is kept.
-      this.reset(growth);
+      this.reset([growth]);
       return {distance, hasDrifted};
     }
-    this.sumBefore = sum;
-    this.sum = sum.map((one, at) => one * decay + growth[at]!);
+    distances.forEach((one, at) => this.updateNoise(at, one));
+    for (let at = 0; at < growth.length; at += 1) {
+      this.sum[at] = this.sum[at]! * decay + growth[at]!;
+    }
     return {distance, hasDrifted};
   }
 
-  /** Tokens in the average, where older ones are discounted. */
-  get total(): number {
-    return this.sum === undefined ? 0 : totalOf(this.sum);
+  private reset(growths: readonly Growth[]): void {
+    this.sum = sumOf(growths);
+    this.newest.splice(0, this.newest.length, ...growths);
   }
 
-  /** By set and expert; undefined before any growth. */
-  get demand(): Demand | undefined {
-    const {sum} = this;
-    if (sum === undefined) {
-      return undefined;
-    }
-    const experts = sum.length / this.sets;
-    return Array.from({length: this.sets}, (_, set) =>
-      sum.subarray(set * experts, (set + 1) * experts),
-    );
-  }
-
-  private reset(growth: Growth): void {
-    this.sum = Float64Array.from(growth);
-    this.sumBefore = undefined;
+  private addToNewest(growth: Growth): void {
+    this.newest.push(growth);
+    const maxReadings = DRIFT_WINDOWS[DRIFT_WINDOWS.length - 1]!.readings;
+    this.newest.splice(0, this.newest.length - maxReadings);
+    const tokens = totalOf(growth);
+    this.meanTokens += EWMA_ALPHA * (tokens - this.meanTokens);
   }
 
-  /** Of the newest reading and of the newest two, unless they have few tokens. */
-  private comparisonsOf(
-    growth: Growth,
-    sum: Growth,
-    last: Growth,
-  ): readonly Comparison[] {
-    const comparisons: Comparison[] = [
-      {newest: growth, average: sum, readings: 1},
-    ];
-    if (this.sumBefore !== undefined) {
-      const newest = Float64Array.from(last, (one, at) => one + growth[at]!);
-      comparisons.push({newest, average: this.sumBefore, readings: 2});
-    }
-    return comparisons.filter(
-      ({newest, readings}) =>
-        totalOf(newest) >= this.meanTokens * readings * MIN_TOKEN_SHARE,
-    );
+  /** Undefined if the window is incomplete or has too few tokens. */
+  private distanceIn(at: number): number | undefined {
+    const {readings} = DRIFT_WINDOWS[at]!;
+    const window = this.newest.slice(-readings);
+    const tokens = window.reduce((sum, growth) => sum + totalOf(growth), 0);
+    const isThin = tokens < this.meanTokens * readings * MIN_TOKEN_SHARE;
+    return window.length < readings || isThin
+      ? undefined
+      : this.distanceOf(sumOf(window), this.sum!);
   }
 
-  private isDrift({newest, average}: Comparison, distance: number): boolean {
-    const {noise} = this;
-    const threshold = noise.distance(newest, average) * noise.factor;
-    return distance > Math.max(threshold, noise.minDrift);
+  private isDrift(at: number, distance: number | undefined): boolean {
+    const {factor, margin} = DRIFT_WINDOWS[at]!;
+    const {mean} = this.noiseByWindow[at]!;
+    const added = margin * Math.min(mean / FULL_MARGIN_NOISE, 1);
+    return (distance ?? 0) > Math.max(mean * factor + added, MIN_DRIFT);
   }
 
-  /** Total variation distance, averaged over sets: 0 to 1. */
-  private distanceOf(newest: Growth, older: Growth): number {
-    const experts = newest.length / this.sets;
-    let distance = 0;
-    for (let set = 0; set < this.sets; set += 1) {
-      const from = set * experts;
-      const newestTotal = totalOf(newest, from, from + experts) || 1;
-      const olderTotal = totalOf(older, from, from + experts) || 1;
-      for (let at = from; at < from + experts; at += 1) {
-        const change = newest[at]! / newestTotal - older[at]! / olderTotal;
-        distance += Math.abs(change) / 2;
-      }
+  private updateNoise(at: number, distance: number | undefined): void {
+    if (distance !== undefined) {
+      this.noiseByWindow[at]!.update(distance);
     }
-    return distance / this.sets;
   }
 }
 
-/**
- * Distance between two samples of the same demand, from the distances between
- * consecutive readings. A drift appears in at most two of these, so their median
- * is correct also for a planner that starts just before a drift.
- */
+/** Mean distance of readings from the average of those before. */
 class NoiseEstimate {
-  /** Distances of readings with one token each, as if noise fell with 1 / sqrt. */
-  private readonly units: number[] = [];
-  private unit = 0;
-  /** Distance that counts as a drift, over the expected one. */
-  factor = INITIAL_FACTOR;
-  minDrift = MIN_INITIAL_DRIFT;
+  private sum = 0;
+  private count = 0;
+
+  /** `mean` starts as the value that applies during the warm-up. */
+  constructor(public mean: number) {}
 
-  update(distance: number, newest: Growth, previous: Growth): void {
-    const scale = scaleOf(newest, previous);
-    if (this.units.length === 0) {
-      this.units.push(INITIAL_NOISE / scale);
+  update(distance: number): void {
+    this.count += 1;
+    if (this.count > NOISE_WARM_UP_READINGS) {
+      this.mean += EWMA_ALPHA * (distance - this.mean);
+      return;
     }
-    this.units.push(distance / scale);
-    this.units.splice(0, this.units.length - MAX_DISTANCES);
-    this.unit = statistics.median(this.units);
-    if (this.units.length >= MIN_DISTANCES) {
-      this.minDrift = MIN_DRIFT;
-      const deviations = this.units.map(one => Math.abs(one - this.unit));
-      const spread = statistics.median(deviations) / (this.unit || 1);
-      const factor = 1 + spread * DEVIATIONS;
-      this.factor = Math.min(Math.max(factor, MIN_FACTOR), MAX_FACTOR);
+    this.sum += distance;
+    if (this.count === NOISE_WARM_UP_READINGS) {
+      this.mean = this.sum / this.count;
     }
   }
-
-  /** Expected distance without a drift. */
-  distance(newest: Growth, older: Growth): number {
-    return this.unit * scaleOf(newest, older);
-  }
 }
 
-function scaleOf(one: Growth, other: Growth): number {
-  return Math.sqrt(1 / totalOf(one) + 1 / totalOf(other));
-}
-
-function totalOf(
-  values: ArrayLike<number>,
-  from = 0,
-  end = values.length,
-): number {
-  let total = 0;
-  for (let at = from; at < end; at += 1) {
-    total += values[at]!;
+function sumOf(growths: readonly Growth[]): Float64Array {
+  const sum = new Float64Array(growths[0]?.length ?? 0);
+  for (const growth of growths) {
+    for (let at = 0; at < sum.length; at += 1) {
+      sum[at]! += growth[at]!;
+    }
   }
-  return total;
+  return sum;
 }
--- a/src/experts/planner.ts
+++ b/src/experts/planner.ts
@@ -6,8 +6,10 @@
 import type {ExpertParameters} from '../routes/types';
 import * as mapChange from './change';
 import {RecentDemand} from './demand';
+import type {DemandEstimate} from './demand-estimate';
 import * as groupClients from './group-client';
 import type {GroupRanks, GroupReading} from './group-client';
+import {LargeGroupDemand} from './large-group-demand';
 import * as mapChanger from './map-changer';
 import * as plans from './plan';
 import type {Demand} from './plan-types';
@@ -50,6 +52,8 @@
 const MIN_RELIEF = 0.36;
 /** Minimum reduction of the imbalance by a whole change. */
 const MIN_GAIN = 0.12;
+/** Ranks from which a reading covers enough prompts to be compared with the next. */
+const MIN_LARGE_GROUP = 32;
 /** Slowness above which a rank is reported to entries. */
 const SLOWNESS_THRESHOLD = 1.1;
 
@@ -64,7 +68,7 @@
 }
 
 export class GroupPlanner {
-  private demand: RecentDemand | undefined;
+  private demand: DemandEstimate | undefined;
   private known: KnownGroup | undefined;
   /** Cached until the next reading. */
   private lastView: GroupView | undefined;
@@ -292,7 +296,7 @@
     figures: ExpertParameters,
     reading: GroupReading,
   ): boolean {
-    this.demand ??= new RecentDemand(figures.sets);
+    this.demand ??= makeDemand(figures.sets, reading);
     if (reading.growth === undefined) {
       return false;
     }
@@ -434,6 +438,14 @@
   }
 }
 
+function makeDemand(sets: number, {ranks}: GroupReading): DemandEstimate {
+  const [first] = ranks.values();
+  const size = first?.state.size ?? 0;
+  return size >= MIN_LARGE_GROUP
+    ? new LargeGroupDemand(sets)
+    : new RecentDemand(sets);
+}
+
 function slownessOf(known: KnownGroup): number[] {
   return known.states.map(state => state.slowness);
 }
