Admission queues and shared capacity are enabled by the operator's settings

Change: they take effect only where the settings have the object admission, also an empty one; without it requests wait as before.

--- a/src/forwarding/target-finder.ts
+++ b/src/forwarding/target-finder.ts
@@ -82,7 +82,11 @@
   }
 
   private hasObjective(service: string): boolean {
-    return this.context.configuration.table?.hasObjective(service) ?? false;
+    const {cfg, configuration} = this.context;
+    return (
+      cfg.admission.isEnabled &&
+      (configuration.table?.hasObjective(service) ?? false)
+    );
   }
 
   /** Digest of a request that is known to crash targets; undefined otherwise. */
--- a/src/roles/site-settings.ts
+++ b/src/roles/site-settings.ts
@@ -12,6 +12,8 @@
 
 /** Shares of scarce capacity, as the operator sets them. */
 export interface AdmissionSettings {
+  /** False: requests wait and are refused as without admission queues. */
+  readonly isEnabled: boolean;
   /** Weights of client accounts among those of a priority; others have 1. */
   readonly weights: ReadonlyMap<string, number>;
   /**
@@ -22,6 +24,7 @@
 }
 
 export const DEFAULT_ADMISSION: AdmissionSettings = {
+  isEnabled: false,
   weights: new Map(),
   floorShare: 0.1,
 };
