--- a/src/capacity/allocator.ts
+++ b/src/capacity/allocator.ts
@@ -127,7 +127,7 @@
     this.pools.clear();
   }
 
-  /** Removes pools that nobody has reported about for a while. */
+  /** Removes pools without reports for IDLE_TIMEOUT_MS. */
   removeIdle(now: number): void {
     for (const [pool, {reportedAt}] of this.pools) {
       if (now - reportedAt > IDLE_TIMEOUT_MS) {
--- a/src/capacity/shared-capacity.test.ts
+++ b/src/capacity/shared-capacity.test.ts
@@ -514,7 +514,7 @@
     },
   );
 
-  // Guards against an entry that takes all it can while nobody answers it.
+  // Guards against an entry without an allocator that limits itself not at all.
   it('are limited before any answer by what they see themselves', () => {
     const [entry] = site.all;
     const shareWith = (inFlight: number, waiting: number, isFull = false) => {
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -118,7 +118,7 @@
   }
 
   /**
-   * Priority that the target is told; undefined if it would be the same for all
+   * Priority sent to the target; undefined if it would be the same for all
    * routes of the service.
    */
   private statedPriority(
--- a/src/forwarding/stream-buffer.test.ts
+++ b/src/forwarding/stream-buffer.test.ts
@@ -5,7 +5,7 @@
 const KIB = 1024;
 const BOUND = 1024 * KIB;
 
-/** A response whose caller takes one write at a time, when told to. */
+/** A response whose caller takes one write at a time, on request. */
 class FakeResponse extends Writable {
   received = '';
   writeCount = 0;
