Order requests by rank: effective priority, then the route's

Where every account has a priority, it overrides that of all routes, so that kinds of request of different urgency were treated as equal. Order, floors, predicted rates, spacing of retries and demand lines now go by the rank of a request, 1,000 x effective priority + route's priority. Engines are told min(9, 3 x effective priority + min(2, route's priority)). Logs and metrics keep the effective priority; a refusal has routePriority where it differs. Merged demand lines keep up to ten ranks apart instead of the priorities 0 to 9. Services without admission keep their order.

--- a/src/admission/arrival-order.test.ts
+++ b/src/admission/arrival-order.test.ts
@@ -23,6 +23,17 @@
     expect(totalOf(order.countAhead(late))).toBe(0);
   });
 
+  // Guards against another order than before at services without admission.
+  it('is the same for all routes of an account with a priority', () => {
+    const order = new ArrivalOrder();
+    const first = waitingRequest({rank: 1_002, needsPermit: true});
+    const second = waitingRequest({rank: 1_000, needsPermit: true});
+    order.push(first);
+    order.push(second);
+    expect(order.items()).toEqual([first, second]);
+    expect(totalOf(order.countAhead(second))).toBe(1);
+  });
+
   // Guards against requests that are held up by those that wait for a group.
   it('counts requests that wait for permits, also before joining', () => {
     const order = new ArrivalOrder();
--- a/src/admission/arrival-order.ts
+++ b/src/admission/arrival-order.ts
@@ -36,7 +36,7 @@
     const at = this.queue.findIndex(one => one === item);
     const ahead = this.queue.slice(0, at < 0 ? this.positionOf(item) : at);
     const counted = ahead.filter(({needsPermit}) => needsPermit);
-    const higher = counted.filter(other => rankOf(other) < rankOf(item));
+    const higher = counted.filter(other => classOf(other) < classOf(item));
     return {higher: higher.length, same: counted.length - higher.length};
   }
 
@@ -50,14 +50,19 @@
 
   /** Position behind the items that a new one doesn't precede. */
   private positionOf(item: WaitingRequest): number {
-    const at = this.queue.findIndex(other => rankOf(other) > rankOf(item));
+    const at = this.queue.findIndex(other => classOf(other) > classOf(item));
     return at < 0 ? this.queue.length : at;
   }
 }
 
 const STARTED_RANK = -1;
 
-/** Rank by priority; lower ones are served first. */
+/** Lower ranks are served first; started streams precede all. */
 export function rankOf(item: WaitingRequest): number {
+  return item.isStarted ? STARTED_RANK : item.rank;
+}
+
+/** The same without the route's priority where an account has one. */
+function classOf(item: WaitingRequest): number {
   return item.isStarted ? STARTED_RANK : item.priority;
 }
--- a/src/admission/fair-deadline-order.test.ts
+++ b/src/admission/fair-deadline-order.test.ts
@@ -41,6 +41,18 @@
     expect(counts[0]).toBeGreaterThanOrEqual(160);
   });
 
+  // Guards against accounts' priorities that make all kinds of request equal.
+  it('is by rank among requests of one priority, with the same floors', () => {
+    [1_000, 1_001, 1_002].forEach(rank => push(3, {priority: 1, rank}));
+    const items = starts(200);
+    expect(items[0]!.rank).toBe(1_000);
+    const least = shareOf(items, one => one.rank === 1_002);
+    expect(least).toBeCloseTo(0.1, 1);
+    expect(shareOf(items, one => one.rank === 1_000)).toBeCloseTo(0.8, 1);
+    const newcomer = waitingRequest({priority: 1, rank: 1_001});
+    expect(order.countAhead(newcomer).higher).toBe(3);
+  });
+
   // Guards against an account at ten times its share that crowds out the others,
   // and against an idle account that saves up its share.
   it('is by weighted fair share of the accounts within a priority', () => {
--- a/src/admission/pool-usage.ts
+++ b/src/admission/pool-usage.ts
@@ -1,16 +1,16 @@
-/** Counts requests in flight by pool, priority and client account. */
+/** Counts requests in flight by pool, rank and client account. */
 import type {DemandLine} from '../capacity/types';
 
 /** What a request counts as. */
 export interface DemandKey {
-  readonly priority: number;
+  readonly rank: number;
   readonly account: string;
 }
 
 interface PoolCount {
   total: number;
-  /** Requests in flight by account, by priority; without zeros. */
-  readonly byPriority: Map<number, Map<string, number>>;
+  /** Requests in flight by account, by rank; without zeros. */
+  readonly byRank: Map<number, Map<string, number>>;
 }
 
 export class PoolUsage {
@@ -22,17 +22,17 @@
   }
 
   /** Adds `change` requests in flight. */
-  add(pool: string, {priority, account}: DemandKey, change: number): void {
+  add(pool: string, {rank, account}: DemandKey, change: number): void {
     let count = this.pools.get(pool);
     if (count === undefined) {
-      count = {total: 0, byPriority: new Map()};
+      count = {total: 0, byRank: new Map()};
       this.pools.set(pool, count);
     }
     count.total += change;
-    let byAccount = count.byPriority.get(priority);
+    let byAccount = count.byRank.get(rank);
     if (byAccount === undefined) {
       byAccount = new Map();
-      count.byPriority.set(priority, byAccount);
+      count.byRank.set(rank, byAccount);
     }
     const inFlight = (byAccount.get(account) ?? 0) + change;
     if (inFlight > 0) {
@@ -45,16 +45,15 @@
   /** The pool's lines together with those of the waiting requests. */
   demandOf(pool: string, waiting: Iterable<DemandKey>): DemandLine[] {
     const lines = new Map<string, DemandLine>();
-    for (const [priority, byAccount] of this.pools.get(pool)?.byPriority ??
-      []) {
+    for (const [rank, byAccount] of this.pools.get(pool)?.byRank ?? []) {
       for (const [account, inFlight] of byAccount) {
-        const line = {priority, account, inFlight, waiting: 0};
-        lines.set(`${priority} ${account}`, line);
+        const line = {priority: rank, account, inFlight, waiting: 0};
+        lines.set(`${rank} ${account}`, line);
       }
     }
-    for (const {priority, account} of waiting) {
-      const name = `${priority} ${account}`;
-      const none = {priority, account, inFlight: 0, waiting: 0};
+    for (const {rank, account} of waiting) {
+      const name = `${rank} ${account}`;
+      const none = {priority: rank, account, inFlight: 0, waiting: 0};
       const line = lines.get(name) ?? none;
       lines.set(name, {...line, waiting: line.waiting + 1});
     }
--- a/src/admission/request-kit.ts
+++ b/src/admission/request-kit.ts
@@ -8,6 +8,7 @@
     account: 'a',
     weight: 1,
     priority: 1,
+    rank: changes.priority ?? 1,
     cost: 1,
     arrivedAt: 0,
     objectiveAt: 250,
--- a/src/admission/service-queue.test.ts
+++ b/src/admission/service-queue.test.ts
@@ -28,6 +28,22 @@
   return queue.verdict(item, NOW, queue.predict(item, NOW), true);
 }
 
+// Guards against predictions for an urgent kind by the starts of a less urgent one
+// of the same account's priority.
+it('the starts of higher ranks delay those of lower ones', () => {
+  const queue = queueAfter(0, 0);
+  const [urgent, batch] = [1_000, 1_002].map(rank => ({
+    ...FIRST_ATTEMPT,
+    rank,
+  }));
+  for (let at = 0; at < 20; at += 1) {
+    queue.noteStart(at < 15 ? urgent! : batch!, NOW - 500);
+    queue.noteEnd(40);
+  }
+  expect(queue.predict(urgent!, NOW).perSecond).toBe(20);
+  expect(queue.predict(batch!, NOW).perSecond).toBe(5);
+});
+
 // Guards against refusals because few requests have arrived.
 describe('the prediction after few starts', () => {
   it('expects a place when one of the requests in flight ends', () => {
--- a/src/admission/service-queue.ts
+++ b/src/admission/service-queue.ts
@@ -2,6 +2,7 @@
  * The waiting requests of one service, what is known of its speed, and when a
  * waiting request is refused. Pure: times are monotonic milliseconds.
  */
+import {rankOf} from './arrival-order';
 import {StartRate} from './start-rate';
 import * as timing from './timing';
 import {Ahead, AdmissionOrder, WaitingRequest, totalOf} from './types';
@@ -35,7 +36,7 @@
 /** Prediction for one request. */
 export interface Prediction {
   readonly ahead: Ahead;
-  /** Starts per second for its priority; 0: too little is known. */
+  /** Starts per second for its rank; 0: too little is known. */
   readonly perSecond: number;
   /** Undefined: too little is known. */
   readonly waitMs: number | undefined;
@@ -82,7 +83,7 @@
   /** Counts a start, of a waiting request or of one that needed no wait. */
   noteStart(item: T, now: number): void {
     this.inFlight += 1;
-    this.starts.note(item.isStarted ? -1 : item.priority, now);
+    this.starts.note(rankOf(item), now);
   }
 
   /** Counts an end; `ms` is its duration if it was served. */
@@ -128,7 +129,7 @@
       perSecond: this.perSecond(now),
       higherPerSecond: item.isStarted
         ? 0
-        : this.starts.perSecond(now, item.priority),
+        : this.starts.perSecond(now, item.rank),
     };
     return {
       ahead,
--- a/src/admission/types.ts
+++ b/src/admission/types.ts
@@ -2,10 +2,12 @@
 export interface WaitingRequest {
   /** Client account; empty: none. */
   readonly account: string;
-  /** Weight of the account among those of its priority. */
+  /** Weight of the account among those of its rank. */
   readonly weight: number;
-  /** 0 is the highest. */
+  /** Of its account, else of its route, as logged; 0 is the highest. */
   readonly priority: number;
+  /** Position in the order by that and then by the route's; 0 is the first. */
+  readonly rank: number;
   /** Expected work; all requests of a service use the same unit. */
   readonly cost: number;
   /** Monotonic milliseconds, as are the other times. */
@@ -28,9 +30,9 @@
 
 /** Waiting requests that precede another one. */
 export interface Ahead {
-  /** Of higher priority. */
+  /** Of a higher rank. */
   readonly higher: number;
-  /** Of the same priority. */
+  /** Of the same rank. */
   readonly same: number;
 }
 
--- a/src/capacity/allocate.ts
+++ b/src/capacity/allocate.ts
@@ -1,7 +1,7 @@
 /**
- * Divides the capacity of a pool among the entries that use it: by priority,
- * then fairly among client accounts, then by where an account's requests are.
- * Pure.
+ * Divides the capacity of a pool among the entries that use it: by rank
+ * (`priority` of the lines), then fairly among client accounts, then by where an
+ * account's requests are. Pure.
  */
 import type {PoolDemand} from './types';
 
--- a/src/capacity/allocator.test.ts
+++ b/src/capacity/allocator.test.ts
@@ -73,6 +73,27 @@
   });
 });
 
+// Guards against urgent requests that count as less urgent ones because their
+// lines are merged.
+it('merged lines keep the ranks that come first', () => {
+  const ranks = [0, 2, 1_000, 1_001, 3_002, 4_000, 5_000, 6_000, 7_000, 8_000];
+  const lines = Array.from({length: 240}, (_, at) => ({
+    priority: [...ranks, 9_000, 9_001][at % 12]!,
+    account: `${at}`,
+    inFlight: 1,
+    waiting: 0,
+  }));
+  const compacted = demandLines.compact(lines);
+  expect(compacted.length).toBeLessThanOrEqual(64);
+  const inFlightOf = (all: typeof lines, rank: number) =>
+    all
+      .filter(({priority}) => priority === rank)
+      .reduce((sum, {inFlight}) => sum + inFlight, 0);
+  for (const rank of ranks.slice(0, -1)) {
+    expect(inFlightOf(compacted, rank)).toBe(inFlightOf(lines, rank));
+  }
+});
+
 it('reports have at most 64 lines with the same sum', () => {
   const lines = Array.from({length: 300}, (_, at) => ({
     priority: at % 12,
--- a/src/capacity/demand-lines.ts
+++ b/src/capacity/demand-lines.ts
@@ -2,10 +2,10 @@
 import {MAX_LINES} from './app';
 import type {DemandLine, PoolDemand} from './types';
 
-/** Priorities are 0 to this one; less urgent ones are merged into it. */
-const LOWEST_PRIORITY = 9;
+/** Ranks of merged lines; less urgent ones are merged into the last of these. */
+const MERGED_RANKS = 10;
 
-/** Keeps the largest lines and merges the others by priority, without account. */
+/** Keeps the largest lines and merges the others by rank, without account. */
 export function compact(lines: PoolDemand): DemandLine[] {
   if (lines.length <= MAX_LINES) {
     return [...lines];
@@ -13,10 +13,15 @@
   const sorted = [...lines].sort(
     (a, b) => b.inFlight + b.waiting - (a.inFlight + a.waiting),
   );
-  const keptCount = MAX_LINES - LOWEST_PRIORITY - 1;
+  const keptCount = MAX_LINES - MERGED_RANKS;
+  const others = sorted.slice(keptCount);
+  const ranks = [...new Set(others.map(({priority}) => priority))]
+    .sort((a, b) => a - b)
+    .slice(0, MERGED_RANKS);
+  const lowest = ranks[ranks.length - 1]!;
   const merged = new Map<number, DemandLine>();
-  for (const line of sorted.slice(keptCount)) {
-    const priority = Math.min(line.priority, LOWEST_PRIORITY);
+  for (const line of others) {
+    const priority = Math.min(line.priority, lowest);
     const before = merged.get(priority);
     merged.set(priority, {
       priority,
--- a/src/forwarding/admission-controller.test.ts
+++ b/src/forwarding/admission-controller.test.ts
@@ -106,6 +106,7 @@
         objectiveAt: now + OBJECTIVE_MS,
         deadlineAt: now + 1_500,
       }),
+      rank: changes.priority ?? 1,
       service: 's',
       bodyBytes: 100,
       signal: new AbortController().signal,
--- a/src/forwarding/refusal-builder.ts
+++ b/src/forwarding/refusal-builder.ts
@@ -27,6 +27,8 @@
   readonly service: string;
   readonly account: string;
   readonly priority: number;
+  readonly routePriority: number;
+  readonly rank: number;
 }
 
 const NO_PREDICTION = {waitMs: undefined, perSecond: 0};
@@ -112,7 +114,7 @@
    */
   private overloadRetryMs(
     call: Call,
-    {service, priority}: OverloadedRequest,
+    {service, rank}: OverloadedRequest,
     details: RefusalDetails | undefined,
   ): number {
     const {waitMs, perSecond} = details?.newcomer ?? NO_PREDICTION;
@@ -120,7 +122,7 @@
       return retryDelays.afterOverload(call.timeLeftMs);
     }
     const scheduledMs = this.overloadSchedule.nextDelayMs(
-      `${service} ${priority}`,
+      `${service} ${rank}`,
       waitMs,
       SECOND_MS / perSecond,
       performance.now(),
@@ -224,13 +226,14 @@
 
 /** Log fields of a refusal by the admission queue. */
 function refusalFields(
-  {account, priority}: OverloadedRequest,
+  {account, priority, routePriority}: OverloadedRequest,
   {reason, waitedMs, prediction}: RefusalDetails,
   retryMs: number,
 ): object {
   const {ahead, waitMs} = prediction;
   return {
     priority,
+    routePriority: routePriority === priority ? undefined : routePriority,
     account,
     ahead: totalOf(ahead),
     waitMs: Math.round(waitedMs),
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -7,7 +7,7 @@
 import {OutcomeObserver} from './outcome-observer';
 import * as outcomes from './outcomes';
 import type {RefusalBuilder} from './refusal-builder';
-import {RelayedRequest, digestOf, priorityOf} from './relayed-request';
+import {RelayedRequest, digestOf, enginePriorityOf} from './relayed-request';
 import type {RetryBudget} from './retry-budget';
 import type {TargetFinder} from './target-finder';
 import * as types from './types';
@@ -129,7 +129,7 @@
     if (table?.differInPriority(request.service) !== true) {
       return undefined;
     }
-    return resumeAfterEventId === undefined ? priorityOf(request) : 0;
+    return resumeAfterEventId === undefined ? enginePriorityOf(request) : 0;
   }
 
   /**
--- a/src/forwarding/relayed-request.ts
+++ b/src/forwarding/relayed-request.ts
@@ -36,7 +36,35 @@
   return hash.digest('base64url').slice(0, DIGEST_LENGTH);
 }
 
-/** 0 is the highest priority. */
+/** Route priorities that ranks tell apart; lower ones are equal. */
+const ROUTE_PRIORITIES = 1_000;
+/** Source: the platform's description of an engine's queue. */
+const LOWEST_ENGINE_PRIORITY = 9;
+/** Engine priorities for each effective priority, by that of the route. */
+const ENGINE_PRIORITIES_EACH = 3;
+
+/** The effective priority: the account's, else the route's; 0 is the highest. */
 export function priorityOf({route, account}: RelayedRequest): number {
   return account?.priority ?? route.priority;
 }
+
+/**
+ * Position in the order by effective priority and, where that is equal, by the
+ * route's: otherwise all routes would be equal for an account with a priority.
+ * Whole, as the sharing of capacity requires.
+ */
+export function rankOf(request: RelayedRequest): number {
+  const own = Math.min(request.route.priority, ROUTE_PRIORITIES - 1);
+  const effective = Math.floor(priorityOf(request));
+  return effective * ROUTE_PRIORITIES + Math.floor(own);
+}
+
+/** What an engine is told; it keeps the order of ranks as far as it has room. */
+export function enginePriorityOf(request: RelayedRequest): number {
+  const own = Math.min(request.route.priority, ENGINE_PRIORITIES_EACH - 1);
+  const effective = Math.floor(priorityOf(request));
+  return Math.min(
+    effective * ENGINE_PRIORITIES_EACH + Math.floor(own),
+    LOWEST_ENGINE_PRIORITY,
+  );
+}
--- a/src/forwarding/target-candidate.ts
+++ b/src/forwarding/target-candidate.ts
@@ -19,7 +19,7 @@
 import * as outcomes from './outcomes';
 import * as pools from './pools';
 import type {RefusalBuilder} from './refusal-builder';
-import {RelayedRequest, priorityOf} from './relayed-request';
+import {RelayedRequest, priorityOf, rankOf} from './relayed-request';
 import type {Unavailability} from './target-list';
 import type * as types from './types';
 
@@ -32,7 +32,7 @@
   readonly context: ForwarderContext;
   readonly refusals: RefusalBuilder;
   readonly admission: AdmissionController<types.Target, types.Refusal>;
-  /** The request's service has routes with an objective. */
+  /** The request's service has admission by rank and shared capacity. */
   readonly hasObjective: boolean;
 }
 
@@ -47,6 +47,8 @@
   readonly account: string;
   readonly weight: number;
   readonly priority: number;
+  readonly routePriority: number;
+  readonly rank: number;
   readonly cost: number;
   readonly firstUnits: number;
   readonly wholeUnits: number;
@@ -81,6 +83,8 @@
     this.account = account?.name ?? '';
     this.weight = cfg.admission.weights.get(this.account) ?? 1;
     this.priority = priorityOf(request);
+    this.routePriority = route.priority;
+    this.rank = rankOf(request);
     this.cost = work.cost;
     this.firstUnits = work.firstUnits;
     this.wholeUnits = work.wholeUnits;
