Enable admission where routes with an objective differ in priority

A site whose routes have different priorities got neither queue nor shares unless its settings asked for them. One function, hasAdmission, decides it for the queue and, through the capacities of pools, for the sharing of capacity. Routes without an objective don't count for the difference.

The test of pools gives its routes an objective, without which their pools are no longer shared.

--- a/src/capacity/types.ts
+++ b/src/capacity/types.ts
@@ -7,9 +7,12 @@
 
 const count = v.pipe(v.number(), v.integer(), v.minValue(0));
 
-/** Requests of one priority and client account in a pool. */
+/** Requests of one rank and client account in a pool. */
 export const demandLineSchema = v.object({
-  /** 0 is the highest. */
+  /**
+   * The rank; 0 is the highest. Entries of earlier versions, which may allocate
+   * during an upgrade, know it by this name.
+   */
   priority: count,
   /** Empty: requests without an account. */
   account: v.string(),
@@ -24,7 +27,10 @@
 /** What the sharing of capacity needs to know of an entry's requests. */
 export abstract class PoolSource {
   abstract demandOf(pool: string): PoolDemand;
-  /** Concurrent requests of all entries; undefined: unlimited or not known. */
+  /**
+   * Concurrent requests of all entries; undefined: unlimited, not known, or of a
+   * service without admission, whose capacity is not shared.
+   */
   abstract capacityOf(pool: string, now: number): number | undefined;
 }
 
--- a/src/forwarding/pools.test.ts
+++ b/src/forwarding/pools.test.ts
@@ -14,7 +14,11 @@
       ({most: allowed.pauseMs / 4}) as GroupCapacity,
   };
   const admission = {demandOf: () => []};
-  const pools = new ForwarderPools({configuration, targets, views}, admission);
+  const cfg = {admission: {isEnabled: true}};
+  const pools = new ForwarderPools(
+    {cfg, configuration, targets, views},
+    admission,
+  );
 
   const target = (id: string, service: string, group?: string) =>
     ({
@@ -31,8 +35,10 @@
 
   const route = (service: string, pauseMs: number) =>
     ({
-      host: String(pauseMs),
+      host: `${service}-${pauseMs}`,
       services: [{service, weight: 1}],
+      latencyObjectiveMs: 500,
+      priority: 1,
       pauseMs,
     }) as unknown as Route;
 
@@ -40,7 +46,10 @@
   it('have the capacity of the usable targets, or of their group', () => {
     configuration.offer({
       version: 1,
-      routes: [route('model', 0), route('model', 170), route('model', 150)],
+      routes: [
+        ...[0, 170, 150].map(pauseMs => route('model', pauseMs)),
+        route('plain', 0),
+      ],
       services: [
         {name: 'model', engine: {}} as never,
         {name: 'plain'} as never,
@@ -55,5 +64,7 @@
     expect(pools.capacityOf('plain', 0)).toBe(15);
     expect(pools.capacityOf('model g', 0)).toBe(37);
     expect(pools.capacityOf('model other', 0)).toBe(undefined);
+    cfg.admission.isEnabled = false;
+    expect(pools.capacityOf('model g', 0)).toBe(undefined);
   });
 });
--- a/src/forwarding/pools.ts
+++ b/src/forwarding/pools.ts
@@ -1,7 +1,7 @@
 /** What the sharing of capacity asks of this entry about its pools. */
 import {PoolDemand, PoolSource} from '../capacity/types';
 import type {Route} from '../routes/types';
-import type {CurrentConfiguration} from '../routes/current';
+import {ConditionContext, hasAdmission} from './admission-condition';
 import type {AdmissionController} from './admission-controller';
 import type {AllowedTimes} from './group-request-limit';
 import type {GroupViews} from './group-views';
@@ -20,8 +20,7 @@
   return group === undefined ? service : `${service}${SEPARATOR}${group}`;
 }
 
-export interface PoolsContext {
-  readonly configuration: CurrentConfiguration;
+export interface PoolsContext extends ConditionContext {
   readonly targets: TargetList;
   readonly views: Pick<GroupViews, 'capacityOf'>;
 }
@@ -45,6 +44,9 @@
     const {configuration, targets, views} = this.context;
     const {table} = configuration;
     const name = serviceOf(pool);
+    if (!hasAdmission(name, this.context)) {
+      return undefined;
+    }
     const usable = targets
       .ofService(name, now)
       .filter(({group}) => poolOf(name, group) === pool);
--- a/src/forwarding/target-finder.ts
+++ b/src/forwarding/target-finder.ts
@@ -8,6 +8,7 @@
 import {ArrivalOrder} from '../admission/arrival-order';
 import {FairDeadlineOrder} from '../admission/fair-deadline-order';
 import {Result, fail, ok} from '../result';
+import {hasAdmission} from './admission-condition';
 import {AdmissionController} from './admission-controller';
 import type {Call} from './call';
 import type * as exchanges from './exchange';
@@ -31,7 +32,7 @@
     this.admission = new AdmissionController({
       shares,
       floorShare,
-      hasObjective: service => this.hasObjective(service),
+      hasObjective: service => hasAdmission(service, context),
       makeOrder: hasObjective =>
         hasObjective
           ? new FairDeadlineOrder<WaitingCall>(floorShare)
@@ -63,7 +64,7 @@
       );
     }
     const {context, refusals, admission} = this;
-    const hasObjective = this.hasObjective(request.service);
+    const hasObjective = hasAdmission(request.service, context);
     const search = {context, refusals, admission, hasObjective};
     context.targets.requestPermits(request.service, performance.now());
     const admitted = await admission.admit(
@@ -81,14 +82,6 @@
     this.admission.close();
   }
 
-  private hasObjective(service: string): boolean {
-    const {cfg, configuration} = this.context;
-    return (
-      cfg.admission.isEnabled &&
-      (configuration.table?.hasObjective(service) ?? false)
-    );
-  }
-
   /** Digest of a request that is known to crash targets; undefined otherwise. */
   private crashDigestOf(request: RelayedRequest): string | undefined {
     const {crashes} = this.context;
--- a/src/roles/site-settings.ts
+++ b/src/roles/site-settings.ts
@@ -12,7 +12,10 @@
 
 /** Shares of scarce capacity, as the operator sets them. */
 export interface AdmissionSettings {
-  /** False: requests wait and are refused as without admission queues. */
+  /**
+   * All services with an objective have admission by rank and shared capacity;
+   * false: only those whose routes with an objective differ in priority.
+   */
   readonly isEnabled: boolean;
   /** Weights of client accounts among those of a priority; others have 1. */
   readonly weights: ReadonlyMap<string, number>;
--- a/src/routes/table.ts
+++ b/src/routes/table.ts
@@ -8,7 +8,9 @@
   private readonly byService = new Map<string, types.Service>();
   private readonly withObjective = new Set<string>();
   /** Services whose routes have different priorities. */
-  private readonly withPriorities = new Set<string>();
+  private readonly withPriorities: ReadonlySet<string>;
+  /** The same among the routes with an objective. */
+  private readonly withRankedObjectives: ReadonlySet<string>;
 
   constructor(readonly snapshot: types.Snapshot) {
     for (const route of snapshot.routes) {
@@ -29,15 +31,10 @@
       account.keys.forEach(key => this.byKey.set(key, account));
     }
     snapshot.services.forEach(one => this.byService.set(one.name, one));
-    const first = new Map<string, number>();
-    for (const {services, priority} of snapshot.routes) {
-      for (const {service} of services) {
-        if ((first.get(service) ?? priority) !== priority) {
-          this.withPriorities.add(service);
-        }
-        first.set(service, priority);
-      }
-    }
+    this.withPriorities = differing(snapshot.routes);
+    this.withRankedObjectives = differing(
+      snapshot.routes.filter(({latencyObjectiveMs}) => latencyObjectiveMs > 0),
+    );
   }
 
   /**
@@ -70,12 +67,32 @@
     return this.withPriorities.has(service);
   }
 
+  /** True if the service's routes with an objective have different priorities. */
+  objectivesDifferInPriority(service: string): boolean {
+    return this.withRankedObjectives.has(service);
+  }
+
   /** True if requests of the route must carry the API key of an account. */
   needsKey(route: types.Route): boolean {
     return !route.isPublic && this.snapshot.accounts !== undefined;
   }
 }
 
+/** Services whose routes among these have different priorities. */
+function differing(routes: readonly types.Route[]): Set<string> {
+  const found = new Set<string>();
+  const first = new Map<string, number>();
+  for (const {services, priority} of routes) {
+    for (const {service} of services) {
+      if ((first.get(service) ?? priority) !== priority) {
+        found.add(service);
+      }
+      first.set(service, priority);
+    }
+  }
+  return found;
+}
+
 /**
  * Picks one of a route's services by weight; `fraction` is a number in [0, 1).
  */
