Limit what entries start together when a group opens

After an outage all callers come back at once, while views still show an empty group: each entry filled what looked free, and requests at the end of their wait ignored the limit. With admission, an entry now starts no more than an equal part of a new group's limit, until shares count that were reported 200 ms after the opening. Last tries share the slots that the limit leaves free.

--- a/src/capacity/lease.ts
+++ b/src/capacity/lease.ts
@@ -28,6 +28,8 @@
 }
 
 export class PoolLease {
+  /** Monotonic time of the report on which the last share was granted. */
+  grantedOn = -Infinity;
   private share: number | undefined;
   /** Monotonic time at which the lease ends or has ended. */
   private validUntil = -Infinity;
@@ -121,6 +123,7 @@
   /** `sentAt`: when the report was sent. */
   applyGrant(grant: ShareGrant, sentAt: number): void {
     this.share = grant.share;
+    this.grantedOn = sentAt;
     this.validUntil = sentAt + timing.LEASE_MS;
     this.waitMs = Math.min(
       Math.max(grant.waitMs, MIN_WAIT_MS),
--- a/src/capacity/shared-capacity.ts
+++ b/src/capacity/shared-capacity.ts
@@ -124,8 +124,11 @@
     });
   }
 
-  shareOf(pool: string, now: number): number | undefined {
+  shareOf(pool: string, now: number, since = -Infinity): number | undefined {
     const own = this.pools.get(pool);
+    if (own !== undefined && own.lease.grantedOn < since) {
+      return undefined;
+    }
     // Without a suspicion nothing limits this entry, and each request asks.
     const use = own && this.useOf(pool, now);
     return use && own?.lease.limit(use, now);
--- a/src/capacity/types.ts
+++ b/src/capacity/types.ts
@@ -36,8 +36,15 @@
 
 /** Shares of pools of which this entry may use no more at a time. */
 export abstract class CapacityShares {
-  /** Maximum concurrent requests of this entry; undefined: no limit. */
-  abstract shareOf(pool: string, now: number): number | undefined;
+  /**
+   * Maximum concurrent requests of this entry; undefined: no limit. `since`: only
+   * a share that was granted on a report sent since that monotonic time.
+   */
+  abstract shareOf(
+    pool: string,
+    now: number,
+    since?: number,
+  ): number | undefined;
   /**
    * Call when requests start or wait in a pool. `isFull`: one that found the
    * targets full waits.
--- a/src/forwarding/group-choice.ts
+++ b/src/forwarding/group-choice.ts
@@ -67,6 +67,12 @@
   return inFlight < share ? {...option, capacity} : undefined;
 }
 
+/** The option limited by the slots of its group instead of by its passes. */
+export function limitToSlots(option: GroupOption, slots: number): GroupOption {
+  const capacity = option.capacity && {...option.capacity, most: slots};
+  return {...option, capacity};
+}
+
 /** The capacity of the group with the lowest load, for the log. */
 export function leastLoaded(
   options: readonly GroupOption[],
--- a/src/forwarding/group-views.ts
+++ b/src/forwarding/group-views.ts
@@ -12,6 +12,7 @@
 import type {EngineParameters} from '../routes/types';
 import type {RpcClient} from '../rpc/client';
 import * as groupRequestLimit from './group-request-limit';
+import * as openingLimit from './opening-limit';
 import {PassMeasurement, PassObserver, TICK_MS} from './pass-observer';
 import type {Target} from './types';
 
@@ -28,8 +29,6 @@
 const NO_RANK = -1;
 /** Maximum ratio of all entries' requests to this entry's. */
 const MAX_ENTRIES = 16;
-/** Time after its start in which an entry may not know all others yet. */
-const START_MS = 10_000;
 
 interface ReceivedView {
   readonly view: GroupView;
@@ -39,13 +38,6 @@
   readonly ownInFlight: ReadonlyMap<string, number>;
 }
 
-/**
- * Assumed imbalance of a group that has just formed, whose experts are placed
- * round-robin, regardless of load.
- */
-const NEW_GROUP_IMBALANCE = 3.5;
-/** Time after opening in which a group without a view counts as new. */
-const NEW_GROUP_MS = 2_000;
 /** Assumed imbalance of other groups without a view. */
 const DEFAULT_IMBALANCE = 1.5;
 
@@ -174,6 +166,18 @@
     );
   }
 
+  /** What this entry knows of a target's group, for the rule on its opening. */
+  knowledgeOf(target: Target, now: number): openingLimit.GroupKnowledge {
+    const key = keyOf(target);
+    return {
+      size: this.ranksOf(key).length,
+      openMs: now - (this.openedAt.get(key) ?? -Infinity),
+      hasView: this.freshView(target, now) !== undefined,
+      knownEntries: this.context.knownEntryCount(),
+      uptimeMs: now - this.startedAt,
+    };
+  }
+
   /** Events of a stream that follow those at `from` without interruption. */
   notePass(target: Target, from: number, now: number): void {
     this.tickTimer ??= setInterval(
@@ -264,9 +268,11 @@
     const own = [...this.ownInFlightOf(key).values()];
     const openMs = now - (this.openedAt.get(key) ?? -Infinity);
     const imbalance =
-      openMs < NEW_GROUP_MS ? NEW_GROUP_IMBALANCE : DEFAULT_IMBALANCE;
+      openMs < openingLimit.NEW_GROUP_MS
+        ? openingLimit.NEW_GROUP_IMBALANCE
+        : DEFAULT_IMBALANCE;
     // After a restart of all entries each would take the others' part too.
-    const hasStarted = now - this.startedAt >= START_MS;
+    const hasStarted = now - this.startedAt >= openingLimit.START_MS;
     const entries = hasStarted
       ? Math.min(this.context.knownEntryCount(), MAX_ENTRIES)
       : MAX_ENTRIES;
--- /dev/null
+++ b/src/forwarding/opening-limit.ts
@@ -0,0 +1,135 @@
+/**
+ * How much of a group one entry may use while it can't know what the others use:
+ * after the group has opened, or without a view of it and without a share. It
+ * answers the load of all callers that come back at once after an outage: views
+ * still show an empty group then, so that each entry fills what looks free. Pure.
+ */
+import {REPORT_INTERVAL_MS} from '../capacity/timing';
+import type {EngineParameters} from '../routes/types';
+import * as groupRequestLimit from './group-request-limit';
+
+/**
+ * Assumed imbalance of a group that has just formed, whose experts are placed
+ * round-robin, regardless of load.
+ */
+export const NEW_GROUP_IMBALANCE = 3.5;
+/** Time after opening in which a group counts as new. */
+export const NEW_GROUP_MS = 2_000;
+/** Time after its start in which an entry may not know all others yet. */
+export const START_MS = 10_000;
+/** Entries assumed at least in that time. */
+const ASSUMED_ENTRIES = 16;
+/**
+ * Factor on the number of entries for last tries in that time: there may be more
+ * than are known or assumed, and only the slots bound these tries.
+ */
+const UNKNOWN_ENTRIES_FACTOR = 1.25;
+
+/** What an entry knows of a group and of the other entries. */
+export interface GroupKnowledge {
+  /** Ranks of the group. */
+  readonly size: number;
+  /** Milliseconds since it was seen to open; Infinity: it was not. */
+  readonly openMs: number;
+  /** There is a recent view of it. */
+  readonly hasView: boolean;
+  /** Includes this one. */
+  readonly knownEntries: number;
+  /** Milliseconds since this entry's start. */
+  readonly uptimeMs: number;
+}
+
+/** A group as one route may use it. */
+export interface LimitedGroup {
+  readonly engine: EngineParameters;
+  readonly allowed: groupRequestLimit.AllowedTimes;
+  readonly knowledge: GroupKnowledge;
+  /** Requests that it may process at once, by what is known of it. */
+  readonly most: number;
+}
+
+/**
+ * Kinds of start. last-try: of a caller's retry at the end of its wait. resumed: of
+ * a stream whose caller already has a part of the answer.
+ */
+export type StartKind = 'first-try' | 'last-try' | 'resumed';
+
+/**
+ * Requests that this entry may have in flight in the group for another start;
+ * undefined: limited by nothing but the group's own capacity or slots. `shareOf`:
+ * this entry's share, if granted on a report of at most that age.
+ */
+export function partOf(
+  kind: StartKind,
+  group: LimitedGroup,
+  shareOf: (maxAgeMs: number) => number | undefined,
+): number | undefined {
+  const maxAgeMs = maxGrantAgeMs(group.knowledge);
+  if (maxAgeMs === undefined) {
+    const share = shareOf(Infinity);
+    const isLimited = kind === 'last-try' && share !== undefined;
+    return isLimited
+      ? lastTryShare(share, group, group.most)
+      : kind === 'resumed'
+        ? undefined
+        : share;
+  }
+  const granted = shareOf(maxAgeMs);
+  const most = granted === undefined ? newGroupLimit(group) : group.most;
+  const share =
+    granted ??
+    Math.min(firstShare(most, group.knowledge), shareOf(Infinity) ?? Infinity);
+  return kind === 'first-try' ? share : lastTryShare(share, group, most);
+}
+
+export function slotsOf({engine, knowledge}: LimitedGroup): number {
+  return engine.slots * knowledge.size;
+}
+
+/**
+ * Age that the report behind a granted share may have at most; undefined: the
+ * rule doesn't apply. The first share lasts until all entries have reported:
+ * before, the first ones to report are granted what the others already use.
+ */
+function maxGrantAgeMs(group: GroupKnowledge): number | undefined {
+  if (group.openMs < NEW_GROUP_MS) {
+    return group.openMs - REPORT_INTERVAL_MS;
+  }
+  return group.hasView ? undefined : Infinity;
+}
+
+/** Requests that a group that has just formed may process at once. */
+function newGroupLimit(group: LimitedGroup): number {
+  const {engine, allowed, knowledge} = group;
+  const {size} = knowledge;
+  const imbalance = NEW_GROUP_IMBALANCE;
+  const factors = {size, imbalance, slowness: 1, correction: 1};
+  const {most} = groupRequestLimit.limitRequests(engine, factors, allowed);
+  return Math.min(most, slotsOf(group));
+}
+
+/** The equal part of an entry; at least one. */
+function firstShare(most: number, knowledge: GroupKnowledge): number {
+  return Math.max(Math.floor(most / entriesOf(knowledge)), 1);
+}
+
+/**
+ * The share and an equal part of the slots that the limit leaves free: summed over
+ * the entries, both stay within the slots.
+ */
+function lastTryShare(
+  share: number,
+  group: LimitedGroup,
+  most: number,
+): number {
+  const {knowledge} = group;
+  const isStart = knowledge.uptimeMs < START_MS;
+  const factor = isStart ? UNKNOWN_ENTRIES_FACTOR : 1;
+  const free = Math.max(slotsOf(group) - most * factor, 0);
+  return share + Math.floor(free / (entriesOf(knowledge) * factor));
+}
+
+function entriesOf({knownEntries, uptimeMs}: GroupKnowledge): number {
+  const least = uptimeMs < START_MS ? ASSUMED_ENTRIES : 1;
+  return Math.max(knownEntries, least);
+}
--- a/src/forwarding/target-candidate.ts
+++ b/src/forwarding/target-candidate.ts
@@ -16,6 +16,7 @@
 import type {ForwarderContext} from './forwarder';
 import * as groupChoice from './group-choice';
 import type {GroupCapacity} from './group-views';
+import * as openingLimit from './opening-limit';
 import * as outcomes from './outcomes';
 import * as pools from './pools';
 import type {RefusalBuilder} from './refusal-builder';
@@ -218,23 +219,58 @@
     return found === undefined ? [] : [found];
   }
 
-  /** Applies this entry's share of the pool, unless the request is urgent. */
+  /** Applies this entry's share of the pool, as far as it limits the request. */
   private limitToShare(
     option: groupChoice.GroupOption,
     now: number,
   ): groupChoice.GroupOption | undefined {
     const {context, admission, hasObjective} = this.search;
-    if (!hasObjective || this.isStarted || this.isUrgent(now)) {
+    if (!hasObjective) {
       return option;
     }
     const pool = pools.poolOf(this.service, option.name);
-    const share = context.shares.shareOf(pool, now);
-    return groupChoice.limitToShare(option, share, admission.inFlight(pool));
+    const kind = this.startKind(now);
+    const group = this.limitedGroup(option, now);
+    const shareOf = (maxAgeMs = Infinity) =>
+      context.shares.shareOf(pool, now, now - maxAgeMs);
+    if (group === undefined) {
+      const share = kind === 'first-try' ? shareOf() : undefined;
+      return groupChoice.limitToShare(option, share, admission.inFlight(pool));
+    }
+    const part = openingLimit.partOf(kind, group, shareOf);
+    return part === undefined && kind !== 'first-try'
+      ? groupChoice.limitToSlots(option, openingLimit.slotsOf(group))
+      : groupChoice.limitToShare(option, part, admission.inFlight(pool));
+  }
+
+  private startKind(now: number): openingLimit.StartKind {
+    if (this.isStarted) {
+      return 'resumed';
+    }
+    return this.isUrgent(now) ? 'last-try' : 'first-try';
+  }
+
+  /** Undefined if the route doesn't limit the requests of a group. */
+  private limitedGroup(
+    {capacity, targets}: groupChoice.GroupOption,
+    now: number,
+  ): openingLimit.LimitedGroup | undefined {
+    const {context} = this.search;
+    const engine = context.configuration.table?.findService(
+      this.service,
+    )?.engine;
+    if (capacity === undefined || engine === undefined) {
+      return undefined;
+    }
+    const knowledge = context.views.knowledgeOf(targets[0]!, now);
+    const {route} = this.request;
+    return {engine, allowed: route, knowledge, most: capacity.most};
   }
 
   /**
    * Capacity of the group at which its passes stay within the route's pause; for
-   * an urgent request, limited by its slots only. Undefined: no limit.
+   * an urgent request of a service without admission, limited by its slots only.
+   * Undefined: no limit.
    */
   private capacityFor(
     targets: readonly types.Target[],
@@ -247,8 +283,9 @@
     if (rank?.group === undefined || engine === undefined || pauseMs === 0) {
       return undefined;
     }
+    const isUnlimited = !this.search.hasObjective && this.isUrgent(now);
     const allowed = {
-      pauseMs: this.isUrgent(now) ? Infinity : pauseMs,
+      pauseMs: isUnlimited ? Infinity : pauseMs,
       timeoutMs: this.request.route.timeoutMs,
     };
     return views.capacityOf(rank, engine, allowed, now);
