Retries no longer cancel the fair shares of other accounts

Cause: a retry that starts before its account's turn advanced the virtual time to its account's, and accounts that were behind lost what they were owed. Of two equal accounts beside a third with retries, one got no start at all.

Change: the virtual time follows the account that is furthest behind.

--- a/src/admission/priority-backlog.ts
+++ b/src/admission/priority-backlog.ts
@@ -64,12 +64,21 @@
   start(item: T): void {
     const haveBoth = this.retries.size > 0 && this.firsts.size > 0;
     this.isFirstsTurn = haveBoth && item.isRetry;
-    const start = this.clock.startOf(item.account);
+    const start = this.earliestStart();
     this.clock.charge(item.account, workOf(item));
     this.clock.advance(start);
     this.remove(item);
   }
 
+  /**
+   * Virtual start time of the account that is furthest behind. A retry may start
+   * before its account's turn; the others must not lose what they are behind.
+   */
+  private earliestStart(): number {
+    const accounts = [...this.retries.keys(), ...this.firsts.keys()];
+    return Math.min(...accounts.map(one => this.clock.startOf(one)));
+  }
+
   /** Items that start before this one, which need not be queued. */
   countAhead(item: WaitingRequest): number {
     const own = this.aheadOf(this.kindOf(item), item);
