Late service: requests that became late wait behind those in time

Cause: a first attempt was refused once it could no longer be in time. While answers were slow (predicted duration near or above the objective), that was on arrival, so nothing waited and each free place went to whichever request arrived next, whatever its priority. The prediction itself recovers within about a second of fast answers, because the places at a target are bounded; it does not sustain itself after the slow answers have ended.

Change: the order keeps late requests apart, ranked by the same rules. A request is refused by prediction only if neither service in time nor late service can be expected; late service gets the starts that requests in time leave. A request whose duration is measured counts as timely for a quarter of its objective at least. Order and floors go by an optional rank. After a second without starts, rates are taken as unknown for a second.

--- a/src/admission/arrival-order.ts
+++ b/src/admission/arrival-order.ts
@@ -16,6 +16,9 @@
     this.queue.splice(this.positionOf(item), 0, item);
   }
 
+  /** Nothing is late without an objective. */
+  classify(): void {}
+
   remove(item: T): boolean {
     const at = this.queue.indexOf(item);
     if (at >= 0) {
@@ -40,6 +43,10 @@
     return {higher: higher.length, same: counted.length - higher.length};
   }
 
+  countLateAhead(): Ahead {
+    return {higher: 0, same: 0};
+  }
+
   last(): T | undefined {
     return this.queue[this.queue.length - 1];
   }
@@ -57,7 +64,9 @@
 
 const STARTED_RANK = -1;
 
-/** Rank by priority; lower ones are served first. */
-export function rankOf(item: WaitingRequest): number {
-  return item.isStarted ? STARTED_RANK : item.priority;
+/** Lower ranks are served first. */
+export function rankOf(
+  item: Pick<WaitingRequest, 'isStarted' | 'priority' | 'rank'>,
+): number {
+  return item.isStarted ? STARTED_RANK : (item.rank ?? item.priority);
 }
--- a/src/admission/fair-deadline-order.test.ts
+++ b/src/admission/fair-deadline-order.test.ts
@@ -104,4 +104,46 @@
     expect(ahead({account: 'small'}).same).toBe(5);
     expect(ahead({priority: 0}).higher).toBe(0);
   });
+
+  // Guards against predictions that count a backlog of late requests ahead of one
+  // that can be in time.
+  it('counts late requests ahead of late ones only', () => {
+    push(4, {priority: 0, objectiveAt: 100});
+    push(2, {priority: 0, objectiveAt: 400});
+    push(1, {priority: 2, objectiveAt: 100, account: 'b'});
+    order.classify(120, PACE_MS);
+    const urgent = waitingRequest({priority: 0, objectiveAt: 500});
+    expect(order.countAhead(urgent)).toEqual({higher: 0, same: 2});
+    expect(order.countLateAhead(urgent)).toEqual({higher: 0, same: 4});
+    const late = order.last(120, PACE_MS)!;
+    expect(late.priority).toBe(2);
+    expect(order.countAhead(late)).toEqual({higher: 6, same: 0});
+    // A shorter pace may show that they can be in time after all.
+    order.classify(40, PACE_MS);
+    expect(order.countAhead(urgent).same).toBe(6);
+  });
+
+  // Guards against late requests that are served in the order of their arrival.
+  it('orders late requests by the same rules', () => {
+    const late = {objectiveAt: 100};
+    push(20, {...late, priority: 2});
+    push(20, {...late, priority: 1, account: 'large'});
+    push(5, {...late, priority: 1, account: 'small'});
+    push(5, {...late, priority: 1, account: 'c', isRetry: true});
+    const items = starts(200, 120);
+    expect(shareOf(items, one => one.priority === 2)).toBeCloseTo(0.1, 1);
+    expect(shareOf(items, one => one.isRetry)).toBeCloseTo(0.45, 1);
+    const firsts = items.filter(one => one.priority === 1 && !one.isRetry);
+    expect(shareOf(firsts, one => one.account === 'small')).toBeCloseTo(0.5, 1);
+  });
+
+  // Guards against routes of equal effective priority that are not told apart.
+  it('is by rank where requests have one', () => {
+    push(1, {priority: 1, rank: 5});
+    push(1, {priority: 1, rank: 4});
+    expect(order.next(0, PACE_MS, new Set())!.rank).toBe(4);
+    expect(order.last(0, PACE_MS)!.rank).toBe(5);
+    const ranked = waitingRequest({priority: 0, rank: 5});
+    expect(order.countAhead(ranked)).toEqual({higher: 1, same: 1});
+  });
 });
--- a/src/admission/fair-deadline-order.ts
+++ b/src/admission/fair-deadline-order.ts
@@ -1,127 +1,92 @@
 /**
- * Requests that can still be in time first, then late ones; within both by
- * priority, with a minimum share of the starts for each lower priority that
- * waits.
+ * Requests that can still be in time first, then late ones; within both by rank,
+ * with a minimum share of the starts for each lower rank that waits.
  */
-import {rankOf} from './arrival-order';
-import {PriorityBacklog} from './priority-backlog';
+import {RankedBacklogs} from './ranked-backlogs';
 import * as timing from './timing';
-import {Ahead, AdmissionOrder, WaitingRequest} from './types';
-
-/** Upper bound of the starts that a priority may be owed. */
-const MAX_CREDIT = 2;
-/**
- * Starts of others after which a priority that has nothing waiting is forgotten.
- * Few requests of a low priority wait at a time: forgotten at once, it would lose
- * its credit between one and the next.
- */
-const MAX_IDLE_STARTS = 10;
-/** Sums of the floor share are not exact. */
-const ROUNDING = 1e-9;
+import {Ahead, AdmissionOrder, WaitingRequest, sumOf} from './types';
 
 export class FairDeadlineOrder<
   T extends WaitingRequest,
 > extends AdmissionOrder<T> {
-  /** Those with items waiting now or lately, highest priority first. */
-  private readonly backlogs: PriorityBacklog<T>[] = [];
+  private readonly timely: RankedBacklogs<T>;
+  private readonly late: RankedBacklogs<T>;
+  private readonly lateItems = new Set<WaitingRequest>();
+  private classifiedAt = -Infinity;
+  private classifiedPaceMs = 0;
 
-  /** `floorShare`: minimum share of the starts of each lower priority. */
-  constructor(private readonly floorShare: number) {
+  /** `floorShare`: minimum share of the starts of each lower rank. */
+  constructor(floorShare: number) {
     super();
+    this.timely = new RankedBacklogs(floorShare);
+    this.late = new RankedBacklogs(floorShare);
   }
 
   get size(): number {
-    return this.backlogs.reduce((sum, backlog) => sum + backlog.size, 0);
+    return this.timely.size + this.late.size;
   }
 
+  /** A new item counts as one that can be in time until `classify`. */
   push(item: T): void {
-    const rank = rankOf(item);
-    const at = this.backlogs.findIndex(one => one.rank >= rank);
-    if (at >= 0 && this.backlogs[at]!.rank === rank) {
-      this.backlogs[at]!.push(item);
+    this.timely.push(item);
+    this.classifiedAt = -Infinity;
+  }
+
+  classify(now: number, paceMs: number): void {
+    if (now === this.classifiedAt && paceMs === this.classifiedPaceMs) {
       return;
     }
-    const backlog = new PriorityBacklog<T>(rank);
-    backlog.push(item);
-    this.backlogs.splice(at < 0 ? this.backlogs.length : at, 0, backlog);
+    this.classifiedAt = now;
+    this.classifiedPaceMs = paceMs;
+    for (const item of this.items()) {
+      const isLate = timing.lastTimelyStart(item, paceMs) < now;
+      if (isLate !== this.lateItems.has(item)) {
+        this.remove(item);
+        this.add(item, isLate);
+      }
+    }
   }
 
   remove(item: T): boolean {
-    const backlog = this.backlogOf(item);
-    return backlog?.remove(item) ?? false;
+    return this.lateItems.delete(item)
+      ? this.late.remove(item)
+      : this.timely.remove(item);
   }
 
   next(now: number, paceMs: number, skipped: ReadonlySet<T>): T | undefined {
-    const isTimely = (item: T) => timing.lastTimelyStart(item, paceMs) >= now;
-    return (
-      this.nextOf(item => isTimely(item) && !skipped.has(item)) ??
-      this.nextOf(item => !isTimely(item) && !skipped.has(item))
-    );
+    this.classify(now, paceMs);
+    const mayStart = (item: T) => !skipped.has(item);
+    return this.timely.next(mayStart) ?? this.late.next(mayStart);
   }
 
   start(item: T): void {
-    const own = this.backlogOf(item);
-    const highest = this.backlogs.findIndex(({size}) => size > 0);
-    this.backlogs.forEach((backlog, at) => {
-      const gain = at > highest ? this.floorShare : 0;
-      backlog.credit = Math.min(backlog.credit + gain, MAX_CREDIT);
-      backlog.idleStarts += backlog.size === 0 ? 1 : 0;
-    });
-    if (own !== undefined) {
-      own.credit = Math.max(own.credit - 1, 0);
-      own.start(item);
-    }
-    this.dropIdle();
+    const isLate = this.lateItems.delete(item);
+    (isLate ? this.late : this.timely).start(item);
   }
 
   countAhead(item: WaitingRequest): Ahead {
-    const rank = rankOf(item);
-    let higher = 0;
-    for (const backlog of this.backlogs) {
-      higher += backlog.rank < rank ? backlog.size : 0;
-    }
-    return {higher, same: this.backlogOf(item)?.countAhead(item) ?? 0};
+    return this.lateItems.has(item)
+      ? sumOf({higher: this.timely.size, same: 0}, this.late.countAhead(item))
+      : this.timely.countAhead(item);
   }
 
-  last(now: number, paceMs: number): T | undefined {
-    const lowestFirst = [...this.backlogs].reverse();
-    const late = lowestFirst
-      .flatMap(backlog => backlog.items())
-      .find(item => timing.lastTimelyStart(item, paceMs) < now);
-    return late ?? lowestFirst.find(({size}) => size > 0)?.last();
-  }
-
-  items(): T[] {
-    return this.backlogs.flatMap(backlog => backlog.items());
+  countLateAhead(item: WaitingRequest): Ahead {
+    return this.late.countAhead(item);
   }
 
-  /** The next of those that match, by priority and what is owed to lower ones. */
-  private nextOf(matches: (item: T) => boolean): T | undefined {
-    let chosen: T | undefined;
-    let owed = 1 - ROUNDING;
-    for (const backlog of this.backlogs) {
-      if (chosen === undefined || backlog.credit >= owed) {
-        const item = backlog.next(matches);
-        if (item !== undefined && chosen !== undefined) {
-          owed = backlog.credit;
-        }
-        chosen = item ?? chosen;
-      }
-    }
-    return chosen;
+  last(now: number, paceMs: number): T | undefined {
+    this.classify(now, paceMs);
+    return this.late.last() ?? this.timely.last();
   }
 
-  private backlogOf(item: WaitingRequest): PriorityBacklog<T> | undefined {
-    const rank = rankOf(item);
-    return this.backlogs.find(backlog => backlog.rank === rank);
+  items(): T[] {
+    return [...this.timely.items(), ...this.late.items()];
   }
 
-  private dropIdle(): void {
-    const at = this.backlogs.findIndex(
-      ({idleStarts}) => idleStarts > MAX_IDLE_STARTS,
-    );
-    if (at >= 0) {
-      this.backlogs.splice(at, 1);
+  private add(item: T, isLate: boolean): void {
+    (isLate ? this.late : this.timely).push(item);
+    if (isLate) {
+      this.lateItems.add(item);
     }
   }
 }
--- a/src/admission/service-queue.ts
+++ b/src/admission/service-queue.ts
@@ -2,9 +2,10 @@
  * The waiting requests of one service, what is known of its speed, and when a
  * waiting request is refused. Pure: times are monotonic milliseconds.
  */
+import {rankOf} from './arrival-order';
 import {StartRate} from './start-rate';
 import * as timing from './timing';
-import {Ahead, AdmissionOrder, WaitingRequest, totalOf} from './types';
+import {Ahead, AdmissionOrder, WaitingRequest, sumOf, totalOf} from './types';
 
 /** Weight of the newest duration in the moving mean and deviation. */
 const DURATION_WEIGHT = 0.1;
@@ -35,22 +36,24 @@
 /** Prediction for one request. */
 export interface Prediction {
   readonly ahead: Ahead;
-  /** Starts per second for its priority; 0: too little is known. */
+  /** Starts per second for its rank; 0: too little is known. */
   readonly perSecond: number;
-  /** Undefined: too little is known. */
+  /** Until a start in its place; undefined: too little is known. */
   readonly waitMs: number | undefined;
 }
 
 export class ServiceQueue<T extends WaitingRequest> {
   inFlight = 0;
   private readonly starts = new StartRate();
+  /** Of these, those that could be in time. */
+  private readonly timelyStarts = new StartRate();
   /** Duration of a pass of the fastest group; undefined: no group is known. */
   private passMs: number | undefined;
   /** Moving mean duration of served requests; 0: none yet. */
   private meanMs = 0;
   /** Moving mean of the durations' absolute deviation from it. */
   private deviationMs = 0;
-  /** Since when requests have been waiting without a break. */
+  /** Since when requests have been waiting and starting without a break. */
   private waitingSince = Infinity;
 
   constructor(
@@ -82,7 +85,14 @@
   /** Counts a start, of a waiting request or of one that needed no wait. */
   noteStart(item: T, now: number): void {
     this.inFlight += 1;
-    this.starts.note(item.isStarted ? -1 : item.priority, now);
+    if (this.starts.perSecond(now) === 0) {
+      // After an outage, the starts of the last second are no rate yet.
+      this.waitingSince = Math.max(this.waitingSince, now);
+    }
+    this.starts.note(rankOf(item), now);
+    if (timing.lastTimelyStart(item, this.paceMs) >= now) {
+      this.timelyStarts.note(rankOf(item), now);
+    }
   }
 
   /** Counts an end; `ms` is its duration if it was served. */
@@ -109,9 +119,7 @@
       return possible;
     }
     const observed = this.starts.perSecond(now);
-    const isObserved =
-      this.order.size > 0 && now - this.waitingSince >= RATE_WINDOW_MS;
-    return isObserved ? observed : Math.max(observed, possible);
+    return this.hasWaited(now) ? observed : Math.max(observed, possible);
   }
 
   /** Waiting requests to which a new or the last tried one leaves permits. */
@@ -123,23 +131,35 @@
   }
 
   predict(item: WaitingRequest, now: number): Prediction {
-    const ahead = this.order.countAhead(item);
-    const rates = {
-      perSecond: this.perSecond(now),
-      higherPerSecond: item.isStarted
-        ? 0
-        : this.starts.perSecond(now, item.priority),
-    };
-    return {
-      ahead,
-      perSecond: timing.perSecondFor(rates, this.floorShare),
-      waitMs: timing.predictWaitMs(ahead, rates, this.floorShare),
-    };
+    this.order.classify(now, this.paceMs);
+    return this.predictionOf(item, this.order.countAhead(item), now);
   }
 
-  /** Prediction for a request like this one that arrives now. */
+  /** Prediction for a request like this one that arrives now, behind all others. */
   predictNewcomer(item: WaitingRequest, now: number): Prediction {
-    return this.predict({...item, objectiveAt: Infinity}, now);
+    this.order.classify(now, this.paceMs);
+    const newcomer = {...item, objectiveAt: Infinity};
+    const ahead = sumOf(
+      this.order.countAhead(newcomer),
+      this.order.countLateAhead(newcomer),
+    );
+    return this.predictionOf(item, ahead, now);
+  }
+
+  /**
+   * Predicted wait among the late requests, which get the starts that those in
+   * time leave. Infinity: they leave none; undefined: not known until requests
+   * have waited for a second.
+   */
+  predictLateWaitMs(item: WaitingRequest, now: number): number | undefined {
+    if (!this.hasWaited(now) || !this.hasRate(now)) {
+      return undefined;
+    }
+    this.order.classify(now, this.paceMs);
+    const perSecond =
+      this.starts.perSecond(now) - this.timelyStarts.perSecond(now);
+    const ahead = totalOf(this.order.countLateAhead(item));
+    return timing.waitMsAt(ahead, perSecond);
   }
 
   /** True if it could only be served after its caller has left. */
@@ -153,34 +173,90 @@
   }
 
   /**
-   * Why a request that can't start now is refused; undefined: it waits. For a
-   * new one the predicted wait counts as it is, but for a retry, which has no
-   * attempt left, only with a rate of starts; later only where it is clearly too
-   * long, and not for the next one.
+   * Why a request that can't start now is refused; undefined: it waits. It is
+   * refused where neither service in time nor late service can be expected; a
+   * retry, which has no attempt left, only by a rate of starts and a wait that is
+   * much too long.
    */
   verdict(
     item: T,
     now: number,
-    {ahead, waitMs}: Prediction,
+    prediction: Prediction,
     isNew: boolean,
   ): 'late' | 'expired' | undefined {
-    const leftMs = timing.waitLimit(item, this.paceMs) - now;
-    if (leftMs <= 0) {
+    const usefulMs = timing.lastUsefulStart(item, this.paceMs) - now;
+    if (usefulMs <= 0) {
       return isNew ? 'late' : 'expired';
     }
-    if (item.isStarted || waitMs === undefined) {
+    if (item.isStarted || prediction.waitMs === undefined) {
       return undefined;
     }
-    if (item.isRetry) {
-      // It has no attempt left and may use slots at the end of its wait.
-      const isHopeless = waitMs > leftMs * timing.RETRY_TOLERANCE;
-      return this.hasRate(now) && isHopeless ? 'late' : undefined;
-    }
-    const isNext = ahead.higher + ahead.same === 0;
-    const isLate = isNew
-      ? waitMs * timing.ARRIVAL_MARGIN > leftMs
-      : !isNext && waitMs > leftMs * timing.WAITING_TOLERANCE;
-    return isLate ? 'late' : undefined;
+    const isExpected = item.isRetry
+      ? this.isRetryExpected(item, now, prediction.waitMs, usefulMs)
+      : this.isTimelyExpected(item, now, prediction, isNew) ||
+        this.isLateExpected(item, now, usefulMs, isNew);
+    return isExpected ? undefined : 'late';
+  }
+
+  private isRetryExpected(
+    item: T,
+    now: number,
+    waitMs: number,
+    usefulMs: number,
+  ): boolean {
+    const maxMs = usefulMs * timing.RETRY_TOLERANCE;
+    return (
+      waitMs <= maxMs ||
+      !this.hasRate(now) ||
+      (this.predictLateWaitMs(item, now) ?? 0) <= maxMs
+    );
+  }
+
+  private isTimelyExpected(
+    item: T,
+    now: number,
+    {ahead, waitMs}: Prediction,
+    isNew: boolean,
+  ): boolean {
+    const latest = Math.min(
+      timing.lastTimelyStart(item, this.paceMs),
+      timing.lastUsefulStart(item, this.paceMs),
+    );
+    const isNext = !isNew && totalOf(ahead) === 0;
+    return (
+      latest > now && (isNext || timing.isWithin(waitMs!, latest - now, isNew))
+    );
+  }
+
+  private isLateExpected(
+    item: T,
+    now: number,
+    usefulMs: number,
+    isNew: boolean,
+  ): boolean {
+    const waitMs = this.predictLateWaitMs(item, now);
+    return waitMs === undefined || timing.isWithin(waitMs, usefulMs, isNew);
+  }
+
+  private predictionOf(
+    item: WaitingRequest,
+    ahead: Ahead,
+    now: number,
+  ): Prediction {
+    const rates = {
+      perSecond: this.perSecond(now),
+      higherPerSecond: this.timelyStarts.perSecond(now, rankOf(item)),
+    };
+    return {
+      ahead,
+      perSecond: timing.perSecondFor(rates, this.floorShare),
+      waitMs: timing.predictWaitMs(ahead, rates, this.floorShare),
+    };
+  }
+
+  /** True if requests have waited for long enough to know the rates. */
+  private hasWaited(now: number): boolean {
+    return this.order.size > 0 && now - this.waitingSince >= RATE_WINDOW_MS;
   }
 
   /** True if enough requests have started lately to predict by their number. */
--- a/src/admission/start-rate.ts
+++ b/src/admission/start-rate.ts
@@ -1,4 +1,4 @@
-/** Counts the starts of the last second by priority. Pure. */
+/** Counts the starts of the last second by rank. Pure. */
 
 const BUCKET_MS = 100;
 const BUCKETS = 10;
@@ -6,34 +6,34 @@
 interface Bucket {
   /** Number of the interval that it counts. */
   interval: number;
-  readonly byPriority: Map<number, number>;
+  readonly byRank: Map<number, number>;
 }
 
 export class StartRate {
   private readonly buckets: Bucket[] = Array.from({length: BUCKETS}, () => ({
     interval: -Infinity,
-    byPriority: new Map<number, number>(),
+    byRank: new Map<number, number>(),
   }));
 
-  note(priority: number, now: number): void {
+  note(rank: number, now: number): void {
     const interval = Math.floor(now / BUCKET_MS);
     const bucket = this.buckets[interval % BUCKETS]!;
     if (bucket.interval !== interval) {
       bucket.interval = interval;
-      bucket.byPriority.clear();
+      bucket.byRank.clear();
     }
-    const count = bucket.byPriority.get(priority) ?? 0;
-    bucket.byPriority.set(priority, count + 1);
+    const count = bucket.byRank.get(rank) ?? 0;
+    bucket.byRank.set(rank, count + 1);
   }
 
-  /** Starts in the last second of priorities below this number. */
+  /** Starts in the last second of ranks below this number. */
   perSecond(now: number, below = Infinity): number {
     const oldest = Math.floor(now / BUCKET_MS) - BUCKETS;
     let count = 0;
-    for (const {interval, byPriority} of this.buckets) {
+    for (const {interval, byRank} of this.buckets) {
       if (interval > oldest) {
-        for (const [priority, starts] of byPriority) {
-          count += priority < below ? starts : 0;
+        for (const [rank, starts] of byRank) {
+          count += rank < below ? starts : 0;
         }
       }
     }
--- a/src/admission/timing.ts
+++ b/src/admission/timing.ts
@@ -10,6 +10,17 @@
  * two seconds without events, and the first event takes a part of that.
  */
 export const MAX_LATE_WAIT_MS = 1_200;
+/** Callers abandon a request that has been silent for that long. */
+const MAX_SILENCE_MS = 2_000;
+/** The same as a multiple of the objective, if that is longer. */
+const MAX_SILENCE = 4;
+/**
+ * Part of its objective for which a request counts as one that can be in time,
+ * whatever the measured durations predict: slow answers would otherwise make all
+ * requests late on arrival, and places would go to whichever arrives next,
+ * whatever its rank.
+ */
+const MIN_TIMELY_SHARE = 0.25;
 /** Minimum time left for another send. */
 export const MIN_TIME_LEFT_MS = 20;
 /**
@@ -75,43 +86,59 @@
 
 /** Latest start with which the request meets its objective. */
 export function lastTimelyStart(item: WaitingRequest, paceMs: number): number {
-  return item.isStarted
-    ? Infinity
-    : item.objectiveAt - item.firstUnits * paceMs;
+  const {arrivedAt, objectiveAt, firstUnits, isStarted} = item;
+  if (isStarted || objectiveAt === Infinity) {
+    return Infinity;
+  }
+  const timely = objectiveAt - firstUnits * paceMs;
+  return isMeasured(item)
+    ? Math.max(timely, arrivedAt + (objectiveAt - arrivedAt) * MIN_TIMELY_SHARE)
+    : timely;
 }
 
 /** Latest start after which its caller still takes the whole answer. */
 export function lastUsefulStart(item: WaitingRequest, paceMs: number): number {
-  const {arrivedAt, objectiveAt, deadlineAt, wholeUnits, isStarted} = item;
-  const lateBy = arrivedAt + MAX_LATE_WAIT_MS;
+  const {arrivedAt, objectiveAt, deadlineAt, isStarted} = item;
+  const maxWaitBy = arrivedAt + MAX_LATE_WAIT_MS;
+  const latest = deadlineAt - MIN_TIME_LEFT_MS;
+  if (isStarted) {
+    return Math.min(maxWaitBy, latest);
+  }
+  const completed = deadlineAt - item.wholeUnits * paceMs;
+  if (objectiveAt === Infinity) {
+    return Math.min(maxWaitBy, completed, latest);
+  }
   const timely = lastTimelyStart(item, paceMs);
-  const hasObjective = !isStarted && objectiveAt < Infinity;
-  const wantedBy = hasObjective ? Math.max(timely, lateBy) : lateBy;
-  const workMs = isStarted ? 0 : wholeUnits * paceMs;
-  return Math.min(wantedBy, deadlineAt - Math.max(workMs, MIN_TIME_LEFT_MS));
+  const late = Math.min(maxWaitBy, silenceEnd(item) - item.firstUnits * paceMs);
+  // Measured durations limit the wait, but not before it is late.
+  const possible = isMeasured(item) ? Math.max(completed, timely) : completed;
+  return Math.min(Math.max(timely, late), possible, latest);
+}
+
+/** When its caller abandons a request of which nothing has arrived. */
+function silenceEnd({arrivedAt, objectiveAt}: WaitingRequest): number {
+  const objectiveMs = objectiveAt - arrivedAt;
+  return arrivedAt + Math.max(MAX_SILENCE_MS, MAX_SILENCE * objectiveMs);
 }
 
 /**
- * When a waiting request is refused. A first attempt is refused once it can't be
- * in time, because its caller's retry may be; a retry is served late.
+ * True if its times are predicted from measured durations: its first event is its
+ * whole answer.
  */
-export function waitLimit(item: WaitingRequest, paceMs: number): number {
-  const useful = lastUsefulStart(item, paceMs);
-  const mayBeLate =
-    item.isRetry || item.isStarted || item.objectiveAt === Infinity;
-  return mayBeLate ? useful : Math.min(lastTimelyStart(item, paceMs), useful);
+function isMeasured({firstUnits, wholeUnits}: WaitingRequest): boolean {
+  return firstUnits === wholeUnits;
 }
 
 /** Starts per second of a service. */
 export interface StartRates {
   readonly perSecond: number;
-  /** Of these, starts of higher priorities, which overtake. */
+  /** Of these, starts of higher ranks in time, which overtake. */
   readonly higherPerSecond: number;
 }
 
 /**
- * Starts per second that a priority gets. `floorShare`: minimum share of the
- * starts that each lower priority gets.
+ * Starts per second that a rank gets. `floorShare`: minimum share of the starts
+ * that each lower rank gets.
  */
 export function perSecondFor(rates: StartRates, floorShare: number): number {
   return Math.max(
@@ -138,6 +165,25 @@
   return seconds * SECOND_MS;
 }
 
+/** Wait behind so many requests in milliseconds; Infinity without starts. */
+export function waitMsAt(ahead: number, perSecond: number): number {
+  return ((ahead + 0.5) / perSecond) * SECOND_MS;
+}
+
+/**
+ * True if a predicted wait is within the time left: with a margin for a new
+ * request, with a tolerance for one that waits already.
+ */
+export function isWithin(
+  waitMs: number,
+  leftMs: number,
+  isNew: boolean,
+): boolean {
+  return isNew
+    ? waitMs * ARRIVAL_MARGIN <= leftMs
+    : waitMs <= leftMs * WAITING_TOLERANCE;
+}
+
 /** Keeps predicted waits finite where the floor is 0. */
 const MIN_SHARE = 0.01;
 
--- a/src/admission/types.ts
+++ b/src/admission/types.ts
@@ -6,6 +6,8 @@
   readonly weight: number;
   /** 0 is the highest. */
   readonly priority: number;
+  /** Place in the order of the priorities, 0 first; undefined: the priority. */
+  readonly rank?: number;
   /** Expected work; all requests of a service use the same unit. */
   readonly cost: number;
   /** Monotonic milliseconds, as are the other times. */
@@ -28,9 +30,9 @@
 
 /** Waiting requests that precede another one. */
 export interface Ahead {
-  /** Of higher priority. */
+  /** Of higher rank. */
   readonly higher: number;
-  /** Of the same priority. */
+  /** Of the same rank. */
   readonly same: number;
 }
 
@@ -38,10 +40,16 @@
   return ahead.higher + ahead.same;
 }
 
+export function sumOf(a: Ahead, b: Ahead): Ahead {
+  return {higher: a.higher + b.higher, same: a.same + b.same};
+}
+
 /** Decides which waiting request of a service is next. Pure. */
 export abstract class AdmissionOrder<T extends WaitingRequest> {
   abstract get size(): number;
   abstract push(item: T): void;
+  /** Sorts the items into those that can be in time and late ones. */
+  abstract classify(now: number, paceMs: number): void;
   /** Removes an item that doesn't start; false if it is not queued. */
   abstract remove(item: T): boolean;
   /**
@@ -56,10 +64,12 @@
   /** Removes an item that starts. */
   abstract start(item: T): void;
   /**
-   * Items to which this one, which need not be queued, leaves places and permits
-   * that become free.
+   * Items to which this one leaves places and permits that become free, as last
+   * classified; one that is not queued counts as one that can be in time.
    */
   abstract countAhead(item: WaitingRequest): Ahead;
+  /** Late items that precede this one among the late ones, once it is late. */
+  abstract countLateAhead(item: WaitingRequest): Ahead;
   /** The item that would start last. */
   abstract last(now: number, paceMs: number): T | undefined;
   abstract items(): T[];
