Verdicts of waiting requests count the requests ahead only where that decides

Cause: each verdict began with a prediction, which counts the requests ahead, also for late requests while the rate of late starts is not known.

Change: the verdict asks for a prediction only where it depends on one. Decisions are the same.

--- a/src/admission/service-queue.test.ts
+++ b/src/admission/service-queue.test.ts
@@ -25,7 +25,7 @@
 }
 
 function verdictOn(queue: ServiceQueue<WaitingRequest>, item: WaitingRequest) {
-  return queue.verdict(item, NOW, queue.predict(item, NOW), true);
+  return queue.verdict(item, NOW, true);
 }
 
 // Guards against refusals because few requests have arrived.
--- a/src/admission/service-queue.ts
+++ b/src/admission/service-queue.ts
@@ -152,7 +152,7 @@
    * have waited for a second.
    */
   predictLateWaitMs(item: WaitingRequest, now: number): number | undefined {
-    if (!this.hasWaited(now) || !this.hasRate(now)) {
+    if (!this.knowsLateRate(now)) {
       return undefined;
     }
     this.order.classify(now, this.paceMs);
@@ -181,61 +181,43 @@
   verdict(
     item: T,
     now: number,
-    prediction: Prediction,
     isNew: boolean,
   ): 'late' | 'expired' | undefined {
     const usefulMs = timing.lastUsefulStart(item, this.paceMs) - now;
     if (usefulMs <= 0) {
       return isNew ? 'late' : 'expired';
     }
-    if (item.isStarted || prediction.waitMs === undefined) {
+    // First what needs no count of the requests ahead.
+    if (item.isStarted || !this.knowsLateRate(now)) {
       return undefined;
     }
     const isExpected = item.isRetry
-      ? this.isRetryExpected(item, now, prediction.waitMs, usefulMs)
-      : this.isTimelyExpected(item, now, prediction, isNew) ||
-        this.isLateExpected(item, now, usefulMs, isNew);
+      ? this.isRetryExpected(item, now, usefulMs)
+      : this.isTimelyExpected(item, now, usefulMs, isNew) ||
+        timing.isWithin(this.predictLateWaitMs(item, now)!, usefulMs, isNew);
     return isExpected ? undefined : 'late';
   }
 
-  private isRetryExpected(
-    item: T,
-    now: number,
-    waitMs: number,
-    usefulMs: number,
-  ): boolean {
+  private isRetryExpected(item: T, now: number, usefulMs: number): boolean {
+    const {waitMs} = this.predict(item, now);
     const maxMs = usefulMs * timing.RETRY_TOLERANCE;
-    return (
-      waitMs <= maxMs ||
-      !this.hasRate(now) ||
-      (this.predictLateWaitMs(item, now) ?? 0) <= maxMs
-    );
+    return waitMs! <= maxMs || this.predictLateWaitMs(item, now)! <= maxMs;
   }
 
   private isTimelyExpected(
-    item: T,
-    now: number,
-    {ahead, waitMs}: Prediction,
-    isNew: boolean,
-  ): boolean {
-    const latest = Math.min(
-      timing.lastTimelyStart(item, this.paceMs),
-      timing.lastUsefulStart(item, this.paceMs),
-    );
-    const isNext = !isNew && totalOf(ahead) === 0;
-    return (
-      latest > now && (isNext || timing.isWithin(waitMs!, latest - now, isNew))
-    );
-  }
-
-  private isLateExpected(
     item: T,
     now: number,
     usefulMs: number,
     isNew: boolean,
   ): boolean {
-    const waitMs = this.predictLateWaitMs(item, now);
-    return waitMs === undefined || timing.isWithin(waitMs, usefulMs, isNew);
+    const timelyMs = timing.lastTimelyStart(item, this.paceMs) - now;
+    const leftMs = Math.min(timelyMs, usefulMs);
+    if (leftMs <= 0) {
+      return false;
+    }
+    const {ahead, waitMs} = this.predict(item, now);
+    const isNext = !isNew && totalOf(ahead) === 0;
+    return isNext || timing.isWithin(waitMs!, leftMs, isNew);
   }
 
   private predictionOf(
@@ -254,6 +236,11 @@
     };
   }
 
+  /** True if the rate that requests in time leave is known. */
+  private knowsLateRate(now: number): boolean {
+    return this.hasWaited(now) && this.hasRate(now);
+  }
+
   /** True if requests have waited for long enough to know the rates. */
   private hasWaited(now: number): boolean {
     return this.order.size > 0 && now - this.waitingSince >= RATE_WINDOW_MS;
--- a/src/forwarding/admission-controller.ts
+++ b/src/forwarding/admission-controller.ts
@@ -271,7 +271,7 @@
     if (!hasObjective || blocked?.why === 'unavailable') {
       return undefined;
     }
-    const verdict = queue.verdict(item, now, queue.predict(item, now), isNew);
+    const verdict = queue.verdict(item, now, isNew);
     return verdict === 'late' && blocked?.why === 'share' ? 'share' : verdict;
   }
 
