--- a/src/admission/arrival-order.ts
+++ b/src/admission/arrival-order.ts
@@ -16,6 +16,9 @@
     this.queue.splice(this.positionOf(item), 0, item);
   }
 
+  /** Nothing is late without an objective. */
+  classify(): void {}
+
   remove(item: T): boolean {
     const at = this.queue.indexOf(item);
     if (at >= 0) {
@@ -40,6 +43,10 @@
     return {higher: higher.length, same: counted.length - higher.length};
   }
 
+  countLateAhead(): Ahead {
+    return {higher: 0, same: 0};
+  }
+
   last(): T | undefined {
     return this.queue[this.queue.length - 1];
   }
@@ -58,7 +65,9 @@
 const STARTED_RANK = -1;
 
 /** Lower ranks are served first; started streams precede all. */
-export function rankOf(item: WaitingRequest): number {
+export function rankOf(
+  item: Pick<WaitingRequest, 'isStarted' | 'rank'>,
+): number {
   return item.isStarted ? STARTED_RANK : item.rank;
 }
 
