--- a/src/admission/service-queue.ts
+++ b/src/admission/service-queue.ts
@@ -2,6 +2,7 @@
  * The waiting requests of one service, what is known of its speed, and when a
  * waiting request is refused. Pure: times are monotonic milliseconds.
  */
+import * as recentCounts from './recent-counts';
 import {StartRate} from './start-rate';
 import * as timing from './timing';
 import {Ahead, AdmissionOrder, WaitingRequest, totalOf} from './types';
@@ -20,6 +21,11 @@
  * arrived: a rate of two a second predicted 250 ms where 43 ms were needed.
  */
 const MIN_OBSERVED = 5;
+/** Accounts named in a log line; the other ones are summed up. */
+const MAX_LOGGED_ACCOUNTS = 8;
+/** Priority under which started streams are counted, and its name. */
+const RESUMED_PRIORITY = -1;
+const RESUMED = 'resumed';
 
 /** Why a request is refused; for the log. */
 export type RefusalReason =
@@ -44,6 +50,9 @@
 export class ServiceQueue<T extends WaitingRequest> {
   inFlight = 0;
   private readonly starts = new StartRate();
+  private readonly accountStarts = new recentCounts.RecentCounts(
+    RATE_WINDOW_MS,
+  );
   /** Duration of a pass of the fastest group; undefined: no group is known. */
   private passMs: number | undefined;
   /** Moving mean duration of served requests; 0: none yet. */
@@ -82,7 +91,28 @@
   /** Counts a start, of a waiting request or of one that needed no wait. */
   noteStart(item: T, now: number): void {
     this.inFlight += 1;
-    this.starts.note(item.isStarted ? -1 : item.priority, now);
+    this.starts.note(item.isStarted ? RESUMED_PRIORITY : item.priority, now);
+    this.accountStarts.note(item.account, now);
+  }
+
+  /** Starts of the last second by priority. */
+  startsByPriority(now: number): Record<string, number> {
+    const counts = [...this.starts.byPriority(now)];
+    return Object.fromEntries(
+      counts.map(([priority, starts]) => [
+        priority === RESUMED_PRIORITY ? RESUMED : String(priority),
+        starts,
+      ]),
+    );
+  }
+
+  /** Starts of the last second, as log fields. */
+  startFields(now: number): object {
+    const accounts = this.accountStarts.counts(now);
+    return {
+      starts: this.startsByPriority(now),
+      accountStarts: recentCounts.largest(accounts, MAX_LOGGED_ACCOUNTS),
+    };
   }
 
   /** Counts an end; `ms` is its duration if it was served. */
--- a/src/admission/start-rate.ts
+++ b/src/admission/start-rate.ts
@@ -26,6 +26,18 @@
     bucket.byPriority.set(priority, count + 1);
   }
 
+  /** Starts in the last second by priority. */
+  byPriority(now: number): Map<number, number> {
+    const oldest = Math.floor(now / BUCKET_MS) - BUCKETS;
+    const total = new Map<number, number>();
+    for (const {interval, byPriority} of this.buckets) {
+      for (const [priority, starts] of interval > oldest ? byPriority : []) {
+        total.set(priority, (total.get(priority) ?? 0) + starts);
+      }
+    }
+    return total;
+  }
+
   /** Starts in the last second of priorities below this number. */
   perSecond(now: number, below = Infinity): number {
     const oldest = Math.floor(now / BUCKET_MS) - BUCKETS;
--- a/src/forwarding/admission-controller.ts
+++ b/src/forwarding/admission-controller.ts
@@ -31,7 +31,7 @@
 
 export class AdmissionController<V, R> {
   private readonly usage = new PoolUsage();
-  private readonly services: ServiceStates<V, R>;
+  readonly services: ServiceStates<V, R>;
   private readonly waiting = new WaitingSet<V, R>();
   private readonly metrics: AdmissionMetrics;
   private timer: NodeJS.Timeout | undefined;
@@ -390,8 +390,9 @@
     const isDue = now - state.summarizedAt >= SUMMARY_INTERVAL_MS;
     if (hasObjective && isDue && queue.size > 0) {
       state.summarizedAt = now;
-      const fields = queueSummary.summaryOf(queue.order.items(), now);
-      this.context.log.event('admissionQueued', {service, ...fields});
+      const waiting = queueSummary.summaryOf(queue.order.items(), now);
+      const fields = {service, ...waiting, ...queue.startFields(now)};
+      this.context.log.event('admissionQueued', fields);
     }
   }
 }
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -25,6 +25,8 @@
   /** Sends whose connection broke before the response was complete. */
   lossCount = 0;
   isLikelyRetry = false;
+  /** Wait before the next send, as log fields; undefined: none. */
+  lastWait: object | undefined;
   lastTargetId = '';
   readonly heldBody: HeldBody;
   readonly heldAnswer: HeldAnswer;
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -65,6 +65,8 @@
     call.sendCount += 1;
     call.lastTargetId = target.id;
     const sentAt = performance.now();
+    const wait = call.lastWait;
+    call.lastWait = undefined;
     let responseHead: types.ResponseHead | undefined;
     const outcome = await exchanges.exchange(wire, {
       agent: mayRepeat ? connections.kept : connections.fresh,
@@ -111,6 +113,7 @@
       send: call.sendCount,
       inFlight: balancer.inFlight(target.lifetime),
       outcome: outcome.kind,
+      ...wait,
       ...outcomes.outcomeFields(outcome),
       ...outcomes.headFields(responseHead),
     });
--- a/src/forwarding/target-candidate.ts
+++ b/src/forwarding/target-candidate.ts
@@ -144,6 +144,17 @@
     }
   }
 
+  /** What its last try lacked, for the log. */
+  get lacked():
+    'capacity' | 'closed-group' | 'permit' | 'cooldown' | 'targets' {
+    const {cause} = this;
+    if (cause.kind !== 'none') {
+      return cause.kind === 'full' ? 'capacity' : 'closed-group';
+    }
+    const reason = cause.unavailability?.reason;
+    return reason === 'limited' ? 'permit' : reason ? 'cooldown' : 'targets';
+  }
+
   private blockedByTargets(
     hasKnown: boolean,
     ahead: number,
--- a/src/forwarding/target-finder.ts
+++ b/src/forwarding/target-finder.ts
@@ -4,7 +4,7 @@
  * for a permit to send to rate-limited targets.
  */
 import type * as rxjs from 'rxjs';
-import type {Admittee} from '../admission/admittee';
+import type {Admitted, Admittee, Blocked} from '../admission/admittee';
 import {ArrivalOrder} from '../admission/arrival-order';
 import {FairDeadlineOrder} from '../admission/fair-deadline-order';
 import {Result, fail, ok} from '../result';
@@ -66,9 +66,14 @@
     const hasObjective = this.hasObjective(request.service);
     const search = {context, refusals, admission, hasObjective};
     context.targets.requestPermits(request.service, performance.now());
-    const admitted = await admission.admit(
-      new TargetCandidate(search, call, request, tried, mayWait),
+    const candidate = new TargetCandidate(
+      search,
+      call,
+      request,
+      tried,
+      mayWait,
     );
+    const admitted = await this.admit(call, candidate);
     if (!admitted.ok) {
       return admitted;
     }
@@ -81,6 +86,28 @@
     this.admission.close();
   }
 
+  /** Admits a request and notes how long it had to wait. */
+  private async admit(
+    call: Call,
+    candidate: TargetCandidate,
+  ): Promise<Result<Admitted<types.Target>, types.Refusal>> {
+    const {admission} = this;
+    const queued = admission.services.get(candidate.service)?.queue.size ?? 0;
+    const queuedAt = performance.now();
+    const admitted = admission.admit(candidate);
+    if (!(admitted instanceof Promise)) {
+      return admitted;
+    }
+    const settled = await admitted;
+    const waitMs = Math.round(performance.now() - queuedAt);
+    if (waitMs > 0) {
+      const state = admission.services.get(candidate.service);
+      const waitedFor = waitCauseOf(candidate, state?.blocked);
+      call.lastWait = {waitMs, queued, waitedFor};
+    }
+    return settled;
+  }
+
   private hasObjective(service: string): boolean {
     const {cfg, configuration} = this.context;
     return (
@@ -96,3 +123,17 @@
     return digest !== undefined && crashes.refuses(digest) ? digest : undefined;
   }
 }
+
+/** What a request that started late had to wait for. */
+function waitCauseOf(
+  {lacked}: TargetCandidate,
+  blocked: Blocked | undefined,
+): string {
+  if (lacked !== 'capacity') {
+    return lacked;
+  }
+  if (blocked?.why === 'share') {
+    return 'share';
+  }
+  return blocked?.passMs === undefined ? 'slots' : 'group';
+}
