--- a/src/capacity/shared-capacity.ts
+++ b/src/capacity/shared-capacity.ts
@@ -144,6 +144,10 @@
     this.schedule(own.lease, use, now);
   }
 
+  lastStateOf(pool: string) {
+    return {share: this.pools.get(pool)?.limit, ...this.capacities.get(pool)};
+  }
+
   /** Call after this instance was suspended: its shares have been given away. */
   handleResume(): void {
     const now = performance.now();
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -3,6 +3,7 @@
  * request to a target and retries where the route allows it.
  */
 import type * as http from 'node:http';
+import type {SharedCapacity} from '../capacity/shared-capacity';
 import type {CapacityShares, PoolSource} from '../capacity/types';
 import type {CrashCoordinator} from '../crashes/crash-coordinator';
 import * as body from '../http/body';
@@ -23,6 +24,7 @@
 import type {HeldBytes} from './held-bytes';
 import {PlainRelay} from './plain-relay';
 import {ForwarderPools} from './pools';
+import {QueuesReporter} from './queues-reporter';
 import * as retryDelays from './retry-delays';
 import {RetryBudget} from './retry-budget';
 import {StreamRelay} from './stream-relay';
@@ -42,7 +44,7 @@
   readonly reach: LastContact;
   readonly connections: TargetConnections;
   readonly crashes: CrashCoordinator;
-  readonly shares: CapacityShares;
+  readonly shares: CapacityShares & Pick<SharedCapacity, 'lastStateOf'>;
   /** Bytes that this process holds for callers and targets. */
   readonly held: HeldBytes;
   /** Known entries of the site, including this one. */
@@ -73,6 +75,8 @@
 export class Forwarder {
   /** This entry's demand of the pools that it uses. */
   readonly pools: PoolSource;
+  /** Reports what waits. */
+  readonly queues: QueuesReporter;
   private readonly budgets = new Map<string, RetryBudget>();
   private readonly plain: PlainRelay;
   private readonly streams: StreamRelay;
@@ -86,6 +90,7 @@
     const finder = new TargetFinder(context);
     this.finder = finder;
     this.pools = new ForwarderPools(context, finder.admission);
+    this.queues = new QueuesReporter({...context, finder});
     this.plain = new PlainRelay(context, budgetOf, finder);
     this.streams = new StreamRelay(context, budgetOf, finder);
   }
--- a/src/forwarding/refusal-builder.ts
+++ b/src/forwarding/refusal-builder.ts
@@ -8,6 +8,7 @@
 import * as retryDelays from './retry-delays';
 import type {GroupGate} from './group-gate';
 import type {GroupCapacity} from './group-views';
+import {RecentRefusals} from './recent-refusals';
 import {RetrySchedule} from './retry-schedule';
 import type {Unavailability, TargetList} from './target-list';
 import type * as types from './types';
@@ -36,6 +37,8 @@
 const SECOND_MS = 1_000;
 
 export class RefusalBuilder {
+  /** Counts what this object builds. */
+  readonly recent = new RecentRefusals();
   private readonly retrySchedule = new RetrySchedule();
   private readonly overloadSchedule = new RetrySchedule();
 
@@ -58,7 +61,11 @@
       },
       call.timeLeftMs,
     );
-    return {kind: 'not-run', why: 'group-closed', retryMs};
+    return this.counted(service, {
+      kind: 'not-run',
+      why: 'group-closed',
+      retryMs,
+    });
   }
 
   /** The request has crashed the targets that ran it. */
@@ -71,7 +78,11 @@
       digest,
     });
     const retryMs = retryDelays.afterCrashes(call.callerTimeLeftMs);
-    return {kind: 'not-run', why: 'crashes-targets', retryMs};
+    return this.counted(service, {
+      kind: 'not-run',
+      why: 'crashes-targets',
+      retryMs,
+    });
   }
 
   /**
@@ -103,7 +114,11 @@
         reason: details.reason,
       });
     }
-    return {kind: 'not-run', why: 'overloaded', retryMs};
+    return this.counted(
+      service,
+      {kind: 'not-run', why: 'overloaded', retryMs},
+      details?.reason,
+    );
   }
 
   /**
@@ -135,11 +150,11 @@
       performance.now(),
     );
     return cause === undefined
-      ? {
+      ? this.counted(service, {
           kind: 'not-run',
           why: 'target-full',
           retryMs: retryDelays.afterFull(call.timeLeftMs),
-        }
+        })
       : this.unavailable(call, service, cause);
   }
 
@@ -182,7 +197,11 @@
       restMs: Math.round(cause.waitMs),
       retryMs: Math.round(retryMs),
     });
-    return {kind: 'not-run', why: 'targets-resting', retryMs};
+    return this.counted(service, {
+      kind: 'not-run',
+      why: 'targets-resting',
+      retryMs,
+    });
   }
 
   /** Spreads callers' retries at the rate that the targets accept. */
@@ -209,16 +228,30 @@
       limit: cause.limitPerSecond,
       retryMs: Math.round(retryMs),
     });
-    return {kind: 'not-run', why: 'targets-limited', retryMs};
+    return this.counted(service, {
+      kind: 'not-run',
+      why: 'targets-limited',
+      retryMs,
+    });
   }
 
   private noTarget(service: string): types.Refusal {
     this.context.log.event('noTarget', {service});
-    return {
+    return this.counted(service, {
       kind: 'not-run',
       why: 'no-target',
       retryMs: retryDelays.NO_TARGET_DELAY_MS,
-    };
+    });
+  }
+
+  /** Counts a refusal by its reason. */
+  private counted(
+    service: string,
+    refusal: Extract<types.Refusal, {kind: 'not-run'}>,
+    reason: string = refusal.why,
+  ): types.Refusal {
+    this.recent.note(service, reason, performance.now());
+    return refusal;
   }
 }
 
--- a/src/roles/metrics-endpoint.ts
+++ b/src/roles/metrics-endpoint.ts
@@ -1,28 +1,57 @@
-/** The address at which a process of a site serves its metrics. */
+/** The address at which a process of a site serves its metrics and queues. */
 import * as http from 'node:http';
 import * as httpServer from '../http/server';
 import type {Metrics} from '../observability/metrics';
 import * as prometheus from '../observability/prometheus';
+import {QUEUES_PATH} from '../observability/queues-page';
 
 const METRICS_PATH = '/metrics';
 
-/** Serves the metrics in the Prometheus text format. */
+/**
+ * Serves the metrics in the Prometheus text format and, if `formatQueues` is
+ * given, the JSON page that it makes.
+ */
 export async function serveMetrics(
   address: string,
   metrics: Metrics,
+  formatQueues?: () => string,
 ): Promise<http.Server> {
   const server = http.createServer((req, res) => {
-    if (req.url !== METRICS_PATH) {
+    if (req.url === METRICS_PATH) {
+      sendMetrics(res, metrics);
+    } else if (req.url === QUEUES_PATH && formatQueues !== undefined) {
+      sendQueues(req, res, formatQueues);
+    } else {
       res.writeHead(404).end();
-      return;
     }
-    prometheus.formatMetrics(metrics.samples()).then(
-      page => {
-        res.writeHead(200, {'content-type': page.type});
-        res.end(page.text);
-      },
-      () => res.writeHead(500).end(),
-    );
   });
   return httpServer.bind(address, server);
 }
+
+function sendMetrics(res: http.ServerResponse, metrics: Metrics): void {
+  prometheus.formatMetrics(metrics.samples()).then(
+    page => {
+      res.writeHead(200, {'content-type': page.type});
+      res.end(page.text);
+    },
+    () => res.writeHead(500).end(),
+  );
+}
+
+function sendQueues(
+  req: http.IncomingMessage,
+  res: http.ServerResponse,
+  formatQueues: () => string,
+): void {
+  if (req.method !== 'GET') {
+    res.writeHead(405, {allow: 'GET'}).end();
+    return;
+  }
+  try {
+    const text = formatQueues();
+    res.writeHead(200, {'content-type': 'application/json'}).end(text);
+  } catch {
+    // A fault in the report must not end the process that serves callers.
+    res.writeHead(500).end();
+  }
+}
--- a/src/roles/site-entry.ts
+++ b/src/roles/site-entry.ts
@@ -174,7 +174,9 @@
     }
     this.servers.push(
       await serveRpc(this.rpcAddress, this.rpcServer, this.log),
-      await serveMetrics(`${cfg.host}:${cfg.metricsPort}`, this.metrics),
+      await serveMetrics(`${cfg.host}:${cfg.metricsPort}`, this.metrics, () =>
+        this.forwarder.queues.format(performance.now()),
+      ),
     );
     this.log.event('processReady', {id: cfg.id, hall: cfg.hall});
     this.shares.open(this.rpcServer);
