--- a/src/commands/request-course-text.ts
+++ b/src/commands/request-course-text.ts
@@ -101,10 +101,10 @@
 function refusalLimit(event: logEvents.RequestRefused): string {
   const {kind, reason, limitedBy, most, requests, limit, restMs} = event;
   if (kind === 'targets-limited') {
-    return `${LIMIT_TEXTS['permit']} (${limit} requests per second)`;
+    return `${LIMIT_TEXTS['permit']} (${limit ?? 'unknown'} requests per second)`;
   }
   if (kind === 'targets-resting') {
-    return `${LIMIT_TEXTS['cooldown']} (${restMs} ms left)`;
+    return `${LIMIT_TEXTS['cooldown']} (${restMs ?? 'unknown'} ms left)`;
   }
   if (kind !== 'overloaded') {
     return kind;
@@ -156,7 +156,7 @@
   }
   const limit = LIMIT_TEXTS[waitedFor ?? ''] ?? 'not known';
   return [
-    `had waited ${waitMs} ms, ${queued ?? 0} requests waiting before it`,
+    `had waited ${waitMs} ms; ${queued ?? 0} requests waited when it came`,
     `limited by: ${limit}`,
   ];
 }
--- a/src/commands/request-course.test.ts
+++ b/src/commands/request-course.test.ts
@@ -39,7 +39,7 @@
 describe('the course of a request', () => {
   // Guards against a refusal without its reason, and against naming what other
   // entries, services or seconds served instead.
-  it('tells why it was refused, and what was served instead', () => {
+  it('tells that it was refused for requests of a higher priority', () => {
     const text = explain('r', [
       summary(0, {starts: {0: 999}}),
       refusal(1_450, 'earlier', {account: 'too-early'}),
@@ -51,7 +51,12 @@
       summary(1_960, {starts: {0: 997}, service: 'other'}),
       refusal(2_400, 'x', {account: 'large'}),
       refusal(2_410, 'y', {account: 'large'}),
-      refusal(2_500, 'r', {reason: 'share', predictedMs: 410, retryMs: 300}),
+      refusal(2_500, 'r', {
+        reason: 'share',
+        predictedMs: 410,
+        retryMs: 300,
+        routePriority: 1,
+      }),
       refusal(2_510, 'z', {account: 'too-late'}),
       line('requestEnded', 2_501, {
         request: 'r',
@@ -66,7 +71,7 @@
     expect(text.split('\n')).toEqual([
       'request r',
       '2026-01-01T12:00:02.495Z  entry-0  arrived, route batch',
-      '2026-01-01T12:00:02.500Z  entry-0  refused: overloaded, reason share, account a, priority 2',
+      '2026-01-01T12:00:02.500Z  entry-0  refused: overloaded, reason share, account a, priority 2, priority of the route 1',
       '    waited 5 ms, 31 requests ahead of it; predicted wait 410 ms',
       "    limited by: this entry's share of the pool",
       '    caller told to retry after 300 ms',
@@ -110,7 +115,7 @@
     ]);
     expect(text.split('\n').slice(1)).toEqual([
       expect.stringMatching(/entry-0 {2}send 1 to i-1: not-run, status 503$/),
-      '    had waited 250 ms, 7 requests waiting before it',
+      '    had waited 250 ms; 7 requests waited when it came',
       '    limited by: the group was closed',
       expect.stringMatching(/entry-0 .*retried, target i-1, allowed false$/),
       expect.stringMatching(/entry-1 {2}send 1 to i-1: answered, status 200$/),
