--- a/src/admission/arrival-order.ts
+++ b/src/admission/arrival-order.ts
@@ -3,6 +3,7 @@
  * later ones only where permits are short: those that wait for a closed or full
  * group don't.
  */
+import {STARTED_RANK} from './rank';
 import {Ahead, AdmissionOrder, WaitingRequest} from './types';
 
 export class ArrivalOrder<T extends WaitingRequest> extends AdmissionOrder<T> {
@@ -62,8 +63,6 @@
   }
 }
 
-const STARTED_RANK = -1;
-
 /** Lower ranks are served first; started streams precede all. */
 export function rankOf(
   item: Pick<WaitingRequest, 'isStarted' | 'rank'>,
--- a/src/admission/service-queue.ts
+++ b/src/admission/service-queue.ts
@@ -3,6 +3,8 @@
  * waiting request is refused. Pure: times are monotonic milliseconds.
  */
 import {rankOf} from './arrival-order';
+import * as rankNames from './rank';
+import * as recentCounts from './recent-counts';
 import {StartRate} from './start-rate';
 import * as timing from './timing';
 import {Ahead, AdmissionOrder, WaitingRequest, sumOf, totalOf} from './types';
@@ -21,6 +23,8 @@
  * arrived: a rate of two a second predicted 250 ms where 43 ms were needed.
  */
 const MIN_OBSERVED = 5;
+/** Accounts named in a log line; the other ones are summed up. */
+const MAX_LOGGED_ACCOUNTS = 8;
 
 /** Why a request is refused; for the log. */
 export type RefusalReason =
@@ -47,6 +51,9 @@
   private readonly starts = new StartRate();
   /** Of these, those that could be in time. */
   private readonly timelyStarts = new StartRate();
+  private readonly accountStarts = new recentCounts.RecentCounts(
+    RATE_WINDOW_MS,
+  );
   /** Duration of a pass of the fastest group; undefined: no group is known. */
   private passMs: number | undefined;
   /** Moving mean duration of served requests; 0: none yet. */
@@ -93,6 +100,24 @@
     if (timing.lastTimelyStart(item, this.paceMs) >= now) {
       this.timelyStarts.note(rankOf(item), now);
     }
+    this.accountStarts.note(item.account, now);
+  }
+
+  /** Starts of the last second by rank, as named in the log. */
+  startsByRank(now: number): Record<string, number> {
+    const counts = [...this.starts.byRank(now)];
+    return Object.fromEntries(
+      counts.map(([rank, starts]) => [rankNames.nameOf(rank), starts]),
+    );
+  }
+
+  /** Starts of the last second, as log fields. */
+  startFields(now: number): object {
+    const accounts = this.accountStarts.counts(now);
+    return {
+      starts: this.startsByRank(now),
+      accountStarts: recentCounts.largest(accounts, MAX_LOGGED_ACCOUNTS),
+    };
   }
 
   /** Counts an end; `ms` is its duration if it was served. */
--- a/src/admission/start-rate.ts
+++ b/src/admission/start-rate.ts
@@ -26,6 +26,18 @@
     bucket.byRank.set(rank, count + 1);
   }
 
+  /** Starts in the last second by rank. */
+  byRank(now: number): Map<number, number> {
+    const oldest = Math.floor(now / BUCKET_MS) - BUCKETS;
+    const total = new Map<number, number>();
+    for (const {interval, byRank} of this.buckets) {
+      for (const [rank, starts] of interval > oldest ? byRank : []) {
+        total.set(rank, (total.get(rank) ?? 0) + starts);
+      }
+    }
+    return total;
+  }
+
   /** Starts in the last second of ranks below this number. */
   perSecond(now: number, below = Infinity): number {
     const oldest = Math.floor(now / BUCKET_MS) - BUCKETS;
--- a/src/forwarding/relayed-request.ts
+++ b/src/forwarding/relayed-request.ts
@@ -1,5 +1,6 @@
 /** A request that is relayed to targets, and its identity. */
 import * as crypto from 'node:crypto';
+import {rankFrom} from '../admission/rank';
 import type {ClientAccount, Route} from '../routes/types';
 import type {RequestHead} from './types';
 
@@ -36,8 +37,6 @@
   return hash.digest('base64url').slice(0, DIGEST_LENGTH);
 }
 
-/** Route priorities that ranks tell apart; lower ones are equal. */
-const ROUTE_PRIORITIES = 1_000;
 /** Source: the platform's description of an engine's queue. */
 const LOWEST_ENGINE_PRIORITY = 9;
 /** Engine priorities for each effective priority, by that of the route. */
@@ -48,15 +47,9 @@
   return account?.priority ?? route.priority;
 }
 
-/**
- * Position in the order by effective priority and, where that is equal, by the
- * route's: otherwise all routes would be equal for an account with a priority.
- * Whole, as the sharing of capacity requires.
- */
+/** Otherwise all routes would be equal for an account with a priority. */
 export function rankOf(request: RelayedRequest): number {
-  const own = Math.min(request.route.priority, ROUTE_PRIORITIES - 1);
-  const effective = Math.floor(priorityOf(request));
-  return effective * ROUTE_PRIORITIES + Math.floor(own);
+  return rankFrom(priorityOf(request), request.route.priority);
 }
 
 /** What an engine is told; it keeps the order of ranks as far as it has room. */
