Cheaper order of waiting requests: sorted again only where it may change

Cause: each arrival and each start sorted all waiting requests into those that can be in time and late ones, and rates summed up starts of all ranks.

Change: the order notes when the next request becomes late, and sorts again only then or when the pace has changed by a millisecond; counts of starts keep a total.

--- a/src/admission/fair-deadline-order.ts
+++ b/src/admission/fair-deadline-order.ts
@@ -6,6 +6,9 @@
 import * as timing from './timing';
 import {Ahead, AdmissionOrder, WaitingRequest, sumOf} from './types';
 
+/** Each answer changes the measured pace a little. */
+const PACE_TOLERANCE_MS = 1;
+
 export class FairDeadlineOrder<
   T extends WaitingRequest,
 > extends AdmissionOrder<T> {
@@ -14,6 +17,8 @@
   private readonly lateItems = new Set<WaitingRequest>();
   private classifiedAt = -Infinity;
   private classifiedPaceMs = 0;
+  /** When the next item becomes late, at that pace. */
+  private nextLateAt = Infinity;
 
   /** `floorShare`: minimum share of the starts of each lower rank. */
   constructor(floorShare: number) {
@@ -29,21 +34,26 @@
   /** A new item counts as one that can be in time until `classify`. */
   push(item: T): void {
     this.timely.push(item);
-    this.classifiedAt = -Infinity;
+    this.noteLateTime(timing.lastTimelyStart(item, this.classifiedPaceMs));
   }
 
   classify(now: number, paceMs: number): void {
-    if (now === this.classifiedAt && paceMs === this.classifiedPaceMs) {
+    if (!this.mustClassify(now, paceMs)) {
       return;
     }
     this.classifiedAt = now;
     this.classifiedPaceMs = paceMs;
+    this.nextLateAt = Infinity;
     for (const item of this.items()) {
-      const isLate = timing.lastTimelyStart(item, paceMs) < now;
+      const lateAt = timing.lastTimelyStart(item, paceMs);
+      const isLate = lateAt < now;
       if (isLate !== this.lateItems.has(item)) {
         this.remove(item);
         this.add(item, isLate);
       }
+      if (!isLate) {
+        this.noteLateTime(lateAt);
+      }
     }
   }
 
@@ -83,6 +93,20 @@
     return [...this.timely.items(), ...this.late.items()];
   }
 
+  private noteLateTime(lateAt: number): void {
+    this.nextLateAt = Math.min(this.nextLateAt, lateAt);
+  }
+
+  /** Items are sorted again only where the result may differ. */
+  private mustClassify(now: number, paceMs: number): boolean {
+    const paceChange = Math.abs(paceMs - this.classifiedPaceMs);
+    return (
+      now > this.nextLateAt ||
+      now < this.classifiedAt ||
+      paceChange > PACE_TOLERANCE_MS
+    );
+  }
+
   private add(item: T, isLate: boolean): void {
     (isLate ? this.late : this.timely).push(item);
     if (isLate) {
--- a/src/admission/service-queue.ts
+++ b/src/admission/service-queue.ts
@@ -227,7 +227,7 @@
   ): Prediction {
     const rates = {
       perSecond: this.perSecond(now),
-      higherPerSecond: this.timelyStarts.perSecond(now, rankOf(item)),
+      higherPerSecond: this.timelyStarts.perSecondBelow(now, rankOf(item)),
     };
     return {
       ahead,
--- a/src/admission/start-rate.ts
+++ b/src/admission/start-rate.ts
@@ -6,12 +6,14 @@
 interface Bucket {
   /** Number of the interval that it counts. */
   interval: number;
+  total: number;
   readonly byRank: Map<number, number>;
 }
 
 export class StartRate {
   private readonly buckets: Bucket[] = Array.from({length: BUCKETS}, () => ({
     interval: -Infinity,
+    total: 0,
     byRank: new Map<number, number>(),
   }));
 
@@ -20,15 +22,27 @@
     const bucket = this.buckets[interval % BUCKETS]!;
     if (bucket.interval !== interval) {
       bucket.interval = interval;
+      bucket.total = 0;
       bucket.byRank.clear();
     }
+    bucket.total += 1;
     const count = bucket.byRank.get(rank) ?? 0;
     bucket.byRank.set(rank, count + 1);
   }
 
+  /** Starts in the last second. */
+  perSecond(now: number): number {
+    const oldest = oldestInterval(now);
+    let count = 0;
+    for (const {interval, total} of this.buckets) {
+      count += interval > oldest ? total : 0;
+    }
+    return count;
+  }
+
   /** Starts in the last second of ranks below this number. */
-  perSecond(now: number, below = Infinity): number {
-    const oldest = Math.floor(now / BUCKET_MS) - BUCKETS;
+  perSecondBelow(now: number, below: number): number {
+    const oldest = oldestInterval(now);
     let count = 0;
     for (const {interval, byRank} of this.buckets) {
       if (interval > oldest) {
@@ -40,3 +54,7 @@
     return count;
   }
 }
+
+function oldestInterval(now: number): number {
+  return Math.floor(now / BUCKET_MS) - BUCKETS;
+}
