Demand of pools is reported by rank

Cause: with equal effective priorities, the shares of capacity could not tell the routes of a service apart. Change: the counts of requests go by the rank where a request has one. Result: the new test fails before and passes; demand of requests without a rank is as before.

--- a/src/admission/pool-usage.ts
+++ b/src/admission/pool-usage.ts
@@ -1,15 +1,17 @@
-/** Counts requests in flight by pool, priority and client account. */
+/** Counts requests in flight by pool, rank and client account. */
 import type {DemandLine} from '../capacity/types';
 
 /** What a request counts as. */
 export interface DemandKey {
   readonly priority: number;
+  /** Reported in place of the priority if there is one. */
+  readonly rank?: number;
   readonly account: string;
 }
 
 interface PoolCount {
   total: number;
-  /** Requests in flight by account, by priority; without zeros. */
+  /** Requests in flight by account, by rank; without zeros. */
   readonly byPriority: Map<number, Map<string, number>>;
 }
 
@@ -22,7 +24,9 @@
   }
 
   /** Adds `change` requests in flight. */
-  add(pool: string, {priority, account}: DemandKey, change: number): void {
+  add(pool: string, key: DemandKey, change: number): void {
+    const {account} = key;
+    const priority = rankOf(key);
     let count = this.pools.get(pool);
     if (count === undefined) {
       count = {total: 0, byPriority: new Map()};
@@ -52,7 +56,9 @@
         lines.set(`${priority} ${account}`, line);
       }
     }
-    for (const {priority, account} of waiting) {
+    for (const key of waiting) {
+      const {account} = key;
+      const priority = rankOf(key);
       const name = `${priority} ${account}`;
       const none = {priority, account, inFlight: 0, waiting: 0};
       const line = lines.get(name) ?? none;
@@ -61,3 +67,8 @@
     return [...lines.values()];
   }
 }
+
+/** Unlike in the order of starts, started streams count by their own rank. */
+function rankOf({priority, rank}: DemandKey): number {
+  return rank ?? priority;
+}
