--- a/src/admission/load-kit.ts
+++ b/src/admission/load-kit.ts
@@ -137,6 +137,7 @@
         objectiveAt: now + OBJECTIVE_MS,
         deadlineAt: now + this.timeoutMs,
       }),
+      rank: changes.priority ?? 1,
       service: 's',
       bodyBytes: 100,
       signal: new AbortController().signal,
