--- a/src/capacity/shared-capacity-rpc.test.ts
+++ b/src/capacity/shared-capacity-rpc.test.ts
@@ -56,6 +56,10 @@
   }
   expect(shares()).toEqual(expected);
   expect(onRisen).toHaveBeenCalledWith(POOL);
+  // Guards against shares of a capacity that a group had before it closed.
+  const now = performance.now();
+  expect(entries[2]!.shareOf(POOL, now, now - MAX_WAIT_MS)).toBe(54);
+  expect(entries[2]!.shareOf(POOL, now, now)).toBeUndefined();
   entries.forEach(one => one.close());
   opened.forEach(({server}) => server.close());
   rpc.close();
