Admission is enabled by different priorities of streams only

Cause: all sites have some hundred routes of plain requests that are hardly used, with priority 0 beside the 2 of the others, so admission was enabled at the plain services of sites that call for nothing new. Change: only routes of streams with an objective count; the test of the target finder uses streams and checks that plain routes don't count. Result: tests of src/forwarding and src/routes pass.

--- a/src/forwarding/admission-condition.test.ts
+++ b/src/forwarding/admission-condition.test.ts
@@ -5,6 +5,7 @@
 interface RouteOfTest {
   readonly latencyObjectiveMs: number;
   readonly priority: number;
+  readonly kind: Route['kind'];
 }
 
 /** Whether a service with these routes has admission. */
@@ -28,9 +29,14 @@
 }
 
 describe('admission of a service', () => {
-  const stream = {latencyObjectiveMs: 500, priority: 1};
-  const urgent = {latencyObjectiveMs: 500, priority: 0};
-  const idle = {latencyObjectiveMs: 0, priority: 7};
+  const stream = {
+    latencyObjectiveMs: 500,
+    priority: 1,
+    kind: 'stream',
+  } as const;
+  const urgent = {...stream, priority: 0};
+  const idle = {...stream, latencyObjectiveMs: 0, priority: 7};
+  const plain = {...urgent, kind: 'safe'} as const;
 
   it('is enabled by different priorities of routes with an objective', () => {
     expect(check(false, [stream, urgent])).toBe(true);
@@ -43,6 +49,13 @@
     expect(check(true, [idle])).toBe(false);
   });
 
+  // Guards against the same at plain services with many routes that are hardly used.
+  it('is not enabled by routes of plain requests', () => {
+    expect(check(false, [plain, {...plain, priority: 2}])).toBe(false);
+    expect(check(false, [stream, plain])).toBe(false);
+    expect(check(true, [plain])).toBe(true);
+  });
+
   it('is enabled by the settings for services with an objective', () => {
     expect(check(true, [stream, idle])).toBe(true);
   });
--- a/src/forwarding/admission-condition.ts
+++ b/src/forwarding/admission-condition.ts
@@ -12,7 +12,7 @@
 
 /**
  * True if routes of the service have objectives, and either the settings enable
- * admission or those routes have different priorities. Otherwise the order of
+ * admission or its routes of streams have different priorities. Otherwise the order of
  * requests would gain little for the processor time that it takes.
  */
 export function hasAdmission(
@@ -23,6 +23,6 @@
   return (
     table !== undefined &&
     table.hasObjective(service) &&
-    (cfg.admission.isEnabled || table.objectivesDifferInPriority(service))
+    (cfg.admission.isEnabled || table.streamsDifferInPriority(service))
   );
 }
--- a/src/forwarding/target-finder.test.ts
+++ b/src/forwarding/target-finder.test.ts
@@ -28,12 +28,16 @@
 /** Requests that an entry has in flight at most at the target. */
 const MOST = 6;
 
-function route(priority: number, latencyObjectiveMs: number): Route {
+function route(
+  priority: number,
+  latencyObjectiveMs: number,
+  kind: Route['kind'] = 'stream',
+): Route {
   return {
     name: `${priority}-${latencyObjectiveMs}`,
     host: `${priority}-${latencyObjectiveMs}`,
     pathPrefix: '/',
-    kind: 'safe',
+    kind,
     services: [{service: 's', weight: 1}],
     timeoutMs: 1_500,
     latencyObjectiveMs,
@@ -96,6 +100,8 @@
   it('is refused at once where its routes with an objective have one priority', () => {
     expect(waitingAtFull([route(1, 500), route(1, 300)])).toBe(0);
     expect(waitingAtFull([route(1, 500), route(0, 0)])).toBe(0);
+    const plain = [route(1, 500, 'safe'), route(0, 300, 'safe')];
+    expect(waitingAtFull(plain)).toBe(0);
   });
 
   it('waits where they have different priorities', () => {
--- a/src/routes/table.ts
+++ b/src/routes/table.ts
@@ -9,8 +9,8 @@
   private readonly withObjective = new Set<string>();
   /** Services whose routes have different priorities. */
   private readonly withPriorities: ReadonlySet<string>;
-  /** The same among the routes with an objective. */
-  private readonly withRankedObjectives: ReadonlySet<string>;
+  /** The same among the routes of streams with an objective. */
+  private readonly withRankedStreams: ReadonlySet<string>;
 
   constructor(readonly snapshot: types.Snapshot) {
     for (const route of snapshot.routes) {
@@ -32,9 +32,7 @@
     }
     snapshot.services.forEach(one => this.byService.set(one.name, one));
     this.withPriorities = differing(snapshot.routes);
-    this.withRankedObjectives = differing(
-      snapshot.routes.filter(({latencyObjectiveMs}) => latencyObjectiveMs > 0),
-    );
+    this.withRankedStreams = differing(snapshot.routes.filter(isRankedStream));
   }
 
   /**
@@ -67,9 +65,9 @@
     return this.withPriorities.has(service);
   }
 
-  /** True if the service's routes with an objective have different priorities. */
-  objectivesDifferInPriority(service: string): boolean {
-    return this.withRankedObjectives.has(service);
+  /** True if the service's routes of streams with an objective have different priorities. */
+  streamsDifferInPriority(service: string): boolean {
+    return this.withRankedStreams.has(service);
   }
 
   /** True if requests of the route must carry the API key of an account. */
@@ -78,6 +76,14 @@
   }
 }
 
+/**
+ * Routes without an objective have no waits to order. Plain services have many
+ * routes that are hardly used, whose priorities say nothing about their load.
+ */
+function isRankedStream({kind, latencyObjectiveMs}: types.Route): boolean {
+  return kind === 'stream' && latencyObjectiveMs > 0;
+}
+
 /** Services whose routes among these have different priorities. */
 function differing(routes: readonly types.Route[]): Set<string> {
   const found = new Set<string>();
