TargetList lists the ranks that may receive requests

Cause: ranks() includes those in drained halls, so the limit of a group counts slots that no request can use. Change: usableRanks() leaves out drained halls. A cooldown, a rate limit or a cold period does not remove a rank. The list is cached until a target or the drained halls change.

--- a/src/forwarding/target-list.test.ts
+++ b/src/forwarding/target-list.test.ts
@@ -89,6 +89,32 @@
     expect(list.ranks().map(one => one.id)).toEqual(['b', 'd', 'e', 'f']);
   });
 
+  // Guards against limits of a group that fall while ranks only pause, and against
+  // slots of ranks that receive nothing.
+  it('has as usable ranks those that are not drained or shutting down', () => {
+    const list = new TargetList();
+    const usable = () => list.usableRanks().map(one => one.id);
+    const rank = (id: string, number: number, hall = 'h') => ({
+      ...target(id),
+      ...{group: 'g', rank: number, hall, coldRemainingMs: 500},
+    });
+    const [a, b] = [rank('a', 1), rank('b', 2)];
+    [a, b, rank('c', 3, 'other'), target('d')].forEach(one => list.add(one));
+    list.startCooldown(a, 1_000, 0);
+    list.noteRateLimit(b, {kind: 'limit', perSecond: 0}, 0, 0);
+    expect(usable()).toEqual(['a', 'b', 'c']);
+    expect(list.usableRanks()).toBe(list.usableRanks());
+    list.setDrainedHalls(['other']);
+    expect(usable()).toEqual(['a', 'b']);
+    expect(list.ranks()).toHaveLength(3);
+    list.add({...b, ...{id: 'e', lifetime: 'e@1', address: 'x', revision: 2}});
+    expect(usable()).toEqual(['a', 'e']);
+    list.leave(a);
+    expect(usable()).toEqual(['e']);
+    list.setDrainedHalls([]);
+    expect(usable()).toEqual(['e', 'c']);
+  });
+
   it('ends the grace period of a target whose entry is back', () => {
     const list = new TargetList();
     list.replaceAll([target('a')], 0, false);
--- a/src/forwarding/target-list.ts
+++ b/src/forwarding/target-list.ts
@@ -92,6 +92,7 @@
   /** Cached usable targets by service; undefined: to be computed. */
   private byService: ReadonlyMap<string, readonly Target[]> | undefined;
   private cachedRanks: readonly Target[] | undefined;
+  private cachedUsableRanks: readonly Target[] | undefined;
   /** Monotonic time until which the cache is valid. */
   private byServiceUntil = 0;
 
@@ -309,6 +310,14 @@
     return this.cachedRanks;
   }
 
+  /** Those outside drained halls, also in a cooldown, rate-limited or cold. */
+  usableRanks(): readonly Target[] {
+    this.cachedUsableRanks ??= this.ranks().filter(
+      ({hall}) => !this.drainedHalls.has(hall),
+    );
+    return this.cachedUsableRanks;
+  }
+
   get size(): number {
     return this.listed.size;
   }
@@ -344,6 +353,7 @@
   private invalidateCaches(): void {
     this.byService = undefined;
     this.cachedRanks = undefined;
+    this.cachedUsableRanks = undefined;
   }
 
   private isListed(lifetime: string, id: string): boolean {
