The limit of a group is at most the slots of its usable ranks

Cause: with one of three halls drained, two groups of 32 ranks of 7 slots got up to 235 requests each, although 147 slots could be used. The excess waited inside the ranks in use. Change: capacityOf limits requests to 1.05 times the slots of usable ranks. Requests at other ranks count against the limit by passes only. Shares, last tries, resumed streams and openings use the same slots. Existing tests that build a GroupViewsContext, GroupKnowledge or GroupCapacity state the new field; their assertions are unchanged. Result: limit 235.2 -> 154.35. Without a drained hall the limit is the same.

--- a/src/forwarding/group-choice.test.ts
+++ b/src/forwarding/group-choice.test.ts
@@ -5,6 +5,7 @@
   groupsOf,
   leastLoaded,
   limitToShare,
+  limitToSlots,
 } from './group-choice';
 import type {Target} from './types';
 
@@ -31,6 +32,7 @@
     limitedBy: 'in-time' as const,
     correction: 1,
     requests,
+    usableRequests: requests,
     imbalance: 1,
     slowness: 1,
     ageMs: 0,
@@ -86,6 +88,14 @@
     expect(chooseGroup([limitToShare(full, 10, 9)!])?.name).toBe('a');
   });
 
+  // Guards against resumed streams that wait for slots of ranks that are not usable.
+  it('counts only requests at usable ranks against the slots', () => {
+    const draining = option('a', 100, 130);
+    const capacity = {...draining.capacity!, usableRequests: 70};
+    const limited = limitToSlots({...draining, capacity}, 140);
+    expect(limited.capacity).toMatchObject({most: 140, requests: 70});
+  });
+
   it('treats targets without a group as one without a limit', () => {
     const [plain] = groupsOf([rank(undefined, 0), rank(undefined, 1)]);
     expect(chooseGroup([{...plain!, capacity: undefined}])).toMatchObject(
--- a/src/forwarding/group-choice.ts
+++ b/src/forwarding/group-choice.ts
@@ -69,7 +69,11 @@
 
 /** The option limited by the slots of its group instead of by its passes. */
 export function limitToSlots(option: GroupOption, slots: number): GroupOption {
-  const capacity = option.capacity && {...option.capacity, most: slots};
+  const capacity = option.capacity && {
+    ...option.capacity,
+    most: slots,
+    requests: option.capacity.usableRequests,
+  };
   return {...option, capacity};
 }
 
--- a/src/forwarding/group-feedback.test.ts
+++ b/src/forwarding/group-feedback.test.ts
@@ -130,6 +130,7 @@
       hall: 'h',
       rpcPort: 1,
       ranks: () => ranks,
+      usableRanks: () => ranks,
       knownEntryCount: () => ENTRIES,
       onGroupState: () => undefined,
       onPasses: () => undefined,
--- a/src/forwarding/group-opening.test.ts
+++ b/src/forwarding/group-opening.test.ts
@@ -226,6 +226,7 @@
       hall: 'h',
       rpcPort: 1,
       ranks: () => targets.ranks(),
+      usableRanks: () => targets.usableRanks(),
       knownEntryCount,
       onGroupState: ({group}, isOpen, at) =>
         void gate.noteReport(group!, isOpen, at),
--- a/src/forwarding/group-request-limit.ts
+++ b/src/forwarding/group-request-limit.ts
@@ -38,6 +38,19 @@
   readonly limitedBy: LimitReason;
 }
 
+/** Estimated requests of all entries at a group. */
+export interface RequestCounts {
+  readonly requests: number;
+  /** Those of them at ranks that may receive more. */
+  readonly usableRequests: number;
+}
+
+/**
+ * The limit of the ranks that may receive requests. `requests` counts those at
+ * other ranks only as far as the limit by passes has no room for them.
+ */
+export interface UsableLimit extends RequestLimit, RequestCounts {}
+
 /** Requests of the fullest rank over the mean. */
 const FULLEST_RANK_RATIO = 1.25;
 /** Share of the allowed pause that a pass may take; passes vary in length. */
@@ -92,6 +105,11 @@
   return slowed + (whole - slowed) * group.correction;
 }
 
+/** Requests that ranks may get at once, whatever their passes allow. */
+export function slotLimit(engine: EngineParameters, ranks: number): number {
+  return engine.slots * ranks * MAX_SLOT_SHARE;
+}
+
 /**
  * Limits the requests of a group. `before`: the reason of the last limit for the
  * same times; undefined: none.
@@ -103,7 +121,7 @@
   before?: LimitReason,
 ): RequestLimit {
   const slots = engine.slots * group.size;
-  const cap = slots * MAX_SLOT_SHARE;
+  const cap = slotLimit(engine, group.size);
   const minimum = slots * MIN_SLOT_SHARE;
   const isReturn =
     before !== undefined && before !== 'in-time' && group.correction > 1;
@@ -122,6 +140,24 @@
     : {most: minimum, limitedBy: 'minimum'};
 }
 
+/**
+ * Limits requests to what the usable ranks may get at once. Requests at other
+ * ranks lengthen passes, but use none of these slots.
+ */
+export function limitToUsable(
+  limit: RequestLimit,
+  maxUsable: number,
+  {requests, usableRequests}: RequestCounts,
+): UsableLimit {
+  const most = Math.min(limit.most, maxUsable);
+  return {
+    most,
+    limitedBy: limit.limitedBy,
+    requests: Math.max(usableRequests, requests - (limit.most - most)),
+    usableRequests,
+  };
+}
+
 /** Requests with which a pass takes `ms`; negative if an empty one takes longer. */
 function requestsWithin(
   engine: EngineParameters,
--- a/src/forwarding/group-views.test.ts
+++ b/src/forwarding/group-views.test.ts
@@ -65,6 +65,7 @@
     hall: 'h',
     rpcPort: 1,
     ranks: () => ranks,
+    usableRanks: () => ranks,
     knownEntryCount: () => ENTRIES,
     onGroupState: () => undefined,
     onPasses: () => undefined,
--- a/src/forwarding/group-views.ts
+++ b/src/forwarding/group-views.ts
@@ -7,13 +7,13 @@
 import * as expertsApp from '../experts/app';
 import type {GroupView} from '../experts/types';
 import type {LastContact} from '../peers/last-contact';
-import * as grouping from '../grouping';
 import * as random from '../random';
 import type {EngineParameters} from '../routes/types';
 import type {RpcClient} from '../rpc/client';
 import * as groupRequestLimit from './group-request-limit';
 import * as openingLimit from './opening-limit';
 import {PassMeasurement, PassObserver, TICK_MS} from './pass-observer';
+import {RankIndex, keyOf} from './rank-index';
 import type {Target} from './types';
 
 /** Pause between long polls. */
@@ -42,12 +42,7 @@
 const DEFAULT_IMBALANCE = 1.5;
 
 /** Whether a group can take another request. Its fields are logged. */
-export interface GroupCapacity {
-  /** Requests that it may process at once. */
-  readonly most: number;
-  readonly limitedBy: groupRequestLimit.LimitReason;
-  /** Requests that it is estimated to have. */
-  readonly requests: number;
+export interface GroupCapacity extends groupRequestLimit.UsableLimit {
   readonly imbalance: number;
   /** Actual over expected duration on its slowest rank. */
   readonly slowness: number;
@@ -60,11 +55,9 @@
 }
 
 /** State of a group without the correction by measured passes. */
-interface GroupLoad {
+interface GroupLoad extends groupRequestLimit.RequestCounts {
   readonly factors: groupRequestLimit.PassFactors;
-  /** Requests of all entries. */
-  readonly requests: number;
-  /** The same when the view was made; without a view: now. */
+  /** All requests when the view was made; without a view: now. */
   readonly counted: number;
 }
 
@@ -76,6 +69,8 @@
   readonly rpcPort: number;
   /** Targets that are ranks of groups; the same array until one changes. */
   ranks(): readonly Target[];
+  /** Those of them that may receive requests; the same array until one changes. */
+  usableRanks(): readonly Target[];
   /** Known entries, including this one. */
   knownEntryCount(): number;
   /** A sidecar reported whether a rank's group was open at a monotonic time. */
@@ -92,11 +87,10 @@
   private readonly views = new Map<string, ReceivedView>();
   /** When open groups were first seen open, by group key. */
   private readonly openedAt = new Map<string, number>();
-  /** Ranks by group key, cached until the list of ranks changes. */
-  private rankIndex: {
-    readonly ranks: readonly Target[] | undefined;
-    readonly byKey: ReadonlyMap<string, readonly Target[]>;
-  } = {ranks: undefined, byKey: new Map()};
+  private readonly rankIndex = new RankIndex(() => this.context.ranks());
+  private readonly usableIndex = new RankIndex(() =>
+    this.context.usableRanks(),
+  );
   /** Keys of the groups that are being polled. */
   private readonly polledGroups = new Set<string>();
   private readonly passes = new PassObserver();
@@ -170,7 +164,8 @@
   knowledgeOf(target: Target, now: number): openingLimit.GroupKnowledge {
     const key = keyOf(target);
     return {
-      size: this.ranksOf(key).length,
+      size: this.rankIndex.of(key).length,
+      usableRanks: this.usableIndex.of(key).length,
       openMs: now - (this.openedAt.get(key) ?? -Infinity),
       hasView: this.freshView(target, now) !== undefined,
       knownEntries: this.context.knownEntryCount(),
@@ -196,10 +191,11 @@
   ): GroupCapacity {
     const key = keyOf(target);
     const received = this.freshView(target, now);
-    const {factors, requests, counted} =
+    const load =
       received === undefined
         ? this.estimateLoad(key, now)
         : this.reportedLoad(key, received);
+    const {factors, requests, counted} = load;
     const size = Math.max(factors.size, 1);
     const predicted = {
       at: received?.at ?? now,
@@ -226,9 +222,10 @@
       reasons.get(allowed.pauseMs),
     );
     reasons.set(allowed.pauseMs, limit.limitedBy);
+    const usableRanks = this.usableIndex.of(key).length;
+    const maxUsable = groupRequestLimit.slotLimit(engine, usableRanks);
     return {
-      ...limit,
-      requests,
+      ...groupRequestLimit.limitToUsable(limit, maxUsable, load),
       imbalance: factors.imbalance,
       slowness: factors.slowness,
       correction,
@@ -240,13 +237,23 @@
   private reportedLoad(key: string, received: ReceivedView): GroupLoad {
     const {view} = received;
     const reported = sumOf(view.requests);
-    const own = sumOf([...this.ownInFlightOf(key).values()]);
+    const inFlight = this.ownInFlightOf(key);
+    const own = sumOf([...inFlight.values()]);
     const ownAtReceipt = sumOf([...received.ownInFlight.values()]);
     // Assumes that the other entries' requests changed in proportion to ours.
     const scale = Math.min(
       Math.max(reported / Math.max(ownAtReceipt, 1), 1),
       MAX_ENTRIES,
     );
+    const requests = reported + (own - ownAtReceipt) * scale;
+    const usable = this.usableIndex.of(key);
+    const areAllUsable = usable.length >= view.requests.length;
+    const requestsOf = ({rank, lifetime}: Target) => {
+      const started = inFlight.get(lifetime) ?? 0;
+      const atReceipt = received.ownInFlight.get(lifetime) ?? 0;
+      const counted = view.requests[rank ?? NO_RANK] ?? 0;
+      return counted + (started - atReceipt) * scale;
+    };
     return {
       factors: {
         size: view.requests.length,
@@ -254,7 +261,8 @@
         slowness: Math.max(1, ...view.slow.map(one => one.slowness)),
         correction: 1,
       },
-      requests: reported + (own - ownAtReceipt) * scale,
+      requests,
+      usableRequests: areAllUsable ? requests : sumOf(usable.map(requestsOf)),
       counted: reported,
     };
   }
@@ -265,7 +273,11 @@
    * that there are `MAX_ENTRIES`.
    */
   private estimateLoad(key: string, now: number): GroupLoad {
-    const own = [...this.ownInFlightOf(key).values()];
+    const inFlight = this.ownInFlightOf(key);
+    const own = [...inFlight.values()];
+    const ownUsable = this.usableIndex
+      .of(key)
+      .map(({lifetime}) => inFlight.get(lifetime) ?? 0);
     const openMs = now - (this.openedAt.get(key) ?? -Infinity);
     const imbalance =
       openMs < openingLimit.NEW_GROUP_MS
@@ -280,6 +292,7 @@
     return {
       factors: {size: own.length, imbalance, slowness: 1, correction: 1},
       requests,
+      usableRequests: sumOf(ownUsable) * entries,
       counted: requests,
     };
   }
@@ -294,7 +307,7 @@
   /** Polls a group's sidecars until the group has no ranks. */
   private async pollGroup(key: string): Promise<void> {
     while (!this.isClosed) {
-      const ranks = this.ranksOf(key);
+      const ranks = this.rankIndex.of(key);
       if (ranks.length === 0) {
         break;
       }
@@ -354,30 +367,17 @@
 
   private ownInFlightOf(key: string): Map<string, number> {
     return new Map(
-      this.ranksOf(key).map(rank => [
-        rank.lifetime,
-        this.context.inFlight(rank.lifetime),
-      ]),
+      this.rankIndex
+        .of(key)
+        .map(rank => [rank.lifetime, this.context.inFlight(rank.lifetime)]),
     );
   }
-
-  private ranksOf(key: string): readonly Target[] {
-    const ranks = this.context.ranks();
-    if (ranks !== this.rankIndex.ranks) {
-      this.rankIndex = {ranks, byKey: grouping.groupBy(ranks, keyOf)};
-    }
-    return this.rankIndex.byKey.get(key) ?? [];
-  }
 }
 
 function sumOf(values: readonly number[]): number {
   return values.reduce((sum, value) => sum + value, 0);
 }
 
-function keyOf(target: Target): string {
-  return `${target.service} ${target.group}`;
-}
-
 function pause(ms: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, ms));
 }
--- a/src/forwarding/opening-limit.test.ts
+++ b/src/forwarding/opening-limit.test.ts
@@ -21,6 +21,7 @@
 ): openingLimit.LimitedGroup {
   const knowledge = {
     size: 72,
+    usableRanks: 72,
     openMs: 60_000,
     hasView: true,
     knownEntries: 17,
--- a/src/forwarding/opening-limit.ts
+++ b/src/forwarding/opening-limit.ts
@@ -29,6 +29,8 @@
 export interface GroupKnowledge {
   /** Ranks of the group. */
   readonly size: number;
+  /** Ranks that may receive requests. */
+  readonly usableRanks: number;
   /** Milliseconds since it was seen to open; Infinity: it was not. */
   readonly openMs: number;
   /** There is a recent view of it. */
@@ -83,7 +85,7 @@
 }
 
 export function slotsOf({engine, knowledge}: LimitedGroup): number {
-  return engine.slots * knowledge.size;
+  return engine.slots * knowledge.usableRanks;
 }
 
 /**
--- a/src/roles/site-entry.ts
+++ b/src/roles/site-entry.ts
@@ -77,6 +77,7 @@
       hall: cfg.hall,
       rpcPort: cfg.rpcPort,
       ranks: () => targets.ranks(),
+      usableRanks: () => targets.usableRanks(),
       knownEntryCount: () => this.site.knownEntryCount,
       onGroupState: ({service, group}, isOpen, at) => {
         const change = group && gate.noteReport(group, isOpen, at);
