Hold requests for a group until its state is known

Cause: an entry that has just started sent requests to the ranks of a group that was still forming, until two of them had refused. These sends used up the requests' attempts and the retry budget, and callers were refused although the group opened a few hundred milliseconds later.

Change: a group counts as closed and is not probed from when its ranks become known until a sidecar reports its state or a rank accepts a request, for at most 640 ms (queues are tried every 60 ms). First tries wait in that time too.

--- a/src/forwarding/group-gate.test.ts
+++ b/src/forwarding/group-gate.test.ts
@@ -84,6 +84,53 @@
     expect(gate.noteReport('g', false, 160)).toBe('closed');
   });
 
+  // Guards against sends to the ranks of a group that is still forming.
+  it('admits nothing to a group whose state is unknown, then probes', () => {
+    const gate = new GroupGate();
+    gate.noteKnown('g', 100);
+    expect(gate.isUnknown('g', 110)).toBe(true);
+    expect(gate.tryEnter('g', 739)).toBe(false);
+    expect(gate.tryEnter('g', 740)).toBe(true);
+    expect(gate.tryEnter('g', 741)).toBe(false);
+    expect(gate.isUnknown('g', 741)).toBe(true);
+    expect(gate.noteRefused('g', 'a', 750)).toBe(false);
+    expect(gate.isUnknown('g', 750)).toBe(true);
+    expect(gate.noteRefused('g', 'b', 810)).toBe(true);
+    expect(gate.isUnknown('g', 810)).toBe(false);
+    expect(gate.closedMs('g', 820)).toBe(10);
+  });
+
+  // Guards against requests that wait although the state has been reported.
+  it('takes the first report or acceptance for the state', () => {
+    const gate = new GroupGate();
+    const opened: string[] = [];
+    gate.openings.subscribe(group => opened.push(group));
+    ['a', 'b', 'c'].forEach(group => gate.noteKnown(group, 100));
+    // The sidecar read its rank before this process knew of the group.
+    expect(gate.noteReport('a', true, 90)).toBe('known');
+    expect(gate.noteReport('b', false, 90)).toBe('closed');
+    gate.noteAccepted('c', 120);
+    expect(opened).toEqual(['a', 'c']);
+    expect(gate.isUnknown('b', 120)).toBe(false);
+    expect(['a', 'b', 'c'].map(one => gate.closedMs(one, 120) > 0)).toEqual([
+      false,
+      true,
+      false,
+    ]);
+  });
+
+  // Guards against a second hold of a group that has been open or probed.
+  it('holds a group only once, and not if its state is known', () => {
+    const gate = new GroupGate();
+    gate.noteReport('a', true, 90);
+    gate.noteKnown('a', 100);
+    expect(gate.closedMs('a', 110)).toBe(0);
+    gate.noteKnown('b', 100);
+    expect(gate.closedMs('b', 1_200)).toBe(0);
+    gate.noteKnown('b', 1_300);
+    expect(gate.closedMs('b', 1_310)).toBe(0);
+  });
+
   it('opens after a time without probes', () => {
     const gate = closedAt(100);
     expect(gate.closedMs('g', 2_000)).toBe(0);
--- a/src/forwarding/group-gate.ts
+++ b/src/forwarding/group-gate.ts
@@ -2,7 +2,8 @@
  * Tracks which groups of ranks accept requests. A lock-step group that has lost
  * a rank refuses everything until it has formed again, so requests to it would
  * only use up retries. Sidecars report when a group opens or closes; without
- * reports, one request per interval probes a closed group.
+ * reports, one request per interval probes a closed group. A group of which nothing
+ * is known yet is treated as closed for a time.
  */
 
 import * as rxjs from 'rxjs';
@@ -18,6 +19,11 @@
  * closed. Longer than the interval between reports.
  */
 const REPORT_VALID_MS = 700;
+/**
+ * Time after its ranks became known in which a group without a report is not
+ * probed. Requests wait for at most 700 ms: what waits is tried every 60 ms.
+ */
+export const UNKNOWN_MS = 640;
 
 /** What a sidecar's report changed. */
 export type ReportEffect = 'opened' | 'closed' | 'known';
@@ -27,6 +33,8 @@
   refusedBy: string;
   refusedAt: number;
   isClosed: boolean;
+  /** Counts as closed only because nothing has been reported or refused. */
+  isUnknown: boolean;
   closedAt: number;
   probedAt: number;
   /** When a sidecar last saw the group closed. */
@@ -39,6 +47,33 @@
   private readonly groups = new Map<string, GroupState>();
   /** When groups were last seen open. */
   private readonly lastOpenAt = new Map<string, number>();
+  /** Groups whose ranks have become known. */
+  private readonly known = new Set<string>();
+
+  /** True once `noteKnown` was called for the group. */
+  isKnown(group: string): boolean {
+    return this.known.has(group);
+  }
+
+  /**
+   * The ranks of a group became known at `knownAt`. The first time, it counts as
+   * closed unless its state is known.
+   */
+  noteKnown(group: string, knownAt: number): void {
+    if (this.isKnown(group)) {
+      return;
+    }
+    this.known.add(group);
+    if (!this.groups.has(group) && !this.lastOpenAt.has(group)) {
+      this.groups.set(group, {
+        ...newState('', -Infinity),
+        isClosed: true,
+        isUnknown: true,
+        closedAt: knownAt,
+        probedAt: knownAt,
+      });
+    }
+  }
 
   /** A rank accepted a request: the group is open. */
   noteAccepted(group: string, now: number): void {
@@ -60,7 +95,8 @@
       if (opens || state === undefined) {
         this.noteAccepted(group, at);
       }
-      return opens && state.isClosed ? 'opened' : 'known';
+      const wasClosed = opens && state.isClosed && !state.isUnknown;
+      return wasClosed ? 'opened' : 'known';
     }
     if (at <= (this.lastOpenAt.get(group) ?? -Infinity)) {
       return 'known';
@@ -68,10 +104,9 @@
     const closed = state ?? newState('', at);
     this.groups.set(group, closed);
     closed.reportedClosedAt = Math.max(closed.reportedClosedAt, at);
-    const closes = !closed.isClosed;
+    const closes = !closed.isClosed || closed.isUnknown;
     if (closes) {
-      closed.isClosed = true;
-      closed.closedAt = at;
+      close(closed, at);
     }
     return closes ? 'closed' : 'known';
   }
@@ -95,12 +130,11 @@
       return false;
     }
     const closes =
-      !state.isClosed &&
+      (!state.isClosed || state.isUnknown) &&
       state.refusedBy !== rank &&
       now - state.refusedAt < REFUSAL_WINDOW_MS;
     if (closes) {
-      state.isClosed = true;
-      state.closedAt = now;
+      close(state, now);
     }
     state.refusedBy = rank;
     state.refusedAt = now;
@@ -123,6 +157,14 @@
     return Math.max(now - state.closedAt, 1);
   }
 
+  /** True if the group counts as closed only because its state is not known. */
+  isUnknown(group: string, now: number): boolean {
+    return (
+      this.closedMs(group, now) > 0 &&
+      this.groups.get(group)?.isUnknown === true
+    );
+  }
+
   /** True if a request may be sent to the group; records a probe if closed. */
   tryEnter(group: string | undefined, now: number): boolean {
     if (this.closedMs(group, now) === 0) {
@@ -130,6 +172,7 @@
     }
     const state = this.groups.get(group!)!;
     if (
+      (state.isUnknown && now - state.closedAt < UNKNOWN_MS) ||
       now - state.reportedClosedAt < REPORT_VALID_MS ||
       now - state.probedAt < PROBE_INTERVAL_MS
     ) {
@@ -140,11 +183,18 @@
   }
 }
 
+function close(state: GroupState, now: number): void {
+  state.isClosed = true;
+  state.isUnknown = false;
+  state.closedAt = now;
+}
+
 function newState(rank: string, now: number): GroupState {
   return {
     refusedBy: rank,
     refusedAt: now,
     isClosed: false,
+    isUnknown: false,
     closedAt: 0,
     probedAt: now,
     reportedClosedAt: -Infinity,
--- a/src/forwarding/group-views.ts
+++ b/src/forwarding/group-views.ts
@@ -11,6 +11,7 @@
 import * as random from '../random';
 import type {EngineParameters} from '../routes/types';
 import type {RpcClient} from '../rpc/client';
+import * as firstState from './first-state';
 import * as groupRequestLimit from './group-request-limit';
 import * as openingLimit from './opening-limit';
 import {PassMeasurement, PassObserver, TICK_MS} from './pass-observer';
@@ -20,10 +21,8 @@
 const POLL_PAUSE_MS = 20;
 /** Mean pause after a poll that returned nothing. */
 const FAILED_POLL_PAUSE_MS = 150;
-/** Time that a sidecar waits for a new view. Longer than a planner's interval. */
-const LONG_POLL_MS = 400;
-/** Time allowed for the response beyond the long poll. */
-const RESPONSE_MARGIN_MS = 120;
+/** A sidecar waits for a new view for longer than a planner's interval. */
+const LONG_POLL: firstState.CallTimes = {waitMs: 400, timeoutMs: 520};
 /** Older views are ignored. */
 const MAX_VIEW_AGE_MS = 900;
 const NO_RANK = -1;
@@ -97,8 +96,8 @@
     readonly ranks: readonly Target[] | undefined;
     readonly byKey: ReadonlyMap<string, readonly Target[]>;
   } = {ranks: undefined, byKey: new Map()};
-  /** Keys of the groups that are being polled. */
-  private readonly polledGroups = new Set<string>();
+  /** When the groups that are being polled became known, by key. */
+  private readonly polledGroups = new Map<string, number>();
   private readonly passes = new PassObserver();
   private readonly startedAt = performance.now();
   /** Reasons of the last limits, by group key and then by allowed pause. */
@@ -117,12 +116,17 @@
     for (const target of this.context.ranks()) {
       const key = keyOf(target);
       if (!this.polledGroups.has(key) && !this.isClosed) {
-        this.polledGroups.add(key);
+        this.polledGroups.set(key, performance.now());
         void this.pollGroup(key);
       }
     }
   }
 
+  /** When the ranks of a target's group became known; undefined: not yet. */
+  knownSince(target: Target): number | undefined {
+    return this.polledGroups.get(keyOf(target));
+  }
+
   /**
    * Drops all views and measurements: after a suspension of this instance they
    * are outdated.
@@ -293,14 +297,22 @@
 
   /** Polls a group's sidecars until the group has no ranks. */
   private async pollGroup(key: string): Promise<void> {
+    await firstState.request(
+      () => (this.isClosed ? [] : this.ranksOf(key)),
+      this.context.hall,
+      (rank, signal) => this.poll(key, rank, firstState.CALL, signal),
+    );
+    await pause(POLL_PAUSE_MS);
     while (!this.isClosed) {
       const ranks = this.ranksOf(key);
       if (ranks.length === 0) {
         break;
       }
-      const hasResult = await this.poll(key, ranks);
+      const near = ranks.filter(rank => rank.hall === this.context.hall);
+      const rank = random.pick(near.length > 0 ? near : ranks);
+      const result = await this.poll(key, rank, LONG_POLL);
       await pause(
-        hasResult ? POLL_PAUSE_MS : random.jitter(FAILED_POLL_PAUSE_MS),
+        result === 'none' ? random.jitter(FAILED_POLL_PAUSE_MS) : POLL_PAUSE_MS,
       );
     }
     this.polledGroups.delete(key);
@@ -310,20 +322,24 @@
     this.limitReasons.delete(key);
   }
 
-  /** Polls one sidecar, if possible in the same hall; false without a result. */
-  private async poll(key: string, ranks: readonly Target[]): Promise<boolean> {
-    const {rpc, hall, rpcPort} = this.context;
-    const near = ranks.filter(rank => rank.hall === hall);
-    const rank = random.pick(near.length > 0 ? near : ranks);
+  /** Polls the sidecar of one rank. */
+  private async poll(
+    key: string,
+    rank: Target,
+    {waitMs, timeoutMs}: firstState.CallTimes,
+    signal?: AbortSignal,
+  ): Promise<firstState.PollResult> {
+    const {rpc, rpcPort} = this.context;
     const [host] = rank.address.split(':', 1);
     const response = await rpc.call(
       `${host}:${rpcPort}`,
       expertsApp.view,
-      {waitMs: LONG_POLL_MS},
-      LONG_POLL_MS + RESPONSE_MARGIN_MS,
+      {waitMs},
+      timeoutMs,
+      signal,
     );
-    if (!response.ok) {
-      return false;
+    if (!response.ok || signal?.aborted === true) {
+      return 'none';
     }
     this.context.reach.recordAnswer();
     const {known, seen} = response.value;
@@ -341,7 +357,7 @@
       });
       this.updates.next();
     }
-    return known !== undefined || seen !== undefined;
+    return seen !== undefined ? 'state' : known !== undefined ? 'view' : 'none';
   }
 
   private noteGroupState(key: string, isOpen: boolean, at: number): void {
--- a/src/forwarding/target-candidate.ts
+++ b/src/forwarding/target-candidate.ts
@@ -115,6 +115,7 @@
       return this.blockedByTargets(known.length > 0, ahead, now);
     }
     const groups = groupChoice.groupsOf(known);
+    groups.forEach(one => this.noteKnown(one, now));
     const open = groups.filter(one => gate.closedMs(one.name, now) === 0);
     const closed = open.length > 0 ? undefined : groups[0]!.name;
     const candidates = open.length > 0 ? open : this.groupToProbe(groups, now);
@@ -131,7 +132,7 @@
     }
     return closed === undefined
       ? this.blockedByLoad(options, shared, usable.length > known.length)
-      : this.blockedByGroup(closed);
+      : this.blockedByGroups(closed, groups, now);
   }
 
   refuse(details: RefusalDetails | undefined): types.Refusal {
@@ -165,9 +166,28 @@
     return blocked('unavailable', waitsUntil);
   }
 
-  private blockedByGroup(group: string): Blocked {
+  /** `group`: the one that a refusal names. */
+  private blockedByGroups(
+    group: string,
+    groups: readonly groupChoice.TargetGroup[],
+    now: number,
+  ): Blocked {
+    const {gate} = this.search.context;
     this.cause = {kind: 'closed', group};
-    return blocked('unavailable', this.mayWait ? this.waitsUntil : -Infinity);
+    // A group whose state is not known yet may be open.
+    const mayWait =
+      this.mayWait || groups.some(({name}) => gate.isUnknown(name!, now));
+    return blocked('unavailable', mayWait ? this.waitsUntil : -Infinity);
+  }
+
+  private noteKnown(
+    {name, targets}: groupChoice.TargetGroup,
+    now: number,
+  ): void {
+    const {gate, views} = this.search.context;
+    if (name !== undefined && !gate.isKnown(name)) {
+      gate.noteKnown(name, views.knownSince(targets[0]!) ?? now);
+    }
   }
 
   private blockedByLoad(
