--- a/src/forwarding/group-slots.test.ts
+++ b/src/forwarding/group-slots.test.ts
@@ -117,6 +117,7 @@
     });
     ranks.forEach(rank => targets.add(rank));
     const cfg = {admission: {...DEFAULT_ADMISSION, isEnabled: true}};
+    const gate = new GroupGate();
     const views: GroupViews = new GroupViews({
       rpc: {
         call: (address: string) => this.report(address),
@@ -127,7 +128,8 @@
       ranks: () => targets.ranks(),
       usableRanks: () => targets.usableRanks(),
       knownEntryCount: () => 1,
-      onGroupState: () => undefined,
+      onGroupState: ({group}, isOpen, at) =>
+        void gate.noteReport(group!, isOpen, at),
       onPasses: () => undefined,
       inFlight: lifetime => this.balancer.inFlight(lifetime),
     });
@@ -138,7 +140,7 @@
       configuration,
       targets,
       balancer: this.balancer,
-      gate: new GroupGate(),
+      gate,
       views,
       crashes: {isActive: false},
       shares: new UnlimitedShares(),
