Soak test: schedule of faults and report in one module

The soak test of a site needs the same faults, drawn from a seed, and the same report. They move from features/support/chaos.ts to faults.ts. The schedule is drawn before the run, so that other users of random numbers don't change it, and violations carry the seconds since the start. Test processes can be given environment variables, and record what they log to standard output, as processes of a site do.

--- a/features/support/chaos.ts
+++ b/features/support/chaos.ts
@@ -7,6 +7,7 @@
 import * as random from '../../src/random';
 import {RpcClient} from '../../src/rpc/client';
 import {expectedText} from '../../standins/engine';
+import * as faults from './faults';
 import * as fleets from './fleet';
 import * as testHttp from './http';
 import * as site from './site';
@@ -14,11 +15,14 @@
 const RANKS = 3;
 const STREAM_TOKENS = 30;
 const SETTLE_MS = 6_000;
-const MAX_FAULT_MS = 900;
 const ENTRIES = ['entry-0', 'entry-1'];
+const PACE: faults.Pace = {
+  durationMs: () => 50 + random.integerBelow(900),
+  pauseMs: () => 100 + random.integerBelow(300),
+};
 
 export interface ChaosReport {
-  /** Descriptions of broken guarantees. */
+  /** Broken guarantees, each with the time at which it was detected. */
   readonly violations: string[];
   readonly streams: number;
   readonly wholeStreams: number;
@@ -32,9 +36,39 @@
   readonly outcomes: string[];
 }
 
+/** The store applies writes without answering them. */
+class LostAnswers extends faults.Fault {
+  constructor(private readonly fleet: fleets.Fleet) {
+    super('lost answers');
+  }
+
+  async inject(): Promise<void> {
+    await this.fleet.setFaults(this.fleet.platform, {loseAnswers: 2});
+  }
+}
+
+/** Proposes a change of the expert map at a rank. */
+class MapProposal extends faults.Fault {
+  constructor(
+    private readonly fleet: fleets.Fleet,
+    private readonly rpc: RpcClient,
+  ) {
+    super('map');
+  }
+
+  async inject(): Promise<void> {
+    const rank = random.integerBelow(RANKS);
+    const sequence = random.integerBelow(1_000);
+    const layers = Array.from({length: 2}, () =>
+      Array.from({length: 16}, (_, expert) => [(expert + sequence) % RANKS]),
+    );
+    const address = this.fleet.address(`rank-${rank}`);
+    void this.rpc.call(address, groupsApp.propose, {layers}, 5_000);
+  }
+}
+
 export class ChaosRun {
-  private readonly violations: string[] = [];
-  private readonly faults: string[] = [];
+  private readonly report = new faults.SoakReport();
   private readonly topUps: TopUp[] = [];
   private readonly rpc = new RpcClient();
   private streams = 0;
@@ -49,11 +83,7 @@
       ...ENTRIES.map(entry => this.streamLoop(entry)),
       ...ENTRIES.map(entry => this.topUpLoop(entry)),
     ];
-    const endAt = Date.now() + milliseconds;
-    while (Date.now() < endAt) {
-      await this.injectFault();
-      await fleets.pause(100 + random.integerBelow(300));
-    }
+    await this.drawSchedule(milliseconds).run(this.report);
     this.isRunning = false;
     await this.clearFaults();
     await Promise.all(clients);
@@ -62,52 +92,30 @@
     await this.checkSteps();
     this.rpc.close();
     return {
-      violations: this.violations,
+      violations: this.report.violations,
       streams: this.streams,
       wholeStreams: this.wholeStreams,
       topUps: this.topUps.length,
       answeredTopUps: this.topUps.filter(t => t.outcomes.includes('ran'))
         .length,
-      faults: this.faults,
+      faults: this.report.faults,
     };
   }
 
-  private async injectFault(): Promise<void> {
-    const kinds = ['kill', 'freeze', 'outage', 'lost answers', 'map'] as const;
-    const kind = random.pick(kinds);
-    const id = random.pick(this.fleet.idsWithPrefix(''));
-    const durationMs = 50 + random.integerBelow(MAX_FAULT_MS);
-    this.faults.push(`${kind} ${id} ${durationMs}`);
-    switch (kind) {
-      case 'kill':
-        await this.fleet.process(id).kill();
-        await fleets.pause(durationMs / 4);
-        this.fleet.process(id).start();
-        return;
-      case 'freeze':
-        this.fleet.process(id).freeze();
-        await fleets.pause(durationMs);
-        this.fleet.process(id).thaw();
-        return;
-      case 'outage':
-        await this.fleet.setFaults(this.fleet.platform, {outage: true});
-        await fleets.pause(durationMs);
-        await this.fleet.setFaults(this.fleet.platform, {outage: false});
-        return;
-      case 'lost answers':
-        await this.fleet.setFaults(this.fleet.platform, {loseAnswers: 2});
-        return;
-      case 'map':
-        this.proposeMap(random.integerBelow(RANKS), random.integerBelow(1_000));
-    }
-  }
-
-  private proposeMap(rank: number, sequence: number): void {
-    const layers = Array.from({length: 2}, () =>
-      Array.from({length: 16}, (_, expert) => [(expert + sequence) % RANKS]),
-    );
-    const address = this.fleet.address(`rank-${rank}`);
-    void this.rpc.call(address, groupsApp.propose, {layers}, 5_000);
+  private drawSchedule(milliseconds: number): faults.FaultSchedule {
+    const {fleet} = this;
+    const processOf = (id: string) => fleet.process(id);
+    const kinds = [
+      new faults.KillFault(processOf),
+      new faults.FreezeFault(processOf),
+      new faults.OutageFault(outage =>
+        fleet.setFaults(fleet.platform, {outage}),
+      ),
+      new LostAnswers(fleet),
+      new MapProposal(fleet, this.rpc),
+    ];
+    const ids = fleet.idsWithPrefix('');
+    return new faults.FaultSchedule(kinds, ids, PACE, milliseconds);
   }
 
   private async clearFaults(): Promise<void> {
@@ -133,12 +141,14 @@
     this.streams += 1;
     this.wholeStreams += stream.isComplete ? 1 : 0;
     if (stream.isComplete && stream.text !== text) {
-      this.violations.push(
+      this.report.addViolation(
         `a stream with the end marker is incomplete: ${content}`,
       );
     }
     if (!text.startsWith(stream.text)) {
-      this.violations.push(`a stream has another request's tokens: ${content}`);
+      this.report.addViolation(
+        `a stream has another request's tokens: ${content}`,
+      );
     }
   }
 
@@ -181,13 +191,15 @@
     for (const {key, outcomes} of this.topUps) {
       const count = runs[key] ?? 0;
       if (count > 1) {
-        this.violations.push(`${key} ran ${count} times: ${outcomes}`);
+        this.report.addViolation(`${key} ran ${count} times: ${outcomes}`);
       }
       if (count > 0 && outcomes.includes('not-run')) {
-        this.violations.push(`${key} ran, outcomes sent: ${outcomes}`);
+        this.report.addViolation(`${key} ran, outcomes sent: ${outcomes}`);
       }
       if (count === 0 && outcomes.includes('ran')) {
-        this.violations.push(`${key} did not run, outcomes sent: ${outcomes}`);
+        this.report.addViolation(
+          `${key} did not run, outcomes sent: ${outcomes}`,
+        );
       }
     }
   }
@@ -203,12 +215,12 @@
     await fleets.pause(1_000);
     const after = await read();
     if (after.mixedSteps > 0) {
-      this.violations.push(
+      this.report.addViolation(
         `${after.mixedSteps} steps ran with different map versions`,
       );
     }
     if (after.steps <= before.steps) {
-      this.violations.push('the group runs no steps');
+      this.report.addViolation('the group runs no steps');
     }
   }
 }
--- a/features/support/fleet.ts
+++ b/features/support/fleet.ts
@@ -3,15 +3,13 @@
  * engine group and ledger, with sidecars and entries. Network faults can be injected
  * only where the options ask for relays.
  */
-import * as fs from 'node:fs';
-import * as path from 'node:path';
 import type {Document, Service} from '../../src/configuration/types';
 import * as edit from '../../src/configuration/edit';
 import {HttpObjectApi} from '../../src/platform/client';
 import type {Instance} from '../../src/platform/types';
 import * as testHttp from './http';
 import {freePorts} from './ports';
-import {TestProcess} from './process';
+import {TestProcess, saveLogs} from './process';
 import {Relay} from './relay';
 import * as site from './site';
 
@@ -19,7 +17,6 @@
 const HALLS = ['hall-a', 'hall-b', 'hall-c'] as const;
 const READY_TIMEOUT_MS = 15_000;
 const POLL_INTERVAL_MS = 25;
-const LOG_DIRECTORY_VARIABLE = 'FERRYCLEAT_TEST_LOGS';
 
 export interface FleetOptions {
   readonly entries?: number;
@@ -89,25 +86,11 @@
   }
 
   async close(): Promise<void> {
-    this.saveLogs();
+    saveLogs([...this.processes.values()]);
     await Promise.all([...this.processes.values()].map(p => p.destroy()));
     await Promise.all([...this.relays.values()].map(relay => relay.close()));
   }
 
-  /** Writes the logged events to the directory of `LOG_DIRECTORY_VARIABLE`, if set. */
-  private saveLogs(): void {
-    const directory = process.env[LOG_DIRECTORY_VARIABLE];
-    if (directory === undefined) {
-      return;
-    }
-    const lines = [...this.processes.values()].flatMap(({name, events}) =>
-      events.map(event => JSON.stringify({process: name, ...event})),
-    );
-    const file = `${Date.now()}-${process.pid}.log`;
-    fs.mkdirSync(directory, {recursive: true});
-    fs.writeFileSync(path.join(directory, file), lines.join('\n'));
-  }
-
   /** Address of an entry or a sidecar, bypassing any relay. */
   address(id: string): string {
     return this.instances.get(id)!.listenAddress;
--- a/features/support/process.ts
+++ b/features/support/process.ts
@@ -3,11 +3,15 @@
  * the events that it logs. Needs a built bundle or binary in dist/.
  */
 import * as childProcess from 'node:child_process';
+import * as fs from 'node:fs';
 import * as path from 'node:path';
+import type {Readable} from 'node:stream';
 
 const BUNDLE = path.join(process.cwd(), 'dist', 'ferrycleat.js');
 const BINARY = path.join(process.cwd(), 'dist', 'ferrycleat');
 const KILL_TIMEOUT_MS = 5_000;
+/** Names a directory for the logs of test processes. */
+const LOG_DIRECTORY_VARIABLE = 'FERRYCLEAT_TEST_LOGS';
 
 export interface LoggedEvent {
   readonly event: string;
@@ -24,6 +28,8 @@
   constructor(
     readonly name: string,
     private readonly args: readonly string[],
+    /** Added to the environment of this process. */
+    private readonly env: Readonly<Record<string, string>> = {},
   ) {}
 
   start(): void {
@@ -32,17 +38,14 @@
     const processArgs = [...this.args, ...this.extraArgs];
     const args = useBinary ? processArgs : [BUNDLE, ...processArgs];
     const child = childProcess.spawn(command, args, {
-      stdio: ['ignore', 'ignore', 'pipe'],
+      stdio: ['ignore', 'pipe', 'pipe'],
+      env: {...process.env, ...this.env},
     });
     this.child = child;
     this.ended = new Promise(resolve => child.once('close', resolve));
-    let partialLine = '';
-    child.stderr?.setEncoding('utf8');
-    child.stderr?.on('data', (text: string) => {
-      const lines = (partialLine + text).split('\n');
-      partialLine = lines.pop() ?? '';
-      lines.forEach(line => this.recordLine(line));
-    });
+    // Processes of a site log to standard output, all others to standard error.
+    this.recordLines(child.stdout);
+    this.recordLines(child.stderr);
   }
 
   get isRunning(): boolean {
@@ -97,6 +100,16 @@
     return this.events.filter(entry => entry.event === event).length;
   }
 
+  private recordLines(stream: Readable): void {
+    let partialLine = '';
+    stream.setEncoding('utf8');
+    stream.on('data', (text: string) => {
+      const lines = (partialLine + text).split('\n');
+      partialLine = lines.pop() ?? '';
+      lines.forEach(line => this.recordLine(line));
+    });
+  }
+
   private recordLine(line: string): void {
     try {
       this.events.push(JSON.parse(line) as LoggedEvent);
@@ -105,3 +118,21 @@
     }
   }
 }
+
+export function savesLogs(): boolean {
+  return process.env[LOG_DIRECTORY_VARIABLE] !== undefined;
+}
+
+/** Writes the logged events to the directory of `LOG_DIRECTORY_VARIABLE`, if set. */
+export function saveLogs(processes: readonly TestProcess[]): void {
+  const directory = process.env[LOG_DIRECTORY_VARIABLE];
+  if (directory === undefined) {
+    return;
+  }
+  const lines = processes.flatMap(({name, events}) =>
+    events.map(event => JSON.stringify({process: name, ...event})),
+  );
+  const file = `${Date.now()}-${process.pid}.log`;
+  fs.mkdirSync(directory, {recursive: true});
+  fs.writeFileSync(path.join(directory, file), lines.join('\n'));
+}
