--- a/features/support/faults.ts
+++ b/features/support/faults.ts
@@ -11,6 +11,11 @@
 export abstract class Fault {
   constructor(readonly kind: string) {}
 
+  /** What the report says of it. */
+  describe(id: string, durationMs: number): string {
+    return `${this.kind} ${id} ${durationMs}`;
+  }
+
   /** Resolves when the fault is over; `id`: the process, if it concerns one. */
   abstract inject(id: string, durationMs: number): Promise<void>;
 }
@@ -118,7 +123,7 @@
       if (performance.now() >= endAt) {
         return;
       }
-      report.addFault(`${fault.kind} ${id} ${durationMs}`);
+      report.addFault(fault.describe(id, durationMs));
       listener?.onFault(performance.now());
       await fault.inject(id, durationMs);
       listener?.onFaultEnd(performance.now());
