Soak test of a site: more figures, and entries that end by themselves

An entry that ended by itself or didn't become ready again after a kill was not reported as a violation; now it is. The report also says how much a cold target received at most and the lowest share of the highest rank over 10 s. The cold target moves to the file of the target. An interrupted run removes its files.

--- a/bench/soak-checks.ts
+++ b/bench/soak-checks.ts
@@ -102,6 +102,8 @@
 
 /** A cold target receives at most so many requests in any second. */
 export class ColdBoundCheck extends Check {
+  /** The maximum that a cold target has received in a second. */
+  maxReceived = 0;
   private readonly periods = new Map<string, ColdPeriod>();
 
   constructor(
@@ -134,6 +136,7 @@
     while (at - arrivals[0]! >= SECOND_MS) {
       arrivals.shift();
     }
+    this.maxReceived = Math.max(this.maxReceived, arrivals.length);
     if (arrivals.length > period.worst) {
       period.worst = arrivals.length;
       period.worstAt = at;
@@ -241,6 +244,8 @@
  * least as often as those of lower ranks. Rank 0 is the highest.
  */
 export class RankCheck extends Check {
+  /** The lowest share of the highest rank that was served in a window. */
+  lowestShare = 1;
   private calls: Call[] = [];
   private quietFrom: number | undefined;
 
@@ -288,6 +293,7 @@
     );
     const lower = [...new Set(calls.map(({rank}) => rank))].filter(r => r > 0);
     const highest = servedShare(calls, 0);
+    this.lowestShare = Math.min(this.lowestShare, highest);
     const best = Math.max(0, ...lower.map(rank => servedShare(calls, rank)));
     return {
       from,
--- a/bench/soak-site.ts
+++ b/bench/soak-site.ts
@@ -15,7 +15,7 @@
 import * as random from '../src/random';
 import * as soakCallers from './soak-callers';
 import * as checks from './soak-checks';
-import {SoakTarget, TARGET_SLOTS} from './soak-target';
+import {ColdTarget, SoakTarget, TARGET_SLOTS} from './soak-target';
 
 const ENTRY_COUNT = 3;
 const TARGET_COUNT = 3;
@@ -29,9 +29,6 @@
 const COLD_PER_SECOND = 5;
 /** With the default overshoot and slack. */
 const MAX_COLD_PER_SECOND = COLD_PER_SECOND * 1.5 + 5;
-/** A cold period lasts longer than the injection, so that faults occur in it. */
-const COLD_FACTOR = 6;
-const COLD_REFRESH_MS = 1_000;
 const TIME_LIMIT_MS = 1_500;
 const LARGE_TIME_LIMIT_MS = 8_000;
 /** Several slow readers begin at a time. */
@@ -82,15 +79,20 @@
   private readonly targets: SoakTarget[] = [];
   private readonly entries: Entry[] = [];
   private readonly held = new checks.HeldBytesCheck(this.report, BOUND_BYTES);
+  private readonly cold = new checks.ColdBoundCheck(
+    this.report,
+    MAX_COLD_PER_SECOND,
+  );
+  private readonly ranks = new checks.RankCheck(this.report, TIME_LIMIT_MS);
   private readonly checks = [
     new checks.NotRunCheck('notRun', this.report),
     new checks.RunOnceCheck(
       this.report,
       operation => !UNSAFE.some(name => operation.startsWith(`/${name}/`)),
     ),
-    new checks.ColdBoundCheck(this.report, MAX_COLD_PER_SECOND),
+    this.cold,
     new checks.UnreadAnswerCheck('unreadAnswers', this.report),
-    new checks.RankCheck(this.report, TIME_LIMIT_MS),
+    this.ranks,
     this.held,
   ];
   private readonly dir = fs.mkdtempSync(path.join(os.tmpdir(), 'soak-'));
@@ -155,6 +157,7 @@
   /** For the exit of this process: also ends processes that are suspended. */
   killAll(): void {
     this.entries.forEach(entry => entry.process.signal('SIGKILL'));
+    fs.rmSync(this.dir, {recursive: true, force: true});
   }
 
   private readonly emit = (event: checks.SoakEvent): void => {
@@ -164,7 +167,7 @@
   private drawSchedule(milliseconds: number): faults.FaultSchedule {
     const processOf = (id: string) => this.entry(id).process;
     const kinds = [
-      new faults.KillFault(processOf, id => this.whenReady(id)),
+      new faults.KillFault(processOf, id => this.whenRestarted(id)),
       new faults.FreezeFault(processOf),
       new faults.OutageFault(async isUnavailable => {
         this.store.isUnavailable = isUnavailable;
@@ -219,15 +222,30 @@
     });
   }
 
+  private whenRestarted(id: string): Promise<void> {
+    return this.whenReady(id).catch((err: Error) =>
+      this.report.addViolation(err.message),
+    );
+  }
+
   private repeat(intervalMs: number, action: () => unknown): void {
     this.timers.push(setInterval(action, intervalMs));
   }
 
   private async observeEntries(): Promise<void> {
     this.emit({kind: 'tick', at: performance.now()});
+    this.entries.forEach(entry => this.checkRunning(entry));
     await Promise.all(this.entries.map(entry => this.readHeldBytes(entry)));
   }
 
+  /** Processes that were killed have no exit code. */
+  private checkRunning({id, process}: Entry): void {
+    if (!process.isRunning) {
+      this.report.addViolation(`${id} ended by itself`);
+      process.start();
+    }
+  }
+
   /** Reads nothing from an entry that is suspended or not started. */
   private async readHeldBytes({id, host}: Entry): Promise<void> {
     const {text} = await testHttp.call(
@@ -257,6 +275,8 @@
       slowReaders: slow.count,
       slowReadersCut: cuts.reduce((sum, count) => sum + count, 0),
       maxHeldBytes: this.held.maxBytes,
+      maxColdPerSecond: this.cold.maxReceived,
+      lowestShareOfHighestRank: this.ranks.lowestShare,
     };
     const checked = Object.fromEntries(
       this.checks.map(({name, count}) => [name, count]),
@@ -265,63 +285,6 @@
   }
 }
 
-/** Turns a target cold for some seconds, unless another one is cold. */
-class ColdTarget extends faults.Fault {
-  private until = -Infinity;
-
-  constructor(
-    private readonly store: ObjectStoreStandin,
-    private readonly targets: readonly SoakTarget[],
-    private readonly emit: (event: checks.SoakEvent) => void,
-  ) {
-    super('cold');
-  }
-
-  override describe(id: string, durationMs: number): string {
-    const target = this.targetOf(durationMs).id;
-    return performance.now() < this.until
-      ? `${this.kind} ${target} skipped`
-      : `${this.kind} ${target} ${COLD_FACTOR * durationMs}`;
-  }
-
-  async inject(id: string, durationMs: number): Promise<void> {
-    const from = performance.now();
-    if (from < this.until) {
-      return;
-    }
-    const target = this.targetOf(durationMs).id;
-    this.until = from + COLD_FACTOR * durationMs;
-    this.emit({kind: 'cold', target, from, until: this.until});
-    this.refresh(target, this.until);
-    await fleets.pause(durationMs);
-  }
-
-  private targetOf(durationMs: number): SoakTarget {
-    return this.targets[durationMs % this.targets.length]!;
-  }
-
-  /** Writes the remaining time, as a target does while the store is available. */
-  private refresh(id: string, until: number): void {
-    const remainingMs = Math.max(until - performance.now(), 0);
-    const last = this.store.peek('servers', id)!.specification as {
-      sequence: number;
-    };
-    if (!this.store.isUnavailable) {
-      this.store.write('servers', id, {
-        ...last,
-        'cold-remaining-ms': Math.ceil(remainingMs),
-        sequence: last.sequence + 1,
-      });
-    }
-    if (remainingMs > 0) {
-      setTimeout(
-        () => this.refresh(id, until),
-        Math.min(COLD_REFRESH_MS, remainingMs),
-      );
-    }
-  }
-}
-
 function keyOf(account: string): string {
   return `key-${account}`;
 }
--- a/bench/soak-target.ts
+++ b/bench/soak-target.ts
@@ -1,7 +1,13 @@
-/** Stand-in for a plain target with limited slots, for the soak test of a site. */
+/**
+ * Stand-in for a plain target with limited slots, for the soak test of a site. It
+ * reports what it receives and executes.
+ */
 import * as http from 'node:http';
 import type * as net from 'node:net';
+import * as faults from '../features/support/faults';
+import {pause} from '../features/support/fleet';
 import {HEADERS} from '../platform/names';
+import type {ObjectStoreStandin} from '../platform/store-standin';
 import type {SoakEvent} from './soak-checks';
 
 export const TARGET_SLOTS = 4;
@@ -21,6 +27,10 @@
 /** Answers of requests below this path are large. */
 export const LARGE_PATH = '/large/';
 
+/** A cold period lasts longer than the injection, so that faults occur in it. */
+const COLD_FACTOR = 6;
+const COLD_REFRESH_MS = 1_000;
+
 let answers = 0;
 
 export class SoakTarget {
@@ -100,6 +110,63 @@
   }
 }
 
+/** Turns a target cold for some seconds, unless another one is cold. */
+export class ColdTarget extends faults.Fault {
+  private until = -Infinity;
+
+  constructor(
+    private readonly store: ObjectStoreStandin,
+    private readonly targets: readonly SoakTarget[],
+    private readonly emit: (event: SoakEvent) => void,
+  ) {
+    super('cold');
+  }
+
+  override describe(id: string, durationMs: number): string {
+    const target = this.targetOf(durationMs).id;
+    return performance.now() < this.until
+      ? `${this.kind} ${target} skipped`
+      : `${this.kind} ${target} ${COLD_FACTOR * durationMs}`;
+  }
+
+  async inject(id: string, durationMs: number): Promise<void> {
+    const from = performance.now();
+    if (from < this.until) {
+      return;
+    }
+    const target = this.targetOf(durationMs).id;
+    this.until = from + COLD_FACTOR * durationMs;
+    this.emit({kind: 'cold', target, from, until: this.until});
+    this.refresh(target, this.until);
+    await pause(durationMs);
+  }
+
+  private targetOf(durationMs: number): SoakTarget {
+    return this.targets[durationMs % this.targets.length]!;
+  }
+
+  /** Writes the remaining time, as a target does while the store is available. */
+  private refresh(id: string, until: number): void {
+    const remainingMs = Math.max(until - performance.now(), 0);
+    const last = this.store.peek('servers', id)!.specification as {
+      sequence: number;
+    };
+    if (!this.store.isUnavailable) {
+      this.store.write('servers', id, {
+        ...last,
+        'cold-remaining-ms': Math.ceil(remainingMs),
+        sequence: last.sequence + 1,
+      });
+    }
+    if (remainingMs > 0) {
+      setTimeout(
+        () => this.refresh(id, until),
+        Math.min(COLD_REFRESH_MS, remainingMs),
+      );
+    }
+  }
+}
+
 function attemptOf(req: http.IncomingMessage): string {
   return String(req.headers[HEADERS.requestId.toLowerCase()]);
 }
