Retries at the end of their wait use any free slot that a view shows

Change: with a view younger than 300 ms an opening limits an entry to an equal part of the limit shown, and last tries are limited by the slots of the view, not by the share; no prediction refuses a retry in the last 180 ms of its wait.

--- a/src/admission/service-queue.test.ts
+++ b/src/admission/service-queue.test.ts
@@ -112,6 +112,17 @@
     expect(verdictOn(queue, RETRY)).toBe('late');
   });
 
+  // Guards against retries refused for good just before they may use any free slot.
+  it('refuses no retry at the end of its wait', () => {
+    const queue = waitingFor(1_100);
+    pushRetries(queue);
+    const due = {...RETRY, firstUnits: 4};
+    const last = {...due, arrivedAt: NOW - 1_050};
+    expect(verdictOn(queue, last)).toBe(undefined);
+    const earlier = {...due, arrivedAt: NOW - 900};
+    expect(verdictOn(queue, earlier)).toBe('late');
+  });
+
   it('lets requests wait for the starts that those in time leave', () => {
     const queue = waitingFor(1_100);
     for (let at = 0; at < 4; at += 1) {
--- a/src/admission/service-queue.ts
+++ b/src/admission/service-queue.ts
@@ -213,7 +213,8 @@
       return isNew ? 'late' : 'expired';
     }
     // First what needs no count of the requests ahead.
-    if (item.isStarted || !this.knowsLateRate(now)) {
+    const isLastTry = item.isRetry && usefulMs <= timing.LAST_TRY_MS;
+    if (item.isStarted || isLastTry || !this.knowsLateRate(now)) {
       return undefined;
     }
     const isExpected = item.isRetry
--- a/src/admission/timing.ts
+++ b/src/admission/timing.ts
@@ -21,6 +21,11 @@
  * whatever its rank.
  */
 const MIN_TIMELY_SHARE = 0.25;
+/**
+ * Before the end of its wait, in which a caller's retry is limited by the slots
+ * only. It has no attempt left, so until then no prediction refuses it.
+ */
+export const LAST_TRY_MS = 180;
 /** Minimum time left for another send. */
 export const MIN_TIME_LEFT_MS = 20;
 /**
--- a/src/forwarding/group-views.ts
+++ b/src/forwarding/group-views.ts
@@ -167,11 +167,12 @@
   /** What this entry knows of a target's group, for the rule on its opening. */
   knowledgeOf(target: Target, now: number): openingLimit.GroupKnowledge {
     const key = keyOf(target);
+    const view = this.freshView(target, now);
     return {
       size: this.rankIndex.of(key).length,
       usableRanks: this.usableIndex.of(key).length,
       openMs: now - (this.openedAt.get(key) ?? -Infinity),
-      hasView: this.freshView(target, now) !== undefined,
+      viewAgeMs: view === undefined ? Infinity : now - view.at,
       knownEntries: this.context.knownEntryCount(),
       uptimeMs: now - this.startedAt,
     };
--- a/src/forwarding/opening-limit.ts
+++ b/src/forwarding/opening-limit.ts
@@ -24,6 +24,11 @@
  * than are known or assumed, and only the slots bound these tries.
  */
 const UNKNOWN_ENTRIES_FACTOR = 1.25;
+/**
+ * Age from which a view of a new group doesn't show what the entries have started
+ * together since: they all start most of it within a few hundred milliseconds.
+ */
+const MAX_OPENING_VIEW_AGE_MS = 300;
 
 /** What an entry knows of a group and of the other entries. */
 export interface GroupKnowledge {
@@ -33,8 +38,8 @@
   readonly usableRanks: number;
   /** Milliseconds since it was seen to open; Infinity: it was not. */
   readonly openMs: number;
-  /** There is a recent view of it. */
-  readonly hasView: boolean;
+  /** Age of the view of it; Infinity: there is none. */
+  readonly viewAgeMs: number;
   /** Includes this one. */
   readonly knownEntries: number;
   /** Milliseconds since this entry's start. */
@@ -66,21 +71,24 @@
   group: LimitedGroup,
   shareOf: (maxAgeMs: number) => number | undefined,
 ): number | undefined {
-  const maxAgeMs = maxGrantAgeMs(group.knowledge);
+  const {knowledge} = group;
+  if (kind !== 'first-try' && isShown(knowledge)) {
+    // Last tries use any free slot: an entry's share may be used up while others
+    // leave theirs. Resumed streams can't be refused.
+    return undefined;
+  }
+  const maxAgeMs = maxGrantAgeMs(knowledge);
   if (maxAgeMs === undefined) {
-    const share = shareOf(Infinity);
-    const isLimited = kind === 'last-try' && share !== undefined;
-    return isLimited
-      ? lastTryShare(share, group, group.most)
-      : kind === 'resumed'
-        ? undefined
-        : share;
+    return shareOf(Infinity);
   }
   const granted = shareOf(maxAgeMs);
-  const most = granted === undefined ? newGroupLimit(group) : group.most;
+  const isKnown = granted !== undefined || isShown(knowledge);
+  const most = isKnown
+    ? Math.min(group.most, slotsOf(group))
+    : newGroupLimit(group);
   const share =
     granted ??
-    Math.min(firstShare(most, group.knowledge), shareOf(Infinity) ?? Infinity);
+    Math.min(firstShare(most, knowledge), shareOf(Infinity) ?? Infinity);
   return kind === 'first-try' ? share : lastTryShare(share, group, most);
 }
 
@@ -88,6 +96,13 @@
   return engine.slots * knowledge.usableRanks;
 }
 
+/** True if a view shows what the group has, all entries' starts included. */
+function isShown({openMs, viewAgeMs}: GroupKnowledge): boolean {
+  return openMs >= NEW_GROUP_MS
+    ? viewAgeMs < Infinity
+    : viewAgeMs < Math.min(openMs, MAX_OPENING_VIEW_AGE_MS);
+}
+
 /**
  * Age that the report behind a granted share may have at most; undefined: the
  * rule doesn't apply. The first share lasts until all entries have reported:
@@ -97,7 +112,7 @@
   if (group.openMs < NEW_GROUP_MS) {
     return group.openMs - REPORT_INTERVAL_MS;
   }
-  return group.hasView ? undefined : Infinity;
+  return group.viewAgeMs < Infinity ? undefined : Infinity;
 }
 
 /** Requests that a group that has just formed may process at once. */
--- a/src/forwarding/target-candidate.ts
+++ b/src/forwarding/target-candidate.ts
@@ -25,8 +25,6 @@
 import type * as types from './types';
 
 const SECOND_MS = 1_000;
-/** Before the end of its wait, in which a caller's retry is tried as urgent. */
-const LAST_TRY_MS = 180;
 
 /** What a search for a target depends on. */
 export interface SearchContext {
@@ -328,7 +326,7 @@
    */
   private isUrgent(now: number): boolean {
     const {hasObjective} = this.search;
-    const lastTryMs = hasObjective ? LAST_TRY_MS : 0;
+    const lastTryMs = hasObjective ? timing.LAST_TRY_MS : 0;
     const isAtEnd =
       (!hasObjective || this.isRetry) && now >= this.waitsUntil - lastTryMs;
     return this.mayWait && (this.isStarted || isAtEnd);
