Benchmark of the processor time of admission

Change: bench/admission.ts drives the search for targets of one entry in virtual time, with admission off and on in turn, and prints processor microseconds per request and a digest of the decisions.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -22,6 +22,7 @@
   hop: async () => (await import('./hop')).benchmark,
   recovery: async () => (await import('./recovery')).benchmark,
   capacity: async () => (await import('./capacity')).benchmark,
+  admission: async () => (await import('./admission')).benchmark,
 };
 
 async function main(): Promise<void> {
