Compute an entry's use of a pool only as far as it is read

While a lease is valid, neither question depends on the lines.

Change: CurrentUse makes the lines and counts the known entries when they are first read; the lease asks for them only where its own state doesn't answer.

--- a/src/capacity/lease.ts
+++ b/src/capacity/lease.ts
@@ -50,11 +50,10 @@
    * A single request can be enough: this alone limits nothing.
    */
   isSuspected(use: PoolUse, now: number): boolean {
-    const inFlight = inFlightOf(use);
     return (
-      inFlight * use.entries > timing.SHORT_SHARE * use.capacity ||
-      hasWaiting(use) ||
-      now < this.shortUntil
+      now < this.shortUntil ||
+      inFlightOf(use) * use.entries > timing.SHORT_SHARE * use.capacity ||
+      hasWaiting(use)
     );
   }
 
@@ -67,9 +66,11 @@
       return true;
     }
     const isDenied = !this.isSaidShort && now < this.validUntil;
-    const hasFoundFull = now < this.fullUntil && hasWaiting(use);
-    const isOwn = inFlightOf(use) > timing.SHORT_SHARE * use.capacity;
-    return !isDenied && (hasFoundFull || isOwn);
+    return (
+      !isDenied &&
+      ((now < this.fullUntil && hasWaiting(use)) ||
+        inFlightOf(use) > timing.SHORT_SHARE * use.capacity)
+    );
   }
 
   /** Reports go on for a while after the last request, in case more follow. */
@@ -98,7 +99,7 @@
 
   /** Monotonic time of the next report. */
   nextReportAt(use: PoolUse): number {
-    const isSudden = hasWaiting(use) && !this.hadWaiting;
+    const isSudden = !this.hadWaiting && hasWaiting(use);
     const waitMs = isSudden
       ? Math.min(this.waitMs, timing.MIN_REPORT_INTERVAL_MS)
       : this.waitMs;
--- /dev/null
+++ b/src/capacity/pool-use.ts
@@ -0,0 +1,37 @@
+/**
+ * An entry's use of a pool. What takes time to compute is computed when it is
+ * first read: each start asks for the use, and most decisions follow from the
+ * lease alone. To be read in the tick in which it was made.
+ */
+import type {KnownEntries} from './allocator';
+import type {PoolUse} from './lease';
+import type {PoolDemand} from './types';
+
+export class CurrentUse implements PoolUse {
+  private knownLines: PoolDemand | undefined;
+  private knownEntries: KnownEntries | undefined;
+
+  constructor(
+    readonly capacity: number,
+    private readonly readEntries: () => KnownEntries,
+    private readonly readLines: () => PoolDemand,
+  ) {}
+
+  get entries(): number {
+    return this.known.count;
+  }
+
+  get parts(): number {
+    return this.known.parts;
+  }
+
+  get lines(): PoolDemand {
+    this.knownLines ??= this.readLines();
+    return this.knownLines;
+  }
+
+  private get known(): KnownEntries {
+    this.knownEntries ??= this.readEntries();
+    return this.knownEntries;
+  }
+}
--- a/src/capacity/shared-capacity.ts
+++ b/src/capacity/shared-capacity.ts
@@ -22,6 +22,7 @@
 import {EntryContacts} from './entry-contacts';
 import * as leases from './lease';
 import {PoolLease, PoolUse} from './lease';
+import {CurrentUse} from './pool-use';
 import * as timing from './timing';
 import {CapacityShares, PoolSource} from './types';
 
@@ -166,13 +167,14 @@
 
   /** Undefined if the pool has no limit. */
   private useOf(pool: string, now: number): PoolUse | undefined {
-    const {source} = this.context;
     const capacity = this.capacityOf(pool, now);
-    if (capacity === undefined || !Number.isFinite(capacity)) {
-      return undefined;
-    }
-    const {count, parts} = this.contacts.known(now);
-    return {capacity, entries: count, parts, lines: source.demandOf(pool)};
+    return capacity === undefined || !Number.isFinite(capacity)
+      ? undefined
+      : new CurrentUse(
+          capacity,
+          () => this.contacts.known(now),
+          () => this.context.source.demandOf(pool),
+        );
   }
 
   private capacityOf(pool: string, now: number): number | undefined {
@@ -278,8 +280,9 @@
   ): app.PoolReport | undefined {
     const {lease} = own;
     const use = this.useOf(pool, now);
-    this.updateLimit(pool, own, now);
+    // Reads the lines, before a limit that has risen starts requests.
     const isLast = use === undefined || !lease.shouldReport(use, now);
+    this.updateLimit(pool, own, now);
     if (lease.isReporting || (isLast && !lease.isKnown)) {
       if (isLast && (use === undefined || !lease.isSuspected(use, now))) {
         this.pools.delete(pool);
