--- a/bench/admission.ts
+++ b/bench/admission.ts
@@ -12,6 +12,7 @@
  * - ADMISSION_ROUNDS: runs of each case, 3 by default; on and off alternate.
  * - ADMISSION_SECONDS: seconds of load with `parts` 1, 20 by default.
  * - ADMISSION_ONLY: `on` or `off`, for a profile of one of them.
+ * - ADMISSION_PARTS, ADMISSION_MULTIPLE: one value of each, for one of the loads.
  */
 import * as crypto from 'node:crypto';
 import * as random from '../src/random';
@@ -39,8 +40,8 @@
 /** Streams per second that fill all slots. */
 const CAPACITY_PER_SECOND =
   (RANK_COUNT * ENGINE.slots * 1_000) / MEAN_STREAM_MS;
-const MULTIPLES = [0.5, 1.5];
-const PARTS = [1, ENTRY_COUNT];
+const MULTIPLES = valuesOf(process.env.ADMISSION_MULTIPLE, [0.5, 1.5]);
+const PARTS = valuesOf(process.env.ADMISSION_PARTS, [1, ENTRY_COUNT]);
 /** Callers take this long on top of the stated retry time. */
 const RETRY_DELAY_MS = 5;
 
@@ -152,6 +153,10 @@
   }
 }
 
+function valuesOf(only: string | undefined, all: readonly number[]) {
+  return only === undefined ? all : [Number(only)];
+}
+
 /** A log-normal duration. */
 function streamMs(): number {
   const exponent = STREAM_SPREAD * stats.normal() - STREAM_SPREAD ** 2 / 2;
