Count and group waiting requests without allocations

Cause: each try of a request grouped the 72 targets of its service, and each count of the requests ahead copied its account's requests; the starts of a second were summed over all priorities several times per prediction.

Change: targets of one group are not copied; countAhead sums in place; StartRate keeps the sum of each bucket.

--- a/src/admission/priority-backlog.ts
+++ b/src/admission/priority-backlog.ts
@@ -9,6 +9,8 @@
 /** Items by account, each account's ordered by objective. */
 type ItemsByAccount<T> = Map<string, T[]>;
 
+const NO_ITEMS: readonly never[] = [];
+
 export class PriorityBacklog<T extends WaitingRequest> {
   /** Starts owed to this priority while higher ones wait. */
   credit = 0;
@@ -119,17 +121,16 @@
 
   /** Items of one kind that precede this one, by the accounts' fair shares. */
   private aheadOf(kind: ItemsByAccount<T>, item: WaitingRequest): number {
-    const own = kind.get(item.account) ?? [];
-    const at = own.findIndex(one => one === item);
-    const before = own.slice(0, at < 0 ? positionOf(own, item) : at);
-    const start = before.reduce(
-      (sum, one) => sum + workOf(one),
-      this.clock.startOf(item.account),
-    );
-    let count = before.length;
+    const own = kind.get(item.account) ?? NO_ITEMS;
+    const at = (own as readonly WaitingRequest[]).indexOf(item);
+    let count = at < 0 ? positionOf(own, item) : at;
+    let start = this.clock.startOf(item.account);
+    for (let before = 0; before < count; before += 1) {
+      start += workOf(own[before]!);
+    }
     for (const [account, items] of kind) {
       let otherStart = this.clock.startOf(account);
-      for (const other of account === item.account ? [] : items) {
+      for (const other of items === own ? NO_ITEMS : items) {
         const precedes =
           otherStart < start ||
           (otherStart === start && other.objectiveAt <= item.objectiveAt);
--- a/src/admission/start-rate.ts
+++ b/src/admission/start-rate.ts
@@ -7,12 +7,15 @@
   /** Number of the interval that it counts. */
   interval: number;
   readonly byPriority: Map<number, number>;
+  /** Sum over the priorities. */
+  total: number;
 }
 
 export class StartRate {
   private readonly buckets: Bucket[] = Array.from({length: BUCKETS}, () => ({
     interval: -Infinity,
     byPriority: new Map<number, number>(),
+    total: 0,
   }));
 
   note(priority: number, now: number): void {
@@ -21,7 +24,9 @@
     if (bucket.interval !== interval) {
       bucket.interval = interval;
       bucket.byPriority.clear();
+      bucket.total = 0;
     }
+    bucket.total += 1;
     const count = bucket.byPriority.get(priority) ?? 0;
     bucket.byPriority.set(priority, count + 1);
   }
@@ -30,13 +35,19 @@
   perSecond(now: number, below = Infinity): number {
     const oldest = Math.floor(now / BUCKET_MS) - BUCKETS;
     let count = 0;
-    for (const {interval, byPriority} of this.buckets) {
-      if (interval > oldest) {
-        for (const [priority, starts] of byPriority) {
-          count += priority < below ? starts : 0;
-        }
+    for (const bucket of this.buckets) {
+      if (bucket.interval > oldest) {
+        count += below === Infinity ? bucket.total : startsBelow(bucket, below);
       }
     }
     return count;
   }
 }
+
+function startsBelow({byPriority}: Bucket, below: number): number {
+  let count = 0;
+  for (const [priority, starts] of byPriority) {
+    count += priority < below ? starts : 0;
+  }
+  return count;
+}
--- a/src/forwarding/group-choice.ts
+++ b/src/forwarding/group-choice.ts
@@ -21,6 +21,11 @@
 
 /** Targets by group, in the order in which groups first appear. */
 export function groupsOf(targets: readonly Target[]): TargetGroup[] {
+  const [first] = targets;
+  // Most services have one group, and each try of a waiting request asks.
+  if (first && targets.every(({group}) => group === first.group)) {
+    return [{name: first.group, targets}];
+  }
   const groups = grouping.groupBy(targets, target => target.group);
   return [...groups].map(([name, members]) => ({name, targets: members}));
 }
