--- a/src/admission/types.ts
+++ b/src/admission/types.ts
@@ -2,12 +2,12 @@
 export interface WaitingRequest {
   /** Client account; empty: none. */
   readonly account: string;
-  /** Weight of the account among those of its priority. */
+  /** Weight of the account among those of its rank. */
   readonly weight: number;
-  /** 0 is the highest. */
+  /** Of its account, else of its route, as logged; 0 is the highest. */
   readonly priority: number;
-  /** Place in the order of the priorities, 0 first; undefined: the priority. */
-  readonly rank?: number;
+  /** Position in the order by that and then by the route's; 0 is the first. */
+  readonly rank: number;
   /** Expected work; all requests of a service use the same unit. */
   readonly cost: number;
   /** Monotonic milliseconds, as are the other times. */
@@ -30,7 +30,7 @@
 
 /** Waiting requests that precede another one. */
 export interface Ahead {
-  /** Of higher rank. */
+  /** Of a higher rank. */
   readonly higher: number;
   /** Of the same rank. */
   readonly same: number;
