Compute the capacity of a group from kept sums

Cause: each try made a map of this entry's requests at 72 ranks, and summed it, the one at the receipt of the view, and the view. The capacity of a pool compared 72 joined names and sorted all routes of the configuration.

Change: the sums of a view are kept with it; this entry's requests are summed in place; the table keeps the route with the shortest pause of each service.

--- a/src/forwarding/group-views.ts
+++ b/src/forwarding/group-views.ts
@@ -36,6 +36,10 @@
   readonly at: number;
   /** This entry's requests in flight at receipt, by target's lifetime. */
   readonly ownInFlight: ReadonlyMap<string, number>;
+  /** Sum of these. */
+  readonly ownTotal: number;
+  /** Sum of the view's requests. */
+  readonly reported: number;
 }
 
 /** Assumed imbalance of other groups without a view. */
@@ -238,10 +242,8 @@
   }
 
   private reportedLoad(key: string, received: ReceivedView): GroupLoad {
-    const {view} = received;
-    const reported = sumOf(view.requests);
-    const own = sumOf([...this.ownInFlightOf(key).values()]);
-    const ownAtReceipt = sumOf([...received.ownInFlight.values()]);
+    const {view, reported, ownTotal: ownAtReceipt} = received;
+    const own = this.ownTotalOf(key);
     // Assumes that the other entries' requests changed in proportion to ours.
     const scale = Math.min(
       Math.max(reported / Math.max(ownAtReceipt, 1), 1),
@@ -265,7 +267,6 @@
    * that there are `MAX_ENTRIES`.
    */
   private estimateLoad(key: string, now: number): GroupLoad {
-    const own = [...this.ownInFlightOf(key).values()];
     const openMs = now - (this.openedAt.get(key) ?? -Infinity);
     const imbalance =
       openMs < openingLimit.NEW_GROUP_MS
@@ -276,9 +277,10 @@
     const entries = hasStarted
       ? Math.min(this.context.knownEntryCount(), MAX_ENTRIES)
       : MAX_ENTRIES;
-    const requests = sumOf(own) * entries;
+    const requests = this.ownTotalOf(key) * entries;
+    const size = this.ranksOf(key).length;
     return {
-      factors: {size: own.length, imbalance, slowness: 1, correction: 1},
+      factors: {size, imbalance, slowness: 1, correction: 1},
       requests,
       counted: requests,
     };
@@ -334,11 +336,11 @@
     }
     const at = known && performance.now() - known.ageMs;
     if (at !== undefined && at > (this.views.get(key)?.at ?? 0)) {
-      this.views.set(key, {
-        view: known!.view,
-        at,
-        ownInFlight: this.ownInFlightOf(key),
-      });
+      const {view} = known!;
+      const ownInFlight = this.ownInFlightOf(key);
+      const ownTotal = sumOf([...ownInFlight.values()]);
+      const reported = sumOf(view.requests);
+      this.views.set(key, {view, at, ownInFlight, ownTotal, reported});
       this.updates.next();
     }
     return known !== undefined || seen !== undefined;
@@ -361,6 +363,15 @@
     );
   }
 
+  /** This entry's requests in flight in a group; each capacity asks for it. */
+  private ownTotalOf(key: string): number {
+    let total = 0;
+    for (const {lifetime} of this.ranksOf(key)) {
+      total += this.context.inFlight(lifetime);
+    }
+    return total;
+  }
+
   private ranksOf(key: string): readonly Target[] {
     const ranks = this.context.ranks();
     if (ranks !== this.rankIndex.ranks) {
--- a/src/forwarding/pools.ts
+++ b/src/forwarding/pools.ts
@@ -1,9 +1,7 @@
 /** What the sharing of capacity asks of this entry about its pools. */
 import {PoolDemand, PoolSource} from '../capacity/types';
-import type {Route} from '../routes/types';
 import {ConditionContext, hasAdmission} from './admission-condition';
 import type {AdmissionController} from './admission-controller';
-import type {AllowedTimes} from './group-request-limit';
 import type {GroupViews} from './group-views';
 import type {TargetList} from './target-list';
 import type * as types from './types';
@@ -47,19 +45,20 @@
     if (!hasAdmission(name, this.context)) {
       return undefined;
     }
-    const usable = targets
-      .ofService(name, now)
-      .filter(({group}) => poolOf(name, group) === pool);
-    const [first] = usable;
+    const usable = targets.ofService(name, now);
+    const poolGroup = groupOf(pool, name);
+    const first = usable.find(({group}) => group === poolGroup);
     if (first === undefined) {
       return undefined;
     }
     if (first.group === undefined) {
-      const slots = usable.reduce((sum, target) => sum + target.slots, 0);
+      const slots = usable
+        .filter(({group}) => group === undefined)
+        .reduce((sum, target) => sum + target.slots, 0);
       return Math.floor(slots * REQUESTS_PER_SLOT);
     }
     const engine = table?.findService(name)?.engine;
-    const allowed = strictestTimes(name, table?.snapshot.routes ?? []);
+    const allowed = table?.strictestRoute(name);
     return engine === undefined || allowed === undefined
       ? undefined
       : Math.floor(views.capacityOf(first, engine, allowed, now).most);
@@ -70,16 +69,9 @@
   return pool.split(SEPARATOR, 1)[0]!;
 }
 
-/**
- * What the route of the service with the shortest pause allows; undefined: no
- * route limits the pause.
- */
-function strictestTimes(
-  service: string,
-  routes: readonly Route[],
-): AllowedTimes | undefined {
-  return routes
-    .filter(route => route.pauseMs > 0)
-    .filter(({services}) => services.some(one => one.service === service))
-    .sort((a, b) => a.pauseMs - b.pauseMs)[0];
+/** Undefined: the pool has no group. */
+function groupOf(pool: string, service: string): string | undefined {
+  return pool === service
+    ? undefined
+    : pool.slice(service.length + SEPARATOR.length);
 }
--- a/src/routes/table.ts
+++ b/src/routes/table.ts
@@ -7,6 +7,8 @@
   private readonly byKey = new Map<string, types.ClientAccount>();
   private readonly byService = new Map<string, types.Service>();
   private readonly withObjective = new Set<string>();
+  /** The route with the shortest allowed pause, by service. */
+  private readonly strictest = new Map<string, types.Route>();
   /** Services whose routes have different priorities. */
   private readonly withPriorities: ReadonlySet<string>;
   /** The same among the routes with an objective. */
@@ -18,6 +20,10 @@
         if (route.latencyObjectiveMs > 0) {
           this.withObjective.add(service);
         }
+        const {pauseMs = Infinity} = this.strictest.get(service) ?? {};
+        if (route.pauseMs > 0 && route.pauseMs < pauseMs) {
+          this.strictest.set(service, route);
+        }
       }
       const host = route.host.toLowerCase();
       const routes = this.byHost.get(host) ?? [];
@@ -57,6 +63,14 @@
     return this.byService.get(name);
   }
 
+  /**
+   * The route of the service that allows the shortest pause; undefined: none
+   * limits the pause.
+   */
+  strictestRoute(service: string): types.Route | undefined {
+    return this.strictest.get(service);
+  }
+
   /** True if any route of the service has a latency objective. */
   hasObjective(service: string): boolean {
     return this.withObjective.has(service);
