--- a/src/peers/peer-ranking.ts
+++ b/src/peers/peer-ranking.ts
@@ -52,6 +52,9 @@
 
   /** Unresponsive ones that rank before all that answer and are due for a retry. */
   takeDueRetries(key: string, now: number): string[] {
+    if (this.unresponsive.isEmpty) {
+      return [];
+    }
     const all = this.ranked(key);
     const first = all.findIndex(one => !this.unresponsive.isUnresponsive(one));
     return all
--- a/src/peers/unresponsive-peers.ts
+++ b/src/peers/unresponsive-peers.ts
@@ -35,6 +35,10 @@
     bounded.dropOldest(this.retries, MAX_UNRESPONSIVE_PEERS);
   }
 
+  get isEmpty(): boolean {
+    return this.retries.size === 0;
+  }
+
   isUnresponsive(address: string): boolean {
     return this.retries.has(address);
   }
