Keep the demand lines of a pool

Cause: each request for the demand of a pool made names and lines of all requests in flight, twice. Each last try listed the requests that need permits three times and counted those ahead, also where none needs one.

Change: PoolUsage keeps a line by rank and account; names are made only while something waits.

--- a/src/admission/pool-usage.ts
+++ b/src/admission/pool-usage.ts
@@ -9,8 +9,8 @@
 
 interface PoolCount {
   total: number;
-  /** Requests in flight by account, by rank; without zeros. */
-  readonly byRank: Map<number, Map<string, number>>;
+  /** Lines of the requests in flight by account, by rank; without zeros. */
+  readonly byRank: Map<number, Map<string, DemandLine>>;
 }
 
 export class PoolUsage {
@@ -34,9 +34,9 @@
       byAccount = new Map();
       count.byRank.set(rank, byAccount);
     }
-    const inFlight = (byAccount.get(account) ?? 0) + change;
+    const inFlight = (byAccount.get(account)?.inFlight ?? 0) + change;
     if (inFlight > 0) {
-      byAccount.set(account, inFlight);
+      byAccount.set(account, {priority: rank, account, inFlight, waiting: 0});
     } else {
       byAccount.delete(account);
     }
@@ -44,19 +44,31 @@
 
   /** The pool's lines together with those of the waiting requests. */
   demandOf(pool: string, waiting: Iterable<DemandKey>): DemandLine[] {
-    const lines = new Map<string, DemandLine>();
-    for (const [rank, byAccount] of this.pools.get(pool)?.byRank ?? []) {
-      for (const [account, inFlight] of byAccount) {
-        const line = {priority: rank, account, inFlight, waiting: 0};
-        lines.set(`${rank} ${account}`, line);
-      }
+    const lines: DemandLine[] = [];
+    for (const byAccount of this.pools.get(pool)?.byRank.values() ?? []) {
+      lines.push(...byAccount.values());
     }
-    for (const {rank, account} of waiting) {
-      const name = `${rank} ${account}`;
-      const none = {priority: rank, account, inFlight: 0, waiting: 0};
-      const line = lines.get(name) ?? none;
-      lines.set(name, {...line, waiting: line.waiting + 1});
-    }
-    return [...lines.values()];
+    return withWaiting(lines, waiting);
+  }
+}
+
+function withWaiting(
+  lines: DemandLine[],
+  waiting: Iterable<DemandKey>,
+): DemandLine[] {
+  let indexes: Map<string, number> | undefined;
+  for (const {rank, account} of waiting) {
+    indexes ??= new Map(lines.map((line, at) => [nameOf(line), at]));
+    const none = {priority: rank, account, inFlight: 0, waiting: 0};
+    const name = nameOf(none);
+    const at = indexes.get(name) ?? lines.length;
+    indexes.set(name, at);
+    const line = lines[at] ?? none;
+    lines[at] = {...line, waiting: line.waiting + 1};
   }
+  return lines;
+}
+
+function nameOf({priority, account}: DemandLine): string {
+  return `${priority} ${account}`;
 }
--- a/src/admission/service-queue.ts
+++ b/src/admission/service-queue.ts
@@ -124,10 +124,13 @@
 
   /** Waiting requests to which a new or the last tried one leaves permits. */
   permitsAhead(item: WaitingRequest): number {
-    const needing = this.order
-      .items()
-      .filter(one => one !== item && one.needsPermit);
-    return Math.min(needing.length, totalOf(this.order.countAhead(item)));
+    let needing = 0;
+    for (const one of this.order.items()) {
+      needing += one !== item && one.needsPermit ? 1 : 0;
+    }
+    return needing === 0
+      ? 0
+      : Math.min(needing, totalOf(this.order.countAhead(item)));
   }
 
   predict(item: WaitingRequest, now: number): Prediction {
