--- a/src/capacity/pool-use.ts
+++ b/src/capacity/pool-use.ts
@@ -4,17 +4,20 @@
  * lease alone. To be read in the tick in which it was made.
  */
 import type {KnownEntries} from './allocator';
+import type {EntryContacts} from './entry-contacts';
 import type {PoolUse} from './lease';
-import type {PoolDemand} from './types';
+import type {PoolDemand, PoolSource} from './types';
 
 export class CurrentUse implements PoolUse {
   private knownLines: PoolDemand | undefined;
   private knownEntries: KnownEntries | undefined;
 
   constructor(
+    private readonly pool: string,
     readonly capacity: number,
-    private readonly readEntries: () => KnownEntries,
-    private readonly readLines: () => PoolDemand,
+    private readonly source: Pick<PoolSource, 'demandOf'>,
+    private readonly contacts: Pick<EntryContacts, 'known'>,
+    private readonly now: number,
   ) {}
 
   get entries(): number {
@@ -26,12 +29,12 @@
   }
 
   get lines(): PoolDemand {
-    this.knownLines ??= this.readLines();
+    this.knownLines ??= this.source.demandOf(this.pool);
     return this.knownLines;
   }
 
   private get known(): KnownEntries {
-    this.knownEntries ??= this.readEntries();
+    this.knownEntries ??= this.contacts.known(this.now);
     return this.knownEntries;
   }
 }
--- a/src/capacity/shared-capacity.ts
+++ b/src/capacity/shared-capacity.ts
@@ -170,14 +170,11 @@
 
   /** Undefined if the pool has no limit. */
   private useOf(pool: string, now: number): PoolUse | undefined {
-    const capacity = this.capacityOf(pool, now);
-    return capacity === undefined || !Number.isFinite(capacity)
-      ? undefined
-      : new CurrentUse(
-          capacity,
-          () => this.contacts.known(now),
-          () => this.context.source.demandOf(pool),
-        );
+    const {source} = this.context;
+    const capacity = this.capacityOf(pool, now) ?? Infinity;
+    return Number.isFinite(capacity)
+      ? new CurrentUse(pool, capacity, source, this.contacts, now)
+      : undefined;
   }
 
   private capacityOf(pool: string, now: number): number | undefined {
