Rank the peers once for the view of an answer

Cause: each answer to a report ranked the known peers twice, for those that respond and for those that do not.

Change: both come from one ranking.

--- a/src/peers/peer-ranking.ts
+++ b/src/peers/peer-ranking.ts
@@ -42,11 +42,10 @@
 
   /** Up to `count` processes each that answer and that do not. */
   view(key: string, count: number): RankingView {
+    const all = this.ranked(key);
     return {
-      order: this.responsive(key).slice(0, count),
-      silent: this.ranked(key)
-        .slice(0, count)
-        .filter(one => this.isUnresponsive(one)),
+      order: all.filter(one => !this.isUnresponsive(one)).slice(0, count),
+      silent: all.slice(0, count).filter(one => this.isUnresponsive(one)),
     };
   }
 
