Benchmark of admission: no retries of a run in the next one

Cause: a request that waited at the end of a run was refused, and its caller's retry drew random numbers in the next run. The digest with admission off changed with the decisions of the run before it, with admission on.

Change: retries end with their run.

--- a/bench/admission.ts
+++ b/bench/admission.ts
@@ -111,7 +111,8 @@
     this.requests += 1;
     const sentAt = performance.now();
     const retryMs = await this.attempt(id, route, `account-${account}`, 0);
-    if (retryMs !== undefined) {
+    // The end of a run refuses what waits: its callers must not enter the next.
+    if (retryMs !== undefined && this.isOpen) {
       await wait(retryMs + RETRY_DELAY_MS);
       const spentMs = performance.now() - sentAt;
       await this.attempt(id, route, `account-${account}`, spentMs);
