--- a/src/forwarding/group-views.ts
+++ b/src/forwarding/group-views.ts
@@ -35,6 +35,10 @@
   readonly at: number;
   /** This entry's requests in flight at receipt, by target's lifetime. */
   readonly ownInFlight: ReadonlyMap<string, number>;
+  /** Sum of these. */
+  readonly ownTotal: number;
+  /** Sum of the view's requests. */
+  readonly reported: number;
 }
 
 /** Assumed imbalance of other groups without a view. */
@@ -240,11 +244,8 @@
   }
 
   private reportedLoad(key: string, received: ReceivedView): GroupLoad {
-    const {view} = received;
-    const reported = sumOf(view.requests);
-    const inFlight = this.ownInFlightOf(key);
-    const own = sumOf([...inFlight.values()]);
-    const ownAtReceipt = sumOf([...received.ownInFlight.values()]);
+    const {view, reported, ownTotal: ownAtReceipt} = received;
+    const own = this.ownTotalOf(key);
     // Assumes that the other entries' requests changed in proportion to ours.
     const scale = Math.min(
       Math.max(reported / Math.max(ownAtReceipt, 1), 1),
@@ -254,7 +255,7 @@
     const usable = this.usableIndex.of(key);
     const areAllUsable = usable.length >= view.requests.length;
     const requestsOf = ({rank, lifetime}: Target) => {
-      const started = inFlight.get(lifetime) ?? 0;
+      const started = this.context.inFlight(lifetime);
       const atReceipt = received.ownInFlight.get(lifetime) ?? 0;
       const counted = view.requests[rank ?? NO_RANK] ?? 0;
       return counted + (started - atReceipt) * scale;
@@ -278,11 +279,9 @@
    * that there are `MAX_ENTRIES`.
    */
   private estimateLoad(key: string, now: number): GroupLoad {
-    const inFlight = this.ownInFlightOf(key);
-    const own = [...inFlight.values()];
     const ownUsable = this.usableIndex
       .of(key)
-      .map(({lifetime}) => inFlight.get(lifetime) ?? 0);
+      .map(({lifetime}) => this.context.inFlight(lifetime));
     const openMs = now - (this.openedAt.get(key) ?? -Infinity);
     const imbalance =
       openMs < openingLimit.NEW_GROUP_MS
@@ -293,9 +292,10 @@
     const entries = hasStarted
       ? Math.min(this.context.knownEntryCount(), MAX_ENTRIES)
       : MAX_ENTRIES;
-    const requests = sumOf(own) * entries;
+    const requests = this.ownTotalOf(key) * entries;
+    const size = this.rankIndex.of(key).length;
     return {
-      factors: {size: own.length, imbalance, slowness: 1, correction: 1},
+      factors: {size, imbalance, slowness: 1, correction: 1},
       requests,
       usableRequests: sumOf(ownUsable) * entries,
       counted: requests,
@@ -364,11 +364,11 @@
     }
     const at = known && performance.now() - known.ageMs;
     if (at !== undefined && at > (this.views.get(key)?.at ?? 0)) {
-      this.views.set(key, {
-        view: known!.view,
-        at,
-        ownInFlight: this.ownInFlightOf(key),
-      });
+      const {view} = known!;
+      const ownInFlight = this.ownInFlightOf(key);
+      const ownTotal = sumOf([...ownInFlight.values()]);
+      const reported = sumOf(view.requests);
+      this.views.set(key, {view, at, ownInFlight, ownTotal, reported});
       this.updates.next();
     }
     return seen !== undefined ? 'state' : known !== undefined ? 'view' : 'none';
@@ -389,6 +389,15 @@
         .map(rank => [rank.lifetime, this.context.inFlight(rank.lifetime)]),
     );
   }
+
+  /** This entry's requests in flight in a group; each capacity asks for it. */
+  private ownTotalOf(key: string): number {
+    let total = 0;
+    for (const {lifetime} of this.rankIndex.of(key)) {
+      total += this.context.inFlight(lifetime);
+    }
+    return total;
+  }
 }
 
 function sumOf(values: readonly number[]): number {
