--- a/src/capacity/shared-capacity.ts
+++ b/src/capacity/shared-capacity.ts
@@ -8,23 +8,19 @@
 import {Subject} from 'rxjs';
 import * as grouping from '../grouping';
 import * as bounded from '../bounded';
-import type {Log} from '../observability/log';
-import type {Metrics} from '../observability/metrics';
-import type {PeerRanking} from '../peers/peer-ranking';
 import * as random from '../random';
-import type {RpcClient} from '../rpc/client';
 import type {RpcServer} from '../rpc/server';
-import type {AllocationRules} from './allocate';
 import {AllocatorRole} from './allocator-role';
 import type {Reporter} from './allocator';
 import * as app from './app';
+import type {SharedCapacityContext} from './context';
 import * as demandLines from './demand-lines';
 import {EntryContacts} from './entry-contacts';
 import * as leases from './lease';
 import {PoolLease, PoolUse} from './lease';
 import {CurrentUse} from './pool-use';
 import * as timing from './timing';
-import {CapacityShares, PoolSource} from './types';
+import {CapacityShares} from './types';
 
 /** Allows for a round trip and one lost packet. */
 const RPC_TIMEOUT_MS = 400;
@@ -35,16 +31,6 @@
 const MIN_LOGGED_CHANGE = 0.1;
 const INCARNATIONS = 2 ** 31;
 
-export interface SharedCapacityContext extends AllocationRules {
-  readonly rpc: Pick<RpcClient, 'call'>;
-  readonly peers: PeerRanking;
-  readonly source: PoolSource;
-  readonly log: Log;
-  readonly metrics: Metrics;
-  /** Includes this entry. */
-  knownEntryCount(): number;
-}
-
 /** A pool as this entry uses it. */
 interface OwnPool {
   readonly lease: PoolLease;
@@ -148,6 +134,7 @@
     this.schedule(own.lease, use, now);
   }
 
+  /** The share in force and the capacity computed last; changes neither. */
   lastStateOf(pool: string) {
     return {share: this.pools.get(pool)?.limit, ...this.capacities.get(pool)};
   }
--- a/src/forwarding/group-views.ts
+++ b/src/forwarding/group-views.ts
@@ -6,14 +6,13 @@
 import * as rxjs from 'rxjs';
 import * as expertsApp from '../experts/app';
 import type {GroupView} from '../experts/types';
-import type {LastContact} from '../peers/last-contact';
 import * as random from '../random';
 import type {EngineParameters} from '../routes/types';
-import type {RpcClient} from '../rpc/client';
 import * as firstState from './first-state';
+import type {GroupViewsContext} from './group-views-context';
 import * as groupRequestLimit from './group-request-limit';
 import * as openingLimit from './opening-limit';
-import {PassMeasurement, PassObserver, TICK_MS} from './pass-observer';
+import {PassObserver, TICK_MS} from './pass-observer';
 import {RankIndex, keyOf} from './rank-index';
 import type {Target} from './types';
 
@@ -64,26 +63,6 @@
   readonly counted: number;
 }
 
-export interface GroupViewsContext {
-  readonly rpc: RpcClient;
-  readonly reach: LastContact;
-  readonly hall: string;
-  /** Port on which sidecars listen. */
-  readonly rpcPort: number;
-  /** Targets that are ranks of groups; the same array until one changes. */
-  ranks(): readonly Target[];
-  /** Those of them that may receive requests; the same array until one changes. */
-  usableRanks(): readonly Target[];
-  /** Known entries, including this one. */
-  knownEntryCount(): number;
-  /** A sidecar reported whether a rank's group was open at a monotonic time. */
-  onGroupState(target: Target, isOpen: boolean, at: number): void;
-  /** This entry's requests in flight to a lifetime of a target. */
-  inFlight(lifetime: string): number;
-  /** The passes of a target's group were measured. */
-  onPasses(target: Target, measurement: PassMeasurement): void;
-}
-
 export class GroupViews {
   /** Emits when a new view of any group arrived. */
   readonly updates = new rxjs.Subject<void>();
