--- a/src/forwarding/group-feedback.test.ts
+++ b/src/forwarding/group-feedback.test.ts
@@ -6,8 +6,8 @@
 import {LastContact} from '../peers/last-contact';
 import * as random from '../random';
 import {ok} from '../result';
-import type {EngineParameters} from '../routes/types';
 import type {RpcClient} from '../rpc/client';
+import {ENGINE} from './group-kit';
 import * as groupRequestLimit from './group-request-limit';
 import {GroupViews} from './group-views';
 import type {Target} from './types';
@@ -20,26 +20,6 @@
 const VIEW_INTERVAL_MS = 200;
 const VIEW_AGE_MS = 100;
 
-const ENGINE: EngineParameters = {
-  slots: 7,
-  stepMs: 4.55,
-  perSequenceMs: 1.557,
-  perContextKMs: 0.0314,
-  promptTokensPerSecond: 61_400,
-  chunkTokens: 512,
-  stride: 5,
-  meanPromptTokens: 868,
-  meanAnswerTokens: 97,
-  experts: {
-    sets: 12,
-    experts: 144,
-    places: 3,
-    spare: 2,
-    share: 0.85,
-    copyMs: 76,
-    formMs: 600,
-  },
-};
 const MEAN_EVENTS = ENGINE.meanAnswerTokens / ENGINE.stride;
 const EVENTS_SPREAD = 0.7;
 
--- a/src/forwarding/group-opening.test.ts
+++ b/src/forwarding/group-opening.test.ts
@@ -11,11 +11,11 @@
 import {ok} from '../result';
 import {DEFAULT_ADMISSION} from '../roles/site-settings';
 import {CurrentConfiguration} from '../routes/current';
-import type {EngineParameters, Route} from '../routes/types';
 import type {RpcClient} from '../rpc/client';
 import type {Call} from './call';
 import type {ForwarderContext} from './forwarder';
 import {GroupGate} from './group-gate';
+import {ENGINE, ROUTE} from './group-kit';
 import * as groupRequestLimit from './group-request-limit';
 import {GroupViews} from './group-views';
 import {LoadBalancer} from './load-balancer';
@@ -40,44 +40,8 @@
 /** Wait after which a retry is tried for the last time. */
 const LAST_TRY_AFTER_MS = 1_200 - 180;
 
-const ENGINE: EngineParameters = {
-  slots: 7,
-  stepMs: 4.55,
-  perSequenceMs: 1.557,
-  perContextKMs: 0.0314,
-  promptTokensPerSecond: 61_400,
-  chunkTokens: 512,
-  stride: 5,
-  meanPromptTokens: 868,
-  meanAnswerTokens: 97,
-  experts: {
-    sets: 12,
-    experts: 144,
-    places: 3,
-    spare: 2,
-    share: 0.85,
-    copyMs: 76,
-    formMs: 600,
-  },
-};
-
 const SLOTS = RANKS * ENGINE.slots;
 
-const ROUTE: Route = {
-  name: 'stream',
-  host: 'h',
-  pathPrefix: '/',
-  kind: 'stream',
-  services: [{service: 's', weight: 1}],
-  timeoutMs: 8_000,
-  latencyObjectiveMs: 503,
-  pauseMs: 150,
-  attempts: 2,
-  priority: 1,
-  isPublic: true,
-  isResumable: true,
-};
-
 const ranks: Target[] = Array.from({length: RANKS}, (_, rank) => ({
   id: `t${rank}`,
   lifetime: `t${rank}@1`,
--- a/src/forwarding/group-slots.test.ts
+++ b/src/forwarding/group-slots.test.ts
@@ -8,11 +8,12 @@
 import {ok} from '../result';
 import {DEFAULT_ADMISSION} from '../roles/site-settings';
 import {CurrentConfiguration} from '../routes/current';
-import type {EngineParameters, Route} from '../routes/types';
+import type {EngineParameters} from '../routes/types';
 import type {RpcClient} from '../rpc/client';
 import type {Call} from './call';
 import type {ForwarderContext} from './forwarder';
 import {GroupGate} from './group-gate';
+import * as groupKit from './group-kit';
 import * as groupRequestLimit from './group-request-limit';
 import {GroupViews} from './group-views';
 import {LoadBalancer} from './load-balancer';
@@ -38,39 +39,9 @@
 
 /** Passes with all slots taken are shorter than the route's pause. */
 const ENGINE: EngineParameters = {
+  ...groupKit.ENGINE,
   slots: SLOTS,
-  stepMs: 4.55,
   perSequenceMs: 0.8,
-  perContextKMs: 0.0314,
-  promptTokensPerSecond: 61_400,
-  chunkTokens: 512,
-  stride: 5,
-  meanPromptTokens: 868,
-  meanAnswerTokens: 97,
-  experts: {
-    sets: 12,
-    experts: 128,
-    places: 5,
-    spare: 2,
-    share: 0.85,
-    copyMs: 76,
-    formMs: 600,
-  },
-};
-
-const ROUTE: Route = {
-  name: 'stream',
-  host: 'h',
-  pathPrefix: '/',
-  kind: 'stream',
-  services: [{service: 's', weight: 1}],
-  timeoutMs: 8_000,
-  latencyObjectiveMs: 503,
-  pauseMs: 150,
-  attempts: 2,
-  priority: 1,
-  isPublic: true,
-  isResumable: true,
 };
 
 const ranks: Target[] = GROUPS.flatMap((group, subnet) =>
@@ -110,7 +81,7 @@
     const configuration = new CurrentConfiguration();
     configuration.offer({
       version: 1,
-      routes: [ROUTE],
+      routes: [groupKit.ROUTE],
       services: [{name: 's', engine: ENGINE} as never],
       accounts: undefined,
       limits: {} as never,
@@ -167,7 +138,12 @@
   }
 
   capacity(rank: Target) {
-    return this.views.capacityOf(rank, ENGINE, ROUTE, performance.now());
+    return this.views.capacityOf(
+      rank,
+      ENGINE,
+      groupKit.ROUTE,
+      performance.now(),
+    );
   }
 
   inFlight(filter: (rank: Target) => boolean): number {
@@ -188,14 +164,14 @@
       startedAt,
       isLikelyRetry: false,
       hasSentHead: false,
-      deadline: startedAt + ROUTE.timeoutMs,
-      timeLeftMs: ROUTE.timeoutMs,
-      callerTimeLeftMs: ROUTE.timeoutMs,
+      deadline: startedAt + groupKit.ROUTE.timeoutMs,
+      timeLeftMs: groupKit.ROUTE.timeoutMs,
+      callerTimeLeftMs: groupKit.ROUTE.timeoutMs,
       signal: new AbortController().signal,
       holdPlace: (place: Ticket) => (ticket = place),
     } as unknown as Call;
     const head = {prompt: undefined};
-    const request = {route: ROUTE, service: 's', head};
+    const request = {route: groupKit.ROUTE, service: 's', head};
     const found = await this.finder.find(
       call,
       request as unknown as RelayedRequest,
@@ -255,7 +231,7 @@
     const before = groupRequestLimit.limitRequests(
       ENGINE,
       {...factors, correction: 1},
-      ROUTE,
+      groupKit.ROUTE,
     );
     expect(before.most).toBeCloseTo(1.05 * RANKS * SLOTS);
     expect(site.capacity(ranks[0]!)).toMatchObject(before);
@@ -274,7 +250,7 @@
     const knowledge = site.views.knowledgeOf(ranks[1]!, now);
     expect(knowledge).toMatchObject({size: RANKS, usableRanks: 21});
     const {most} = site.capacity(ranks[1]!);
-    const group = {engine: ENGINE, allowed: ROUTE, knowledge, most};
+    const group = {engine: ENGINE, allowed: groupKit.ROUTE, knowledge, most};
     expect(openingLimit.slotsOf(group)).toBe(USABLE_SLOTS);
     const opening = {
       ...knowledge,
--- a/src/forwarding/group-start.test.ts
+++ b/src/forwarding/group-start.test.ts
@@ -11,6 +11,7 @@
 import type {Call} from './call';
 import type {ForwarderContext} from './forwarder';
 import {GroupGate} from './group-gate';
+import * as groupKit from './group-kit';
 import {GroupViews} from './group-views';
 import {LoadBalancer} from './load-balancer';
 import type {RelayedRequest} from './relayed-request';
@@ -31,18 +32,10 @@
 const OTHER_SIDECAR_MS = 150;
 
 const ROUTE: Route = {
-  name: 'stream',
-  host: 'h',
-  pathPrefix: '/',
-  kind: 'stream',
-  services: [{service: 's', weight: 1}],
-  timeoutMs: 8_000,
+  ...groupKit.ROUTE,
   latencyObjectiveMs: 0,
   pauseMs: 0,
   attempts: MAX_SENDS,
-  priority: 1,
-  isPublic: true,
-  isResumable: true,
 };
 
 function ranksOf(group: string): Target[] {
