Last tries keep the allowed pause while it can be kept

Change: a last try is limited by the group's limit where that keeps the pause, beyond the share of its entry, and by the slots elsewhere.

--- a/src/forwarding/target-candidate.ts
+++ b/src/forwarding/target-candidate.ts
@@ -267,9 +267,14 @@
       return groupChoice.limitToShare(option, share, admission.inFlight(pool));
     }
     const part = openingLimit.partOf(kind, group, shareOf);
-    return part === undefined && kind !== 'first-try'
-      ? groupChoice.limitToSlots(option, openingLimit.slotsOf(group))
-      : groupChoice.limitToShare(option, part, admission.inFlight(pool));
+    if (part !== undefined || kind === 'first-try') {
+      return groupChoice.limitToShare(option, part, admission.inFlight(pool));
+    }
+    // While passes keep the allowed pause, longer ones would make all streams of
+    // the group late for the sake of one that is late already.
+    return kind === 'last-try' && option.capacity?.limitedBy === 'in-time'
+      ? option
+      : groupChoice.limitToSlots(option, openingLimit.slotsOf(group));
   }
 
   private startKind(now: number): openingLimit.StartKind {
