--- a/src/commands/request-course-text.ts
+++ b/src/commands/request-course-text.ts
@@ -210,8 +210,8 @@
     .slice(MAX_ACCOUNTS)
     .reduce((sum, [, count]) => sum + count, 0);
   const shown = sorted.slice(0, MAX_ACCOUNTS).map(([name, count]) => {
-    const isNumber = /^\d+$/.test(name);
-    return `${isNumber ? label : ''}${name || 'none'}: ${count}`;
+    const isPriority = /^\d+(\/\d+)?$/.test(name);
+    return `${isPriority ? label : ''}${name || 'none'}: ${count}`;
   });
   if (rest > 0) {
     shown.push(`other: ${rest}`);
