--- a/src/admission/timing.ts
+++ b/src/admission/timing.ts
@@ -22,8 +22,8 @@
  */
 const MIN_TIMELY_SHARE = 0.25;
 /**
- * Before the end of its wait, in which a caller's retry is limited by the slots
- * only. It has no attempt left, so until then no prediction refuses it.
+ * Before the end of its wait, in which a caller's retry is not held to the share of
+ * its entry, and no prediction refuses it: it has no attempt left.
  */
 export const LAST_TRY_MS = 180;
 /** Minimum time left for another send. */
--- a/src/forwarding/target-candidate.ts
+++ b/src/forwarding/target-candidate.ts
@@ -326,8 +326,9 @@
   }
 
   /**
-   * True if only the slots limit it: a started stream, a retry at the end of its
-   * wait, and without an objective any request there.
+   * True if the entry's share doesn't limit it, nor without admission the length of
+   * passes: a started stream, a retry at the end of its wait, and without admission
+   * any request there.
    */
   private isUrgent(now: number): boolean {
     const {hasObjective} = this.search;
