Only a group that was seen closed counts as new

Entries without a view, and those that had just started, were held to an equal part of a new group's limit, though the group had been open all along. Change: the rule applies for 2 s after an entry has seen the group closed and then open.

--- a/src/forwarding/group-views.ts
+++ b/src/forwarding/group-views.ts
@@ -69,6 +69,8 @@
   private readonly views = new Map<string, ReceivedView>();
   /** When open groups were first seen open, by group key. */
   private readonly openedAt = new Map<string, number>();
+  /** Of these, groups that were seen closed before. */
+  private readonly formed = new Set<string>();
   private readonly rankIndex = new RankIndex(() => this.context.ranks());
   private readonly usableIndex = new RankIndex(() =>
     this.context.usableRanks(),
@@ -154,7 +156,9 @@
     return {
       size: this.rankIndex.of(key).length,
       usableRanks: this.usableIndex.of(key).length,
-      openMs: now - (this.openedAt.get(key) ?? -Infinity),
+      openMs: this.formed.has(key)
+        ? now - (this.openedAt.get(key) ?? now)
+        : Infinity,
       viewAgeMs: view === undefined ? Infinity : now - view.at,
       knownEntries: this.context.knownEntryCount(),
       uptimeMs: now - this.startedAt,
@@ -311,6 +315,7 @@
     this.polledGroups.delete(key);
     this.views.delete(key);
     this.openedAt.delete(key);
+    this.formed.delete(key);
     this.passes.forget(key);
     this.limitReasons.delete(key);
   }
@@ -356,6 +361,7 @@
   private noteGroupState(key: string, isOpen: boolean, at: number): void {
     if (!isOpen) {
       this.openedAt.delete(key);
+      this.formed.add(key);
     } else if (!this.openedAt.has(key)) {
       this.openedAt.set(key, at);
     }
--- a/src/forwarding/opening-limit.ts
+++ b/src/forwarding/opening-limit.ts
@@ -1,7 +1,6 @@
 /**
- * How much of a group one entry may use while it can't know what the others use:
- * after the group has opened, or without a view of it and without a share. It
- * answers the load of all callers that come back at once after an outage: views
+ * How much of a group that has just opened one entry may use while it can't know
+ * what the others use. It answers the load of all callers that come back at once after an outage: views
  * still show an empty group then, so that each entry fills what looks free. Pure.
  */
 import {REPORT_INTERVAL_MS} from '../capacity/timing';
@@ -36,7 +35,7 @@
   readonly size: number;
   /** Ranks that may receive requests. */
   readonly usableRanks: number;
-  /** Milliseconds since it was seen to open; Infinity: it was not. */
+  /** Milliseconds since it was seen to open; Infinity: it was open at the start. */
   readonly openMs: number;
   /** Age of the view of it; Infinity: there is none. */
   readonly viewAgeMs: number;
@@ -98,21 +97,20 @@
 
 /** True if a view shows what the group has, all entries' starts included. */
 function isShown({openMs, viewAgeMs}: GroupKnowledge): boolean {
-  return openMs >= NEW_GROUP_MS
-    ? viewAgeMs < Infinity
-    : viewAgeMs < Math.min(openMs, MAX_OPENING_VIEW_AGE_MS);
+  return (
+    openMs >= NEW_GROUP_MS ||
+    viewAgeMs < Math.min(openMs, MAX_OPENING_VIEW_AGE_MS)
+  );
 }
 
 /**
- * Age that the report behind a granted share may have at most; undefined: the
- * rule doesn't apply. The first share lasts until all entries have reported:
+ * Age that the report behind a granted share may have at most; undefined: the group
+ * is not new, and the rule doesn't apply, also while no view of it arrives, as when
+ * its planner is suspended. The first share lasts until all entries have reported:
  * before, the first ones to report are granted what the others already use.
  */
-function maxGrantAgeMs(group: GroupKnowledge): number | undefined {
-  if (group.openMs < NEW_GROUP_MS) {
-    return group.openMs - REPORT_INTERVAL_MS;
-  }
-  return group.viewAgeMs < Infinity ? undefined : Infinity;
+function maxGrantAgeMs({openMs}: GroupKnowledge): number | undefined {
+  return openMs < NEW_GROUP_MS ? openMs - REPORT_INTERVAL_MS : undefined;
 }
 
 /** Requests that a group that has just formed may process at once. */
