Log what the retry budget counts with each decision

Cause: the log of an incident couldn't tell an entry that exceeds its own limit from entries that keep theirs and exceed the sum. Change: FC2002 has the requests and retries that the process counts and its limit.

--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -231,11 +231,17 @@
     ) {
       return false;
     }
-    const isGranted = this.budgetOf(request.service).tryDraw(performance.now());
+    const now = performance.now();
+    const budget = this.budgetOf(request.service);
+    const isGranted = budget.tryDraw(now);
+    const state = budget.stateAt(now);
     this.context.log.event('requestRetried', {
       request: request.head.id,
       target: target.id,
       allowed: isGranted,
+      requests: state.requests,
+      retries: state.retries,
+      limit: Math.floor(state.allowed),
     });
     return isGranted;
   }
--- a/src/forwarding/retry-budget.ts
+++ b/src/forwarding/retry-budget.ts
@@ -15,6 +15,13 @@
 /** Recorded requests above which outdated ones are removed. */
 const MIN_PRUNE_LENGTH = 1_024;
 
+/** What this process counts in the window, and how many retries that allows. */
+export interface RetryBudgetState {
+  readonly requests: number;
+  readonly retries: number;
+  readonly allowed: number;
+}
+
 export class RetryBudget {
   private requests: number[] = [];
   private retries: number[] = [];
@@ -37,18 +44,24 @@
 
   /** True if a retry is allowed; it is then counted. */
   tryDraw(now: number): boolean {
+    const {retries, allowed} = this.stateAt(now);
+    if (retries + 1 > allowed) {
+      return false;
+    }
+    this.retries.push(now);
+    return true;
+  }
+
+  stateAt(now: number): RetryBudgetState {
     const {share, extra} = this.settings();
     this.prune(now);
     const parts = Math.max(
       MIN_PARTS,
       this.knownEntryCount() * ENTRY_COUNT_FACTOR,
     );
-    const allowed = this.requests.length * share * USED_SHARE + extra / parts;
-    if (this.retries.length + 1 > allowed) {
-      return false;
-    }
-    this.retries.push(now);
-    return true;
+    const requests = this.requests.length;
+    const allowed = requests * share * USED_SHARE + extra / parts;
+    return {requests, retries: this.retries.length, allowed};
   }
 
   private prune(now: number): void {
