A starting entry has no full token for a cold target

Callers saw nothing; a cold target gets more in a second than its bound allows while entries restart. Found by looking for the cause of the retry budget elsewhere: a process counts what it has sent to a cold target by itself and forgets it at its end.

Cause: an entry that starts while a target is cold took it for new and held a whole token at once, although its predecessor may just have used one.

One test of a tracker took time 0 for the start of the process and the target alike; its process now started a minute earlier, its expectations stand.

--- a/src/targets/warm-up.test.ts
+++ b/src/targets/warm-up.test.ts
@@ -195,6 +195,26 @@
     },
   );
 
+  it.each([
+    [32, 17, 2, 400],
+    [32, 14, 5, 300],
+    [64, 17, 4, 200],
+    [5, 17, 5, 300],
+    [5, 3, 5, 300],
+  ])(
+    'keep to the bound while all restart at once: %d per second, %d entries, %d times each %d ms',
+    async (perSecond, count, times, intervalMs) => {
+      site = new Site(perSecond, count, all);
+      await site.run(SETTLE_MS);
+      for (let time = 0; time < times; time += 1) {
+        site.addresses.forEach(address => site.start(address));
+        await site.run(intervalMs);
+      }
+      await site.run(3_000);
+      site.expectBoundHeld();
+    },
+  );
+
   it.each([
     [32, 'all', 1, all],
     [32, 'three', 1, three],
@@ -297,7 +317,7 @@
         knownProcesses: () => 17,
         onChange: change => changes.push(change),
       },
-      0,
+      -60_000,
     );
     const service = {name: SERVICE, coldStartMs: 2_000, coldPerSecond: 32};
     warmUp.setServices([service], 0);
--- a/src/targets/warm-up.ts
+++ b/src/targets/warm-up.ts
@@ -245,9 +245,11 @@
     const {bounds} = this.context;
     const isEqual = fitsEqualShares(rate, bounds, count);
     if (state.limit === undefined || isEqual !== isEqualShare(state.limit)) {
-      // A part of a token otherwise, since requests may be on their way; random,
-      // or all processes would send at the same moments.
-      const isNew = state.limit === undefined && !state.wasWarm;
+      // A part of a token otherwise, since requests may be on their way, or a former
+      // process of this entry has just sent some; random, or all processes would
+      // send at the same moments.
+      const isNew =
+        state.limit === undefined && !state.wasWarm && !count.isProvisional;
       const tokens = isNew ? 1 : random.uniform();
       state.limit?.close();
       state.limit = isEqual
