--- a/src/crashes/crash-coordinator.ts
+++ b/src/crashes/crash-coordinator.ts
@@ -185,7 +185,8 @@
     if (answer.ok) {
       peers.markResponsive(arbiter);
     } else if (!this.isClosed) {
-      // The next peer in the order arbitrates now.
+      // The next peer in the order arbitrates now. Two arbiters at once
+      // quarantine no request too early.
       peers.markUnresponsive(arbiter);
       this.report(reports);
     }
--- a/src/experts/demand.ts
+++ b/src/experts/demand.ts
@@ -31,7 +31,10 @@
  * large group can be as small as the noise in a small one.
  */
 const NOISE_WARM_UP_READINGS = 5;
-/** A window with a smaller share of the mean tokens is not compared. */
+/**
+ * A window with a smaller share of the mean tokens is not compared: it holds
+ * too little to be compared with the average alone.
+ */
 const MIN_TOKEN_SHARE = 0.4;
 
 export class RecentDemand extends DemandEstimate {
--- a/src/experts/group-member.ts
+++ b/src/experts/group-member.ts
@@ -23,9 +23,14 @@
 /** Timeout of asking a member whether it hears a planner. */
 const HEARING_TIMEOUT_MS = 80;
 const WATCH_TIMEOUT_MS = 25_000;
-/** Members that are asked whether they hear a planner. */
+/**
+ * Members that are asked whether they hear a planner; more would not tell more.
+ */
 const MAX_ASKED_MEMBERS = 12;
-/** Time for a process that has just started to hear the current planner. */
+/**
+ * Time for a process that has just started to hear the current planner: several
+ * of its readings.
+ */
 const STARTUP_DELAY_MS = 200;
 /** Election delay of each rank after the one before it. */
 const RANK_DELAY_MS = 50;
--- a/src/experts/map-changer.ts
+++ b/src/experts/map-changer.ts
@@ -21,7 +21,10 @@
 const ARM_TIME_DECAY = 0.85;
 /** Factor by which arming may exceed its estimate without delaying a pass. */
 const ARM_TIME_MARGIN = 1.2;
-/** Interval for polling the own rank during a change; shorter than a pass. */
+/**
+ * Interval for polling the own rank during a change; shorter than a pass. Calls
+ * within the instance cost nothing.
+ */
 const PASS_POLL_INTERVAL_MS = 10;
 /** Versions below the next multiple are random, to differ between planners. */
 const VERSION_STRIDE = 2 ** 20;
--- a/src/experts/packing.ts
+++ b/src/experts/packing.ts
@@ -157,7 +157,9 @@
   }
 }
 
-/** Target size of a packed growth, not enforced. */
+/**
+ * Target size of a packed growth, not enforced. Several share a narrow link.
+ */
 const TARGET_GROWTH_BYTES = 2_200;
 const BITS_PER_BYTE = 8;
 
--- a/src/experts/planner.ts
+++ b/src/experts/planner.ts
@@ -19,7 +19,8 @@
 const MIN_PERIOD_MS = 50;
 /**
  * Interval for polling the own rank for a new pass. Counters do not change
- * before one, and a reading costs each sidecar of the group three calls.
+ * before one, and a reading costs each sidecar of the group three calls, while
+ * calls within the instance cost nothing.
  */
 const PASS_POLL_INTERVAL_MS = 15;
 /**
@@ -374,7 +375,8 @@
     const isKnownVersion = own.mapVersion === known.version;
     if (isGroupHeld && isKnownVersion) {
       // A hold may take effect late if the helper froze while ordering it.
-      // Releasing it here avoids a recovery, which would wait for the helper.
+      // Releasing it here avoids a recovery, which would wait for the helper:
+      // 4 s without a view of the group.
       if (await this.changer.releaseLateHold(known.ranks, readings)) {
         return false;
       }
--- a/src/experts/rank-agent.ts
+++ b/src/experts/rank-agent.ts
@@ -24,7 +24,7 @@
 const OTHER_ORDER_TIMEOUT_MS = 180;
 /**
  * Interval between reads of the status in `waitForChange` if no planner is
- * heard.
+ * heard. Calls within the instance cost nothing.
  */
 const STATUS_POLL_INTERVAL_MS = 40;
 /** A planner counts as heard for this many periods after its last call. */
--- a/src/experts/set-placement.ts
+++ b/src/experts/set-placement.ts
@@ -21,7 +21,11 @@
   readonly maxNew: readonly number[];
 }
 
-/** Maximum load of an expert at one holder, as a multiple of the mean load. */
+/**
+ * Maximum load of an expert at one holder, as a multiple of the mean load.
+ * Lower values balance better but need more copies; with fewer copies each pass
+ * is longer.
+ */
 const MAX_SHARE = 0.9;
 /**
  * Load up to which a rank keeps the experts it holds, as a multiple of its fair
--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -14,7 +14,10 @@
 } from './types';
 
 const MAX_BODY_BYTES = 16 * 1024 * 1024;
-/** Shorter than TCP's first SYN retransmission, which comes after a second. */
+/**
+ * Some round trips within a region, and shorter than TCP's first SYN
+ * retransmission, which comes after a second.
+ */
 const CONNECT_TIMEOUT_MS = 400;
 
 /** Statuses by which a target states that it did not run the request. */
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -70,7 +70,10 @@
  */
 const STALE_CONFIGURATION_MS = 2_400;
 const NO_CONFIGURATION_RETRY_MS = 500;
-/** Maximum wait of a request for a starting entry to become able to route. */
+/**
+ * Maximum wait of a request for a starting entry to become able to route. A
+ * caller that is refused instead has used up an attempt and comes back later.
+ */
 const STARTUP_WAIT_MS = 350;
 const DEFAULT_TIME_LEFT_MS = 60_000;
 
--- a/src/forwarding/load-balancer.ts
+++ b/src/forwarding/load-balancer.ts
@@ -27,7 +27,10 @@
  * one wastes a part of the target's rate limit.
  */
 const PERMIT_BONUS = 2;
-/** Requests in flight that equal the hop to another hall. */
+/**
+ * Requests in flight that equal the hop to another hall, which takes little
+ * time beside a request.
+ */
 const OTHER_HALL_PENALTY = 0.4;
 /** The same where loads are reported: with 0.4, more than half were hops. */
 const REPORTED_HALL_PENALTY = 1;
--- a/src/forwarding/opening-limit.ts
+++ b/src/forwarding/opening-limit.ts
@@ -9,10 +9,14 @@
 
 /**
  * Assumed imbalance of a group that has just formed, whose experts are placed
- * round-robin, regardless of load.
+ * round-robin, regardless of load. With a lower one it would be sent more than
+ * it can start.
  */
 export const NEW_GROUP_IMBALANCE = 3.5;
-/** Time after opening in which a group counts as new. */
+/**
+ * Time after opening in which a group counts as new; by then a planner has
+ * reported it.
+ */
 export const NEW_GROUP_MS = 2_000;
 /** Time after its start in which an entry may not know all others yet. */
 export const START_MS = 10_000;
--- a/src/forwarding/slow-ranks.ts
+++ b/src/forwarding/slow-ranks.ts
@@ -6,8 +6,9 @@
 import type {GroupView} from '../experts/types';
 
 /**
- * Minimum actual over expected duration of a rank's work to move its streams: a
- * move costs a second prefill and a retry.
+ * Minimum actual over expected duration of a rank's work to move its streams. A
+ * move costs a second prefill, about a pass, and a retry; a rank at twice its
+ * usual time lengthens the passes of all by more than that within a few passes.
  */
 const MIN_MOVE_SLOWNESS = 2;
 
--- a/src/forwarding/target-list.ts
+++ b/src/forwarding/target-list.ts
@@ -26,10 +26,14 @@
 
 /**
  * How long after an outage a target stays usable whose entry lapsed in it. The
- * target has to write its entry again within this time.
+ * target has to write its entry again within this time: the users ask for
+ * recovery within about two seconds of the store's return.
  */
 export const LAPSE_GRACE_MS = 2_000;
-/** Ended and removed lifetimes that are remembered to ignore outdated entries. */
+/**
+ * Ended and removed lifetimes that are remembered to ignore outdated entries.
+ * Sized for sites of 3,200 targets.
+ */
 const MAX_ENDED_LIFETIMES = 4_096;
 
 /** What stated that a target is shutting down: its entry or a response. */
--- a/src/groups/member.ts
+++ b/src/groups/member.ts
@@ -169,7 +169,8 @@
 
   /**
    * Compares map versions rather than change ids: another leader may have armed
-   * this rank for the same map, and its commit must not be refused.
+   * this rank for the same map, and its commit must not be refused. Otherwise a
+   * group that three leaders formed in turn stood still for 2 s.
    */
   private isArmedToForm(change: types.MapChange): boolean {
     const formation = this.armedFormation;
--- a/src/http/retry-after.ts
+++ b/src/http/retry-after.ts
@@ -8,7 +8,10 @@
 /** Statuses with which Retry-After is honoured. */
 const RETRY_AFTER_STATUSES = new Set([429, 503]);
 const SECOND_MS = 1_000;
-/** Longer delays are cut to this; a target can repeat the header. */
+/**
+ * Longer delays are taken for errors and cut to this; a target that means it
+ * can repeat the header.
+ */
 export const MAX_RETRY_AFTER_MS = 3_600_000;
 
 /** The delay that a response asks for. */
--- a/src/peers/peer-poller.ts
+++ b/src/peers/peer-poller.ts
@@ -10,11 +10,23 @@
 import type {PeerDirectory} from './peer-directory';
 import type * as types from './types';
 
+/**
+ * A change known to one process reaches another that gets no updates in half of
+ * this on average, well within the two seconds that a site allows.
+ */
 const POLL_INTERVAL_MS = 300;
 const PEERS_PER_POLL = 2;
+/** A round trip and some work. */
 const ANSWER_TIMEOUT_MS = 250;
-/** Longer, since many processes may ask a watcher for everything at once. */
+/**
+ * Longer, since many processes may ask a watcher for everything at once, and a
+ * configuration may have some 100 KB.
+ */
 const WATCHER_ANSWER_TIMEOUT_MS = 600;
+/**
+ * A call costs about 1 KB. After one, the others know a process that has
+ * started again; after a few, all agree on who watches the store.
+ */
 const DISCOVERY_INTERVAL_MS = 3_000;
 
 /**
--- a/src/peers/watcher-election.ts
+++ b/src/peers/watcher-election.ts
@@ -7,7 +7,10 @@
  */
 import * as murmurhash from 'murmurhash';
 
-/** Two of them may fail at once. */
+/**
+ * Two of them may fail at once. A site with no more processes has all of them
+ * watch.
+ */
 export const WATCHER_COUNT = 3;
 /**
  * Covers a watcher's watch, a poll and a lost answer; below the age of 2 s from
--- a/src/roles/site-follower.ts
+++ b/src/roles/site-follower.ts
@@ -41,7 +41,10 @@
  * trusted only for a few seconds after one.
  */
 const CONFIGURATION_WAIT_MS = 1_800;
-/** Shorter while other entries rely on this one, which they poll for updates. */
+/**
+ * Shorter while other entries rely on this one: they poll it, and get an update
+ * some tenths of a second later.
+ */
 const SHARED_CONFIGURATION_WAIT_MS = 1_000;
 /** Long, since the watch of the configuration detects an unreachable store. */
 const TARGETS_WAIT_MS = 20_000;
@@ -49,7 +52,10 @@
 const DRAINED_HALLS_WAIT_MS = 30_000;
 /** Time after an outage in which targets may still write their documents again. */
 const OUTAGE_GRACE_MS = 1_000;
-/** Age of the configuration at which peers are polled though no call has failed. */
+/**
+ * Age of the configuration at which peers are polled though no call has failed:
+ * the wait of a watch, and the time that a slow store adds.
+ */
 const MAX_STORE_SILENCE_MS = 2_000;
 /** Time without an answer from any peer or target; covers several polls. */
 const ISOLATION_TIMEOUT_MS = 1_500;
--- a/src/routes/current.ts
+++ b/src/routes/current.ts
@@ -7,7 +7,10 @@
 import {RouteTable} from './table';
 import type * as types from './types';
 
-/** Longer than a watch request that waits 1.8 s at a slow store. */
+/**
+ * A watch request waits up to 1.8 s, and a slow store may add some hundred
+ * milliseconds.
+ */
 const MAX_CONFIRMATION_AGE_MS = 2_600;
 
 export class CurrentConfiguration {
--- a/src/rpc/coding.ts
+++ b/src/rpc/coding.ts
@@ -8,7 +8,10 @@
 import {Result, fail} from '../result';
 import {MAX_RPC_BYTES} from './types';
 
-/** Shorter bodies are sent uncompressed. */
+/**
+ * Shorter bodies are sent uncompressed: deflating them costs more than the link
+ * gains.
+ */
 const MIN_DEFLATED_BYTES = 1_024;
 /** The level with the least processor time. */
 const DEFLATE_LEVEL = 1;
--- a/src/targets/cooldown-tracker.ts
+++ b/src/targets/cooldown-tracker.ts
@@ -5,7 +5,10 @@
 import * as bounded from '../bounded';
 import {Cooldown} from './cooldown';
 
-/** The cooldown started or extended longest ago is dropped first. */
+/**
+ * The cooldown started or extended longest ago is dropped first. Sized for
+ * sites of 3,200 targets.
+ */
 export const MAX_COOLDOWNS = 4_096;
 
 export class CooldownTracker {
--- a/src/targets/cooldown.ts
+++ b/src/targets/cooldown.ts
@@ -13,12 +13,15 @@
 /** Time between requests to a half-open target. */
 export const TRIAL_INTERVAL_MS = 250;
 /**
- * A target leaves the half-open state after this time, even if no request was
- * answered yet.
+ * A target leaves the half-open state after this time, that of several trials,
+ * even if no request was answered yet: its answers may take longer.
  */
 export const HALF_OPEN_MS = 2_000;
 
-/** Largest random delay of a refused caller's retry, as a share of the cooldown. */
+/**
+ * Largest random delay of a refused caller's retry, as a share of the cooldown:
+ * those refused during the whole cooldown would return at the same moment.
+ */
 const CALLER_RETRY_JITTER = 0.5;
 
 /** Milliseconds after which a caller refused for a cooldown should retry. */
--- a/src/targets/directory.ts
+++ b/src/targets/directory.ts
@@ -143,7 +143,8 @@
 
   /**
    * Finds a target in or outside the subset: a caller may resume a stream here
-   * that it started through another entry.
+   * that it started through another entry. With the subset alone, some callers
+   * that changed entries lost their streams.
    */
   find(id: string): TargetLocation | undefined {
     return this.targets.get(id) ?? this.locations.get(id);
--- a/src/targets/permit-issuer.ts
+++ b/src/targets/permit-issuer.ts
@@ -28,6 +28,7 @@
 const MIN_RATE_PER_SECOND = 0.05;
 const MAX_WAIT_MS = 1_000;
 const MIN_WAIT_MS = 50;
+/** Sized for sites of 3,200 targets. */
 const MAX_BUCKETS = 4_096;
 const SECOND_MS = 1_000;
 
--- a/src/targets/rate-limit-tracker.ts
+++ b/src/targets/rate-limit-tracker.ts
@@ -9,7 +9,10 @@
 import type {RateLimit} from './rate-limit';
 import {PERMIT_TTL_MS} from './permit-issuer';
 
-/** The lifetime that was added first is dropped first. */
+/**
+ * The lifetime that was added first is dropped first. Sized for sites of 3,200
+ * targets.
+ */
 export const MAX_LIMITS = 4_096;
 /** Demand that is not renewed expires after this time. */
 const DEMAND_TTL_MS = 1_000;
