Requests go on to another target where a sidecar has just started

Cause: a sidecar without a configuration yet refuses with no-target, which was not among the refusals after which another target is tried; the log of an earlier failure has its detail, 'this sidecar has no configuration yet'. Change: it is, without use of the retry budget, as the refusal of a leaving target.

--- a/src/requests/entry-forward.ts
+++ b/src/requests/entry-forward.ts
@@ -43,6 +43,14 @@
   'deadline-unreachable',
   'target-failed',
   'not-found',
+  // A sidecar that has just started has no configuration yet.
+  'no-target',
+]);
+
+/** Of these, refusals that cause no load. */
+const NO_LOAD_KINDS: ReadonlySet<refusals.RefusalKind> = new Set([
+  'leaving',
+  'no-target',
 ]);
 
 /** Fails with the refusal for the caller. */
@@ -103,7 +111,7 @@
   );
 }
 
-/** A retry after `leaving` does not use the budget, since it caused no load. */
+/** A retry after a refusal that caused no load does not use the budget. */
 function mayRetry(
   context: entry.EntryContext,
   caller: entry.CallerRequest,
@@ -112,7 +120,9 @@
   if (entry.remainingMs(caller) === 0) {
     return false;
   }
-  if (lastRefusal?.kind !== 'leaving' && !context.budget.tryDraw()) {
+  const isFree =
+    lastRefusal !== undefined && NO_LOAD_KINDS.has(lastRefusal.kind);
+  if (!isFree && !context.budget.tryDraw()) {
     return false;
   }
   context.metrics.count('retries_total');
