Retry budget: the extra by its name, the issuer's burst from its module

Cause: reading of the change: 'lent' for permits that are issued, and the length of the issuer's bucket in two places. Change: names, one constant; no logic.

--- a/src/forwarding/lent-retries.ts
+++ b/src/forwarding/extra-retries.ts
@@ -5,20 +5,24 @@
  */
 import {Subject} from 'rxjs';
 import type {RetryBudgetSettings} from '../roles/site-settings';
-import {HANDOVER_DELAY_MS, PERMIT_TTL_MS} from '../targets/permit-issuer';
+import {
+  BURST_S,
+  HANDOVER_DELAY_MS,
+  PERMIT_TTL_MS,
+} from '../targets/permit-issuer';
 import {MAX_REQUESTED_S, RateLimitTracker} from '../targets/rate-limit-tracker';
 
 /** Validity of a permit that was taken, until the retry is sent. */
 export const TAKEN_PERMIT_TTL_MS = 250;
-/** The issuer's bucket holds what it issues in this time. */
-const BUCKET_MS = 250;
 /** Maximum time for which a retry waits for a permit. */
 export const MAX_PERMIT_WAIT_MS = 200;
-/** Smaller extras are not lent: the bucket holds at least one permit. */
+/** The issuer's bucket holds at least one permit, whatever the rate. */
+const MIN_BURST = 1;
+/** Smaller extras are not issued: the issuer's minimum rate would exceed them. */
 const MIN_EXTRA = 2;
 const SECOND_MS = 1_000;
 
-export class LentRetries {
+export class ExtraRetries {
   readonly permits = new RateLimitTracker();
   /** Emits a service that has got permits. */
   readonly granted = new Subject<string>();
@@ -31,10 +35,10 @@
       windowMs +
       PERMIT_TTL_MS +
       TAKEN_PERMIT_TTL_MS +
-      BUCKET_MS +
+      BURST_S * SECOND_MS +
       HANDOVER_DELAY_MS;
-    const lendable = extra < MIN_EXTRA ? 0 : extra - 1;
-    this.perSecond = (lendable * SECOND_MS) / spanMs;
+    const issued = extra < MIN_EXTRA ? 0 : extra - MIN_BURST;
+    this.perSecond = (issued * SECOND_MS) / spanMs;
     this.permits.onGrant = service => this.granted.next(service);
   }
 
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -22,7 +22,7 @@
 import {GroupGate} from './group-gate';
 import {GroupViews} from './group-views';
 import type {HeldBytes} from './held-bytes';
-import type {LentRetries} from './lent-retries';
+import type {ExtraRetries} from './extra-retries';
 import {PlainRelay} from './plain-relay';
 import {ForwarderPools} from './pools';
 import {QueuesReporter} from './queues-reporter';
@@ -46,7 +46,7 @@
   readonly connections: TargetConnections;
   readonly crashes: CrashCoordinator;
   readonly shares: CapacityShares & Pick<SharedCapacity, 'lastStateOf'>;
-  readonly lentRetries: LentRetries;
+  readonly extraRetries: ExtraRetries;
   /** Bytes that this process holds for callers and targets. */
   readonly held: HeldBytes;
   /** Known entries of the site, including this one. */
@@ -250,7 +250,7 @@
       budget = new RetryBudget(
         () => this.context.cfg.retryBudget,
         service,
-        this.context.lentRetries,
+        this.context.extraRetries,
       );
       this.budgets.set(service, budget);
     }
--- a/src/forwarding/retry-budget.test.ts
+++ b/src/forwarding/retry-budget.test.ts
@@ -7,7 +7,7 @@
 import {Network, NetworkNode} from '../targets/network-kit';
 import {PeerReach} from '../targets/peer-reach';
 import {ProcessCounter} from '../targets/process-count';
-import {LentRetries} from './lent-retries';
+import {ExtraRetries} from './extra-retries';
 import {RetryBudget} from './retry-budget';
 
 const SERVICE = 'svc';
@@ -36,11 +36,11 @@
       () => 1 + directory.known.length,
       startedAt,
     );
-    const lent = new LentRetries(settings);
+    const extra = new ExtraRetries(settings);
     this.coordinator = new LimitCoordinator({
       rpc: {call: network.callFrom(this)},
       peers: new PeerRanking(address, directory),
-      limits: lent.permits,
+      limits: extra.permits,
       log: {event: () => undefined},
       method: limitApp.borrowRetries,
       handoverMs: 0,
@@ -49,7 +49,7 @@
       onChange: () => undefined,
     });
     this.coordinator.open({handle: this.handle});
-    this.budget = new RetryBudget(() => settings, SERVICE, lent);
+    this.budget = new RetryBudget(() => settings, SERVICE, extra);
   }
 }
 
--- a/src/forwarding/retry-budget.ts
+++ b/src/forwarding/retry-budget.ts
@@ -1,16 +1,16 @@
 /**
  * This entry's part of the retries that all entries may make together in a sliding
- * window: a share of its own requests, and what it is lent of the fixed extra. A
+ * window: a share of its own requests, and permits of the fixed extra. A
  * retry is reserved when it is decided and counts from when it is sent, since it
  * may wait for a target in between.
  */
 import type * as rxjs from 'rxjs';
 import type {RetryBudgetSettings} from '../roles/site-settings';
 import {
-  LentRetries,
+  ExtraRetries,
   MAX_PERMIT_WAIT_MS,
   TAKEN_PERMIT_TTL_MS,
-} from './lent-retries';
+} from './extra-retries';
 import {RetryShare} from './retry-share';
 
 /** Maximum time for which a retry waits until requests allow it. */
@@ -59,7 +59,7 @@
 }
 
 /** Uses up a permit at once, which expires if the retry waits for too long. */
-class LentReservation extends RetryReservation {
+class PermitReservation extends RetryReservation {
   constructor(
     private readonly takenAt: number,
     private readonly tryAgain: (now: number) => RetryReservation | undefined,
@@ -91,10 +91,10 @@
   constructor(
     settings: () => RetryBudgetSettings,
     private readonly service: string,
-    private readonly lent: LentRetries,
+    private readonly extra: ExtraRetries,
   ) {
     this.share = new RetryShare(settings);
-    this.subscription = lent.granted.subscribe(granted => {
+    this.subscription = extra.granted.subscribe(granted => {
       if (granted === service) {
         this.settleWaiting(performance.now());
       }
@@ -134,14 +134,14 @@
 
   /** Undefined if no retry is allowed now. */
   tryReserve(now: number): RetryReservation | undefined {
-    const {share, lent, service} = this;
+    const {share, extra, service} = this;
     if (share.remaining(now) >= 1) {
       return new ShareReservation(share);
     }
-    if (lent.tryTake(service, now)) {
-      return new LentReservation(now, at => this.tryReserve(at));
+    if (extra.tryTake(service, now)) {
+      return new PermitReservation(now, at => this.tryReserve(at));
     }
-    lent.request(service, now);
+    extra.request(service, now);
     return undefined;
   }
 
@@ -167,14 +167,14 @@
 
   /** Maximum wait of another retry; 0 if it would wait in vain. */
   private maxWaitMs(now: number): number {
-    const {share, lent, service, waiting} = this;
+    const {share, extra, service, waiting} = this;
     if (share.waitMs(waiting.length + 1, now) <= MAX_WAIT_MS) {
       return MAX_WAIT_MS;
     }
-    if (waiting.length >= lent.maxWaiting(service, now)) {
+    if (waiting.length >= extra.maxWaiting(service, now)) {
       return 0;
     }
-    lent.request(service, now);
+    extra.request(service, now);
     return MAX_PERMIT_WAIT_MS;
   }
 
--- a/src/roles/site-entry.ts
+++ b/src/roles/site-entry.ts
@@ -134,7 +134,7 @@
       connections: this.connections,
       crashes: this.site.crashes,
       shares: this.shares,
-      lentRetries: this.site.lentRetries,
+      extraRetries: this.site.extraRetries,
       held: this.held,
       knownEntryCount: () => this.site.knownEntryCount,
       whenRoutable: waitMs => this.site.whenRoutable(waitMs),
--- a/src/roles/site-follower.ts
+++ b/src/roles/site-follower.ts
@@ -8,7 +8,7 @@
 import * as limitApp from '../targets/limit-app';
 import {LimitCoordinator} from '../targets/limit-coordinator';
 import {PeerReach} from '../targets/peer-reach';
-import {LentRetries} from '../forwarding/lent-retries';
+import {ExtraRetries} from '../forwarding/extra-retries';
 import {TargetChange, TargetList} from '../forwarding/target-list';
 import type {Target} from '../forwarding/types';
 import type {SuspensionDetector} from '../suspension-detector';
@@ -104,7 +104,7 @@
   /** Issues permits for cold targets. */
   private readonly coldLimits: LimitCoordinator;
   /** The extra of the retry budget, and who issues it. */
-  readonly lentRetries: LentRetries;
+  readonly extraRetries: ExtraRetries;
   private readonly retryLimits: LimitCoordinator;
   private readonly coldNotices: ColdNotices;
   /** Ids of targets in use that have turned cold in the update being applied. */
@@ -166,11 +166,11 @@
       onChange: (lifetime, change) =>
         change === 'named' && warmUp.permits.forget(lifetime),
     });
-    this.lentRetries = new LentRetries(cfg.retryBudget);
+    this.extraRetries = new ExtraRetries(cfg.retryBudget);
     this.retryLimits = new LimitCoordinator({
       rpc: context.rpc,
       peers,
-      limits: this.lentRetries.permits,
+      limits: this.extraRetries.permits,
       log: context.log,
       method: limitApp.borrowRetries,
       reach: new PeerReach(now => warmUp.countAt(now).known),
@@ -284,7 +284,7 @@
     this.limits.close();
     this.coldLimits.close();
     this.retryLimits.close();
-    this.lentRetries.close();
+    this.extraRetries.close();
     this.crashes.close();
     this.drainedHalls.close();
     this.peerPoller.close();
--- a/src/targets/permit-issuer.ts
+++ b/src/targets/permit-issuer.ts
@@ -20,7 +20,7 @@
 /** The bucket of a target without requests is removed after this time. */
 const IDLE_TIMEOUT_MS = 30_000;
 /** Bucket capacity as a time at the limit's rate; at least one token. */
-const BURST_S = 0.25;
+export const BURST_S = 0.25;
 /**
  * Minimum rate, whatever the limit: a target that gets no requests could not
  * advertise a higher limit.
