--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -49,14 +49,15 @@
   ): Promise<Result<types.Target, types.Refusal>> {
     const found = await this.finder.find(call, request, tried, mayWait);
     const now = performance.now();
+    const {retry} = call;
+    call.retry = undefined;
     if (!found.ok) {
-      call.retry?.release();
-    } else if (call.retry?.trySend(now) === false) {
+      retry?.release();
+    } else if (retry?.trySend(now) === false) {
       this.context.balancer.end(found.value, 0, now);
       call.releasePlace(false);
       return fail(this.refusals.targetFull(call, request.service));
     }
-    call.retry = undefined;
     return found;
   }
 
