--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -8,7 +8,7 @@
 import * as outcomes from './outcomes';
 import type {RefusalBuilder} from './refusal-builder';
 import {RelayedRequest, digestOf, enginePriorityOf} from './relayed-request';
-import type {RetryBudget} from './retry-budget';
+import type {RetryBudget, RetryReservation} from './retry-budget';
 import type {TargetFinder} from './target-finder';
 import {Result, fail} from '../result';
 import * as types from './types';
@@ -251,12 +251,9 @@
       return false;
     }
     const budget = this.budgetOf(request.service);
-    call.retry = await budget.reserve(
-      performance.now(),
-      call.timeLeftMs - MIN_TIME_LEFT_MS,
-    );
-    this.noteRetry(call, request, target);
-    return call.retry !== undefined;
+    const timeLeftMs = call.timeLeftMs - MIN_TIME_LEFT_MS;
+    const retry = await budget.reserve(performance.now(), timeLeftMs);
+    return this.noteDecision(call, request, target, retry);
   }
 
   /** The same without a wait. */
@@ -269,9 +266,8 @@
       return false;
     }
     const budget = this.budgetOf(request.service);
-    call.retry = budget.tryReserve(performance.now());
-    this.noteRetry(call, request, target);
-    return call.retry !== undefined;
+    const retry = budget.tryReserve(performance.now());
+    return this.noteDecision(call, request, target, retry);
   }
 
   /** True if the request's own limits allow another send. */
@@ -292,20 +288,25 @@
     );
   }
 
-  private noteRetry(
+  /** Keeps the reservation for the next send; true if there is one. */
+  private noteDecision(
     call: Call,
     request: RelayedRequest,
     target: types.Target,
-  ): void {
-    const isAllowed = call.retry !== undefined;
-    const outcome = isAllowed ? 'allowed' : 'denied';
-    this.context.metrics.count('retries_total', {outcome});
+    retry: RetryReservation | undefined,
+  ): boolean {
+    const isAllowed = retry !== undefined;
+    call.retry = retry;
+    this.context.metrics.count('retries_total', {
+      outcome: isAllowed ? 'allowed' : 'denied',
+    });
     this.context.log.event('requestRetried', {
       request: request.head.id,
       target: target.id,
       allowed: isAllowed,
       ...this.budgetOf(request.service).stateAt(performance.now()),
     });
+    return isAllowed;
   }
 
   /** Answers the caller for an outcome without a response to pass on. */
