Quarantine of a popular request ends when it is served

Cause: in flight at three targets that crash together, it is quarantined before a success is reported; the log shows 31 copies answered 200 after the quarantine, which nothing counts, and each refused copy renews it. Change: a success ends the quarantine at all entries; without one, the arbiter grants single trials 1, 4, 16, 64 and 120 s apart.

src/crashes/suspect-tracker keeps a bounded score; its tests are unchanged, two are new.

--- a/src/crashes/app.ts
+++ b/src/crashes/app.ts
@@ -6,7 +6,7 @@
 
 export const quarantineSchema = v.object({
   digest: v.string(),
-  /** Milliseconds until the quarantine ends. */
+  /** Milliseconds until the quarantine ends; 0 ends it. */
   leftMs: v.pipe(v.number(), v.minValue(0)),
 });
 
@@ -31,7 +31,10 @@
 );
 export type Report = v.InferOutput<typeof report.params>['reports'][number];
 
-/** Notifies an entry of quarantined requests, which it must refuse. */
+/**
+ * Notifies an entry of quarantined requests, which it must refuse, and of requests
+ * whose quarantine ends.
+ */
 export const convict = rpc.method(
   'crashes.convict',
   v.object({
@@ -43,3 +46,14 @@
   }),
   v.object({}),
 );
+
+/** Asks the arbiter whether the caller may send a quarantined request once. */
+export const requestTrial = rpc.method(
+  'crashes.trial',
+  v.object({from: v.string(), digest: v.string()}),
+  v.object({
+    isGranted: v.boolean(),
+    /** Milliseconds until the next trial may be granted. */
+    nextMs: v.pipe(v.number(), v.minValue(0)),
+  }),
+);
--- a/src/crashes/crash-coordinator.ts
+++ b/src/crashes/crash-coordinator.ts
@@ -1,19 +1,28 @@
 /**
  * Finds and quarantines requests that crash targets, together with peers. One entry
  * arbitrates each request, chosen by its digest: it collects crashes and successes
- * from all entries and notifies them of a quarantine. Without crashes there are no
- * calls and no digests.
+ * from all entries and notifies them of a quarantine. A popular request may be in
+ * flight at several targets that crash for another reason, so a success ends the
+ * quarantine, and the arbiter grants a trial now and then. Without crashes there are
+ * no calls and no digests.
  */
 import type {Target} from '../forwarding/types';
 import * as grouping from '../grouping';
 import type {Log} from '../observability/log';
 import type {PeerRanking} from '../peers/peer-ranking';
+import {ok} from '../result';
 import type {RpcClient} from '../rpc/client';
 import type {RpcServer} from '../rpc/server';
 import * as app from './app';
-import {Quarantine, QuarantineNotice, QUARANTINE_MS} from './quarantine';
 import * as crashCheck from './crash-check';
+import {
+  FIRST_TRIAL_MS,
+  QUARANTINE_MS,
+  Quarantine,
+  QuarantineNotice,
+} from './quarantine';
 import {SuspectTracker} from './suspect-tracker';
+import {TrialSchedule} from './trial-schedule';
 
 /** Allows for a round trip and one lost packet. */
 const RPC_TIMEOUT_MS = 400;
@@ -44,6 +53,8 @@
   private readonly localSuspects = new SuspectTracker();
   private readonly servedReportedAt = new Map<string, number>();
   private readonly quarantine = new Quarantine();
+  /** Trials of the requests that this entry arbitrates. */
+  private readonly trials = new TrialSchedule();
   private readonly lostRequests = new Map<string, LostRequests>();
   private isClosed = false;
 
@@ -61,6 +72,10 @@
       this.applyNotices(convicted);
       return {};
     });
+    server.handle(app.requestTrial, ({from, digest}) => {
+      this.context.peers.markResponsive(from);
+      return this.decideTrial(digest);
+    });
   }
 
   close(): void {
@@ -83,6 +98,36 @@
     return isRefused;
   }
 
+  /**
+   * True if a quarantined request may be sent once, to find out whether it still
+   * crashes targets. Only one call at a time asks the arbiter; the others resolve
+   * at once.
+   */
+  async mayTry(digest: string): Promise<boolean> {
+    const {rpc, peers, log} = this.context;
+    if (!this.quarantine.takeAsk(digest, performance.now())) {
+      return false;
+    }
+    const arbiter = peers.responsive(digest)[0]!;
+    const params = {from: peers.ownAddress, digest};
+    const answer =
+      arbiter === peers.ownAddress
+        ? ok(this.decideTrial(digest))
+        : await rpc.call(arbiter, app.requestTrial, params, RPC_TIMEOUT_MS);
+    const now = performance.now();
+    if (!answer.ok) {
+      peers.markUnresponsive(arbiter);
+      this.quarantine.askAgainAt(digest, now + FIRST_TRIAL_MS);
+      return false;
+    }
+    const {isGranted, nextMs} = answer.value;
+    this.quarantine.askAgainAt(digest, now + nextMs);
+    if (isGranted) {
+      log.event('requestTried', {digest});
+    }
+    return isGranted;
+  }
+
   /** Records that the connection carrying a request was lost. */
   noteLost(target: Target, digest: string): void {
     const now = performance.now();
@@ -107,6 +152,11 @@
   /** Records that a request was served. */
   noteServed(digest: string): void {
     const now = performance.now();
+    if (this.quarantine.has(digest, now)) {
+      this.report([{digest, lifetime: null}]);
+      this.release(digest, 'served');
+      return;
+    }
     const reportedAt = this.servedReportedAt.get(digest) ?? -Infinity;
     if (
       this.localSuspects.isSuspect(digest, now) &&
@@ -130,7 +180,9 @@
   applyNotices(notices: readonly QuarantineNotice[]): void {
     const now = performance.now();
     for (const {digest, leftMs} of notices) {
-      if (this.quarantine.add(digest, leftMs, now)) {
+      if (leftMs === 0) {
+        this.release(digest, 'peer');
+      } else if (this.quarantine.add(digest, leftMs, now)) {
         this.context.log.event('requestConvicted', {digest, by: 'peer'});
       }
     }
@@ -196,6 +248,9 @@
     const now = performance.now();
     if (lifetime === null) {
       this.arbitratedSuspects.noteServed(digest, now);
+      if (this.release(digest, 'served')) {
+        void this.notifyPeers([{digest, leftMs: 0}]);
+      }
       return;
     }
     this.arbitratedSuspects.noteCrash(digest, lifetime, now);
@@ -203,11 +258,27 @@
       const leftMs = QUARANTINE_MS;
       if (this.quarantine.add(digest, leftMs, now)) {
         this.context.log.event('requestConvicted', {digest, by: 'crashes'});
+        this.trials.schedule(digest, now);
       }
       void this.notifyPeers([{digest, leftMs}]);
     }
   }
 
+  private decideTrial(digest: string): {isGranted: boolean; nextMs: number} {
+    const now = performance.now();
+    const isGranted = this.trials.take(digest, now);
+    return {isGranted, nextMs: this.trials.waitMs(digest, now)};
+  }
+
+  /** Ends a quarantine; true if the request was quarantined. */
+  private release(digest: string, by: 'served' | 'peer'): boolean {
+    const wasQuarantined = this.quarantine.release(digest, performance.now());
+    if (wasQuarantined) {
+      this.context.log.event('requestReleased', {digest, by});
+    }
+    return wasQuarantined;
+  }
+
   private async notifyPeers(
     notices: readonly QuarantineNotice[],
   ): Promise<void> {
--- a/src/crashes/quarantine.ts
+++ b/src/crashes/quarantine.ts
@@ -1,6 +1,7 @@
 /**
  * Requests that are refused because they crash targets. Each attempt by a caller
- * to send one renews its quarantine. Takes the time as an argument.
+ * to send one renews its quarantine, which ends early once the request is served.
+ * Takes the time as an argument.
  */
 import * as bounded from '../bounded';
 
@@ -10,11 +11,15 @@
 const MAX_QUARANTINED = 1_024;
 /** Peers are notified again of a request that is still being sent. */
 const NOTIFY_INTERVAL_MS = 30_000;
+/** From the start of a quarantine until the request may be tried. */
+export const FIRST_TRIAL_MS = 1_000;
 
 interface QuarantineEntry {
   endsAt: number;
   /** When peers were last notified. */
   notifiedAt: number;
+  /** When to ask the arbiter for a trial; Infinity while it is asked. */
+  askAt: number;
 }
 
 /** A quarantined request, as sent to peers. */
@@ -34,10 +39,12 @@
     const endsAt = now + Math.min(leftMs, QUARANTINE_MS);
     const before = this.entries.get(digest);
     this.lastEndsAt = Math.max(this.lastEndsAt, endsAt);
+    const askAt = before?.askAt ?? now + FIRST_TRIAL_MS;
     this.entries.delete(digest);
     this.entries.set(digest, {
       endsAt: Math.max(endsAt, before?.endsAt ?? 0),
       notifiedAt: now,
+      askAt,
     });
     bounded.dropOldest(this.entries, MAX_QUARANTINED);
     return isNew;
@@ -64,6 +71,34 @@
     return isDue;
   }
 
+  /** True if the arbiter must be asked now whether the request may be tried. */
+  takeAsk(digest: string, now: number): boolean {
+    const entry = this.entries.get(digest);
+    const isDue = entry !== undefined && now >= entry.askAt;
+    if (isDue) {
+      entry.askAt = Infinity;
+    }
+    return isDue;
+  }
+
+  /** Sets when to ask the arbiter again. */
+  askAgainAt(digest: string, at: number): void {
+    const entry = this.entries.get(digest);
+    if (entry !== undefined) {
+      entry.askAt = at;
+    }
+  }
+
+  /** Ends the quarantine of a request; true if it was quarantined. */
+  release(digest: string, now: number): boolean {
+    const wasQuarantined = this.has(digest, now);
+    this.entries.delete(digest);
+    if (this.entries.size === 0) {
+      this.lastEndsAt = -Infinity;
+    }
+    return wasQuarantined;
+  }
+
   /** All active entries, for a process that has just started. */
   notices(now: number): QuarantineNotice[] {
     return [...this.entries]
@@ -71,6 +106,16 @@
       .map(([digest, {endsAt}]) => ({digest, leftMs: endsAt - now}));
   }
 
+  /** True if the request is quarantined; does not renew that. */
+  has(digest: string, now: number): boolean {
+    const entry = this.entries.get(digest);
+    if (entry !== undefined && entry.endsAt <= now) {
+      this.entries.delete(digest);
+      return false;
+    }
+    return entry !== undefined;
+  }
+
   /** True if no quarantine is active. */
   isEmpty(now: number): boolean {
     return now >= this.lastEndsAt;
@@ -79,13 +124,4 @@
   get size(): number {
     return this.entries.size;
   }
-
-  private has(digest: string, now: number): boolean {
-    const entry = this.entries.get(digest);
-    if (entry !== undefined && entry.endsAt <= now) {
-      this.entries.delete(digest);
-      return false;
-    }
-    return entry !== undefined;
-  }
 }
--- a/src/crashes/suspect-tracker.test.ts
+++ b/src/crashes/suspect-tracker.test.ts
@@ -24,6 +24,28 @@
     expect(tracker.isSuspect('other', 10)).toBe(false);
   });
 
+  it('are released by a success after many crashes at once', () => {
+    const tracker = new SuspectTracker();
+    for (let at = 0; at < 20; at += 1) {
+      tracker.noteCrash('popular', `life-${at}`, at);
+    }
+    expect(tracker.shouldQuarantine('popular', 20)).toBe(true);
+    tracker.noteServed('popular', 21);
+    expect(tracker.shouldQuarantine('popular', 21)).toBe(false);
+  });
+
+  it('are quarantined despite many successes before the crashes', () => {
+    const tracker = new SuspectTracker();
+    tracker.noteCrash('changed', 'a', 0);
+    for (let at = 1; at < 100; at += 1) {
+      tracker.noteServed('changed', at);
+    }
+    for (const lifetime of ['b', 'c', 'd']) {
+      tracker.noteCrash('changed', lifetime, 100);
+    }
+    expect(tracker.shouldQuarantine('changed', 100)).toBe(true);
+  });
+
   it('expire and are bounded in number', () => {
     const tracker = new SuspectTracker();
     for (let at = 0; at < 3_000; at += 1) {
--- a/src/crashes/suspect-tracker.ts
+++ b/src/crashes/suspect-tracker.ts
@@ -2,11 +2,12 @@
  * Requests that were in flight when targets crashed (suspected queries of death).
  * Several requests are in flight in a crash, so one is quarantined only once the
  * lifetimes that crashed with it outnumber its successes by CRASHES_TO_QUARANTINE.
- * Takes the time as an argument.
+ * The difference is kept between 0 and that, so that neither many crashes at once
+ * nor many earlier successes outweigh what follows. Takes the time as an argument.
  */
 import * as bounded from '../bounded';
 
-/** Crashed lifetimes minus successes. */
+/** Score of a request that is quarantined. */
 const CRASHES_TO_QUARANTINE = 3;
 /** Counted from the request's latest crash. */
 const SUSPECT_TTL_MS = 60_000;
@@ -15,7 +16,8 @@
 
 interface Suspect {
   readonly lifetimes: Set<string>;
-  served: number;
+  /** Crashed lifetimes minus successes. */
+  score: number;
   lastCrashAt: number;
 }
 
@@ -28,10 +30,13 @@
   noteCrash(digest: string, lifetime: string, now: number): void {
     const suspect = this.unexpired(digest, now) ?? {
       lifetimes: new Set(),
-      served: 0,
+      score: 0,
       lastCrashAt: now,
     };
-    suspect.lifetimes.add(lifetime);
+    if (!suspect.lifetimes.has(lifetime)) {
+      suspect.lifetimes.add(lifetime);
+      suspect.score = Math.min(suspect.score + 1, CRASHES_TO_QUARANTINE);
+    }
     suspect.lastCrashAt = now;
     this.lastCrashAt = now;
     this.suspects.delete(digest);
@@ -43,7 +48,7 @@
   noteServed(digest: string, now: number): void {
     const suspect = this.unexpired(digest, now);
     if (suspect !== undefined) {
-      suspect.served += 1;
+      suspect.score = Math.max(suspect.score - 1, 0);
     }
   }
 
@@ -54,10 +59,7 @@
 
   shouldQuarantine(digest: string, now: number): boolean {
     const suspect = this.unexpired(digest, now);
-    return (
-      suspect !== undefined &&
-      suspect.lifetimes.size - suspect.served >= CRASHES_TO_QUARANTINE
-    );
+    return suspect !== undefined && suspect.score >= CRASHES_TO_QUARANTINE;
   }
 
   /** True if there was no recent crash. */
--- /dev/null
+++ b/src/crashes/trial-schedule.ts
@@ -0,0 +1,68 @@
+/**
+ * When a quarantined request may be sent again, to find out whether it still
+ * crashes targets. Trials of one request are spaced further apart each time.
+ * Takes the time as an argument.
+ */
+import * as bounded from '../bounded';
+import {FIRST_TRIAL_MS, QUARANTINE_MS} from './quarantine';
+
+/** Each delay between trials is this many times the one before. */
+const DELAY_FACTOR = 4;
+const MAX_DELAY_MS = QUARANTINE_MS;
+/** Later, a request starts with the first delay again. */
+const TTL_MS = 2 * MAX_DELAY_MS;
+/** The request whose latest trial is oldest is dropped first. */
+const MAX_REQUESTS = 1_024;
+
+interface Trials {
+  delayMs: number;
+  dueAt: number;
+}
+
+export class TrialSchedule {
+  private readonly trials = new Map<string, Trials>();
+
+  /** Schedules the next trial of a request that is quarantined now. */
+  schedule(digest: string, now: number): void {
+    const before = this.unexpired(digest, now);
+    const delayMs = before?.delayMs ?? FIRST_TRIAL_MS;
+    const dueAt = Math.max(before?.dueAt ?? 0, now + delayMs);
+    this.set(digest, {delayMs, dueAt});
+  }
+
+  /** Grants a trial if one is due, and schedules the next. */
+  take(digest: string, now: number): boolean {
+    const next = this.unexpired(digest, now);
+    if (next === undefined) {
+      this.schedule(digest, now);
+      return false;
+    }
+    if (next.dueAt > now) {
+      return false;
+    }
+    const delayMs = Math.min(next.delayMs * DELAY_FACTOR, MAX_DELAY_MS);
+    this.set(digest, {delayMs, dueAt: now + delayMs});
+    return true;
+  }
+
+  /** Milliseconds until the next trial is due. */
+  waitMs(digest: string, now: number): number {
+    const next = this.unexpired(digest, now);
+    return Math.max((next?.dueAt ?? now + FIRST_TRIAL_MS) - now, 0);
+  }
+
+  private set(digest: string, next: Trials): void {
+    this.trials.delete(digest);
+    this.trials.set(digest, next);
+    bounded.dropOldest(this.trials, MAX_REQUESTS);
+  }
+
+  private unexpired(digest: string, now: number): Trials | undefined {
+    const next = this.trials.get(digest);
+    if (next !== undefined && now - next.dueAt > TTL_MS) {
+      this.trials.delete(digest);
+      return undefined;
+    }
+    return next;
+  }
+}
--- a/src/forwarding/target-finder.ts
+++ b/src/forwarding/target-finder.ts
@@ -58,7 +58,10 @@
     mayWait: boolean,
   ): Promise<Result<types.Target, types.Refusal>> {
     const crashDigest = this.crashDigestOf(request);
-    if (crashDigest !== undefined) {
+    if (
+      crashDigest !== undefined &&
+      !(await this.context.crashes.mayTry(crashDigest))
+    ) {
       return fail(
         this.refusals.crashesTargets(call, request.service, crashDigest),
       );
--- a/src/observability/catalogue.ts
+++ b/src/observability/catalogue.ts
@@ -59,11 +59,21 @@
     level: 'info',
     text: 'requests wait for a target',
   },
+  requestTried: {
+    id: 'FC2014',
+    level: 'warn',
+    text: 'quarantined request is sent once as a trial',
+  },
   slowReaderCut: {
     id: 'FC2015',
     level: 'warn',
     text: 'too many bytes held: slow reader or sender cut off',
   },
+  requestReleased: {
+    id: 'FC2016',
+    level: 'warn',
+    text: 'request was served: not refused any more',
+  },
   platformUnavailable: {
     id: 'FC3001',
     level: 'warn',
