Entries call the new owner of a key after a planned stop

Cause: a handover keeps the times of a cell, so the merge of sidecars' copies let the last one read win, also where it was stale; each new read had even chances. Provoked with twelve copies at once beside 20 busy processes: up to four attempts at the ended owner, all refused at once, which rules out the suspected time-out. Change: copies carry the slot's version and the newest counts; a search asks more sidecars each time, at once and for 0.5 s.

--- a/src/claims/app.ts
+++ b/src/claims/app.ts
@@ -22,7 +22,14 @@
   'claims.table',
   v.object({service: v.string()}),
   v.object({
-    cells: v.array(v.object({slot: v.number(), cell: cellSchema})),
+    cells: v.array(
+      v.object({
+        slot: v.number(),
+        /** Of the slot in the store; absent in earlier versions. */
+        version: v.optional(v.number()),
+        cell: cellSchema,
+      }),
+    ),
   }),
 );
 
--- a/src/claims/owner-directory.ts
+++ b/src/claims/owner-directory.ts
@@ -3,19 +3,42 @@
  * A cached cell may be stale: the owner itself decides, so that costs only an
  * extra hop.
  */
+import * as grouping from '../grouping';
 import * as random from '../random';
 import type {RpcClient} from '../rpc/client';
 import * as app from './app';
 import * as keys from './keys';
 import type {Cell, Owner} from './types';
 
+/** Doubled with each fetch that follows closely: the copies read were stale. */
 const SIDECARS_PER_FETCH = 2;
 const MIN_REFRESH_INTERVAL_MS = 200;
+const TABLE_TIMEOUT_MS = 500;
+/** Fetches within this time of each other follow closely. */
+const SEARCH_INTERVAL_MS = 2_000;
+/** A newer copy of a slot outlasts fetches without it for this long. */
+const SLOT_TTL_MS = 10_000;
+
+interface ListedCell {
+  readonly slot: number;
+  readonly cell: Cell;
+}
+
+/** A slot as the sidecars' copies have it. */
+interface KnownSlot {
+  /** In the store; 0: the sidecar names none. */
+  readonly version: number;
+  /** By start. */
+  readonly cells: ReadonlyMap<number, Cell>;
+  readonly seenAt: number;
+}
 
 /** Cached cells of one service. */
 interface Table {
-  readonly cells: readonly {readonly slot: number; readonly cell: Cell}[];
+  readonly slots: ReadonlyMap<number, KnownSlot>;
+  readonly cells: readonly ListedCell[];
   readonly fetchedAt: number;
+  readonly sidecarsAsked: number;
 }
 
 export class OwnerDirectory {
@@ -133,35 +156,70 @@
   }
 
   /**
-   * Merges the tables of several sidecars. Of two versions of a cell, the one
-   * that ends later wins.
+   * Merges the tables of several sidecars with what is known. A handover changes
+   * the owner of a cell but not its times, so the newest version of a slot counts.
    */
   private async fetch(service: string): Promise<void> {
+    const before = this.tables.get(service);
+    const slots = new Map(
+      [...(before?.slots ?? [])].filter(
+        ([, known]) => Date.now() - known.seenAt < SLOT_TTL_MS,
+      ),
+    );
     const addresses = [...this.sidecars(service)];
-    const merged = new Map<string, {slot: number; cell: Cell}>();
-    for (
-      let fetched = 0;
-      fetched < SIDECARS_PER_FETCH && addresses.length > 0;
-      fetched += 1
-    ) {
-      const [address] = addresses.splice(
-        random.integerBelow(addresses.length),
-        1,
-      );
-      const answer = await this.rpc.call(address!, app.table, {service});
-      for (const entry of answer.ok ? answer.value.cells : []) {
-        const cellId = `${entry.slot} ${entry.cell.from}`;
-        const known = merged.get(cellId);
-        if (known === undefined || known.cell.until <= entry.cell.until) {
-          merged.set(cellId, entry);
-        }
+    const sidecarsAsked = Math.min(sidecarsToAsk(before), addresses.length);
+    const asked = Array.from({length: sidecarsAsked}, () => {
+      const at = random.integerBelow(addresses.length);
+      return addresses.splice(at, 1)[0]!;
+    });
+    // At once and for a short time: one that is suspended holds up all callers.
+    const answers = await Promise.all(
+      asked.map(one =>
+        this.rpc.call(one, app.table, {service}, TABLE_TIMEOUT_MS),
+      ),
+    );
+    for (const answer of answers) {
+      if (answer.ok) {
+        mergeCells(slots, answer.value.cells);
       }
     }
-    if (merged.size > 0) {
-      this.tables.set(service, {
-        cells: [...merged.values()],
-        fetchedAt: Date.now(),
-      });
+    if (slots.size > 0) {
+      const cells = [...slots].flatMap(([slot, known]) =>
+        [...known.cells.values()].map(cell => ({slot, cell})),
+      );
+      const fetchedAt = Date.now();
+      this.tables.set(service, {slots, cells, fetchedAt, sidecarsAsked});
+    }
+  }
+}
+
+function sidecarsToAsk(before: Table | undefined): number {
+  const isSearch =
+    before !== undefined && Date.now() - before.fetchedAt < SEARCH_INTERVAL_MS;
+  return isSearch
+    ? Math.max(before.sidecarsAsked * 2, SIDECARS_PER_FETCH)
+    : SIDECARS_PER_FETCH;
+}
+
+/** Replaces slots by newer versions; of the same version, cells that end later. */
+function mergeCells(
+  slots: Map<number, KnownSlot>,
+  listed: readonly (ListedCell & {readonly version?: number})[],
+): void {
+  const seenAt = Date.now();
+  for (const [slot, entries] of grouping.groupBy(listed, one => one.slot)) {
+    const version = entries[0]!.version ?? 0;
+    const known = slots.get(slot);
+    if (known !== undefined && known.version > version) {
+      continue;
+    }
+    const cells = new Map(known?.version === version ? known.cells : []);
+    for (const {cell} of entries) {
+      const other = cells.get(cell.from);
+      if (other === undefined || other.until <= cell.until) {
+        cells.set(cell.from, cell);
+      }
     }
+    slots.set(slot, {version, cells, seenAt});
   }
 }
--- a/src/claims/slot-manager.ts
+++ b/src/claims/slot-manager.ts
@@ -102,11 +102,11 @@
   }
 
   /** All cells in the local cache. */
-  listCells(): {slot: number; cell: types.Cell}[] {
-    const listed: {slot: number; cell: types.Cell}[] = [];
-    for (const [slot, cached] of this.cache) {
-      for (const cell of cached.slot.cells) {
-        listed.push({slot, cell});
+  listCells(): {slot: number; version: number; cell: types.Cell}[] {
+    const listed = [];
+    for (const [slot, {version, slot: cached}] of this.cache) {
+      for (const cell of cached.cells) {
+        listed.push({slot, version, cell});
       }
     }
     return listed;
