Entries keep targets that a late list lacks for 3 s

Cause, provoked by a lag of 30 s instead of 2 s: a list that shows an earlier time lacks the targets, and the entry drops all that have nothing in flight, without a log line, as in the recorded failure; with the lag as it is that needs a start of the fleet within 2 s. Change: a target that is absent but not leaving is used for 3 s more. The recorded 3.8 s since the entry was ready are not explained.

--- a/src/targets/directory.test.ts
+++ b/src/targets/directory.test.ts
@@ -1,5 +1,6 @@
 import type {Instance} from '../platform/types';
 import {TargetDirectory} from './directory';
+import type {Load} from './types';
 
 const SIDECARS = 12;
 const SUBSET = 3;
@@ -56,4 +57,66 @@
   it('offers no target before its first report', () => {
     expect(directory().forModel('m')).toEqual([]);
   });
+
+  describe('whose list lacks targets that have reported', () => {
+    function reportedDirectory(): TargetDirectory {
+      const targets = directory();
+      for (const {id, address, hall} of targets.subset) {
+        const serves = {kind: 'model', name: 'm', group: 'g', rank: 0} as const;
+        const load = {} as Load;
+        const report = {
+          id,
+          address,
+          hall,
+          serves,
+          state: 'live',
+          load,
+        } as const;
+        targets.applyReport(report, Date.now());
+      }
+      return targets;
+    }
+
+    beforeEach(() => jest.useFakeTimers());
+    afterEach(() => jest.useRealTimers());
+
+    // Guards against refusals of all requests because a replica of the list that
+    // lags shows a time before the targets were listed.
+    it('offers them until the list has caught up', () => {
+      const targets = reportedDirectory();
+      targets.applyInstances([]);
+      jest.advanceTimersByTime(2_500);
+      expect(targets.forModel('m').length).toBe(SUBSET);
+      expect(targets.subset.length).toBe(SUBSET);
+      targets.applyInstances(instances);
+      jest.advanceTimersByTime(60_000);
+      expect(targets.forModel('m').length).toBe(SUBSET);
+    });
+
+    it('offers them no longer than that, though the list stays', () => {
+      const targets = reportedDirectory();
+      targets.applyInstances([]);
+      jest.advanceTimersByTime(1_000);
+      targets.applyInstances(instances.slice(0, 0));
+      jest.advanceTimersByTime(2_001);
+      expect(targets.forModel('m')).toEqual([]);
+      expect(targets.subset).toEqual([]);
+      targets.applyInstances([]);
+      expect(targets.all()).toEqual([]);
+    });
+
+    it('does not offer those that are leaving', () => {
+      const targets = reportedDirectory();
+      const [first] = targets.subset;
+      targets.markLeaving(first!.id);
+      targets.applyInstances([]);
+      expect(targets.forModel('m').length).toBe(SUBSET - 1);
+      const listed = instances.map(one => ({
+        ...one,
+        state: 'leaving' as const,
+      }));
+      targets.applyInstances(listed);
+      expect(targets.forModel('m')).toEqual([]);
+    });
+  });
 });
--- a/src/targets/directory.ts
+++ b/src/targets/directory.ts
@@ -36,6 +36,11 @@
 
 const LOOKUP_INTERVAL_MS = 100;
 const LEAVING_RETENTION_MS = 60_000;
+/**
+ * A target that the list lacks is used for this long, unless it is leaving: a
+ * replica of the list that lags may show a time before the target was listed.
+ */
+const ABSENCE_GRACE_MS = 3_000;
 
 /**
  * The targets that one entry uses, chosen by rendezvous hashing for each model or
@@ -63,6 +68,8 @@
   /** By target id, for the platform's whole list. */
   private locations: ReadonlyMap<string, TargetLocation> = new Map();
   private readonly leavingAt = new Map<string, number>();
+  /** Monotonic times since which the list lacks known targets. */
+  private readonly absentSince = new Map<string, number>();
   private readonly cooldowns = new CooldownTracker();
 
   constructor(
@@ -83,18 +90,26 @@
       sidecars.map(({id, address, hall}) => [id, {id, address, hall}]),
     );
     this.subsetLocations = chooseSubset(this.entryId, live, this.subsetSize());
-    const ids = new Set(this.subsetLocations.map(instance => instance.id));
+    this.noteAbsences();
+    const ids = new Set(this.subset.map(instance => instance.id));
     for (const [id, target] of this.targets) {
       if (!ids.has(id) && target.inFlight === 0) {
         this.targets.delete(id);
+        this.absentSince.delete(id);
       }
     }
-    return this.subsetLocations;
+    return this.subset;
   }
 
   /** The members of the subset, with or without a report. */
   get subset(): readonly TargetLocation[] {
-    return this.subsetLocations;
+    if (this.absentSince.size === 0) {
+      return this.subsetLocations;
+    }
+    const absent = this.all().filter(
+      ({id}) => this.absentSince.has(id) && this.isUsable(id),
+    );
+    return [...this.subsetLocations, ...absent];
   }
 
   applyReport(report: types.TargetReport, now: number): void {
@@ -218,10 +233,31 @@
     return this.targets.get(id)?.state === 'live';
   }
 
+  private noteAbsences(): void {
+    const now = performance.now();
+    for (const id of this.targets.keys()) {
+      if (this.locations.has(id)) {
+        this.absentSince.delete(id);
+      } else if (!this.absentSince.has(id)) {
+        this.absentSince.set(id, now);
+      }
+    }
+  }
+
+  /** False for a target that is leaving or that the list has lacked for long. */
+  private isUsable(id: string): boolean {
+    const absentSince = this.absentSince.get(id) ?? Infinity;
+    return (
+      !this.leavingAt.has(id) &&
+      performance.now() - absentSince <= ABSENCE_GRACE_MS
+    );
+  }
+
   private servingLive(kind: types.Serves['kind'], name: string): Target[] {
     return this.all().filter(
       target =>
         target.state === 'live' &&
+        this.isUsable(target.id) &&
         target.serves.kind === kind &&
         target.serves.name === name,
     );
