--- a/src/crashes/crash-coordinator.ts
+++ b/src/crashes/crash-coordinator.ts
@@ -103,9 +103,9 @@
    * crashes targets. Only one call at a time asks the arbiter; the others resolve
    * at once.
    */
-  async mayTry(digest: string): Promise<boolean> {
+  async requestTrial(digest: string): Promise<boolean> {
     const {rpc, peers, log} = this.context;
-    if (!this.quarantine.takeAsk(digest, performance.now())) {
+    if (!this.quarantine.takeTrialRequest(digest, performance.now())) {
       return false;
     }
     const arbiter = peers.responsive(digest)[0]!;
@@ -117,11 +117,11 @@
     const now = performance.now();
     if (!answer.ok) {
       peers.markUnresponsive(arbiter);
-      this.quarantine.askAgainAt(digest, now + FIRST_TRIAL_MS);
+      this.quarantine.scheduleTrialRequest(digest, now + FIRST_TRIAL_MS);
       return false;
     }
     const {isGranted, nextMs} = answer.value;
-    this.quarantine.askAgainAt(digest, now + nextMs);
+    this.quarantine.scheduleTrialRequest(digest, now + nextMs);
     if (isGranted) {
       log.event('requestTried', {digest});
     }
--- a/src/crashes/quarantine.ts
+++ b/src/crashes/quarantine.ts
@@ -19,7 +19,7 @@
   /** When peers were last notified. */
   notifiedAt: number;
   /** When to ask the arbiter for a trial; Infinity while it is asked. */
-  askAt: number;
+  trialRequestAt: number;
 }
 
 /** A quarantined request, as sent to peers. */
@@ -39,12 +39,12 @@
     const endsAt = now + Math.min(leftMs, QUARANTINE_MS);
     const before = this.entries.get(digest);
     this.lastEndsAt = Math.max(this.lastEndsAt, endsAt);
-    const askAt = before?.askAt ?? now + FIRST_TRIAL_MS;
+    const trialRequestAt = before?.trialRequestAt ?? now + FIRST_TRIAL_MS;
     this.entries.delete(digest);
     this.entries.set(digest, {
       endsAt: Math.max(endsAt, before?.endsAt ?? 0),
       notifiedAt: now,
-      askAt,
+      trialRequestAt,
     });
     bounded.dropOldest(this.entries, MAX_QUARANTINED);
     return isNew;
@@ -72,20 +72,20 @@
   }
 
   /** True if the arbiter must be asked now whether the request may be tried. */
-  takeAsk(digest: string, now: number): boolean {
+  takeTrialRequest(digest: string, now: number): boolean {
     const entry = this.entries.get(digest);
-    const isDue = entry !== undefined && now >= entry.askAt;
+    const isDue = entry !== undefined && now >= entry.trialRequestAt;
     if (isDue) {
-      entry.askAt = Infinity;
+      entry.trialRequestAt = Infinity;
     }
     return isDue;
   }
 
   /** Sets when to ask the arbiter again. */
-  askAgainAt(digest: string, at: number): void {
+  scheduleTrialRequest(digest: string, at: number): void {
     const entry = this.entries.get(digest);
     if (entry !== undefined) {
-      entry.askAt = at;
+      entry.trialRequestAt = at;
     }
   }
 
--- a/src/forwarding/target-finder.ts
+++ b/src/forwarding/target-finder.ts
@@ -60,7 +60,7 @@
     const crashDigest = this.crashDigestOf(request);
     if (
       crashDigest !== undefined &&
-      !(await this.context.crashes.mayTry(crashDigest))
+      !(await this.context.crashes.requestTrial(crashDigest))
     ) {
       return fail(
         this.refusals.crashesTargets(call, request.service, crashDigest),
