--- a/src/crashes/crash-coordinator.ts
+++ b/src/crashes/crash-coordinator.ts
@@ -30,6 +30,8 @@
 const MAX_ATTEMPTS = 3;
 /** Losses on one lifetime within this time count as one crash. */
 const CRASH_WINDOW_MS = 1_000;
+/** Lost requests of a crash that are logged. */
+const MAX_LOGGED_REQUESTS = 8;
 /** Minimum time between reports that a suspect was served. */
 const SERVED_REPORT_INTERVAL_MS = 1_000;
 
@@ -39,9 +41,17 @@
   readonly log: Log;
 }
 
+/** A request whose connection was lost. */
+export interface LostRequest {
+  readonly id: string;
+  readonly digest: string;
+  /** Ids of the prompt's parts that other requests may share. */
+  readonly sharedParts: readonly string[];
+}
+
 /** Requests that were in flight to one lifetime when a connection was lost. */
 interface LostRequests {
-  readonly digests: Set<string>;
+  readonly requests: LostRequest[];
   readonly at: number;
   isCrash: boolean;
 }
@@ -129,18 +139,19 @@
   }
 
   /** Records that the connection carrying a request was lost. */
-  noteLost(target: Target, digest: string): void {
+  noteLost(target: Target, request: LostRequest): void {
     const now = performance.now();
     const {lifetime} = target;
+    const {digest} = request;
     const previous = this.lostRequests.get(lifetime);
     if (previous !== undefined && now - previous.at < CRASH_WINDOW_MS) {
-      previous.digests.add(digest);
+      previous.requests.push(request);
       if (previous.isCrash) {
         this.report([{digest, lifetime}]);
       }
       return;
     }
-    const lost = {digests: new Set([digest]), at: now, isCrash: false};
+    const lost = {requests: [request], at: now, isCrash: false};
     this.lostRequests.set(lifetime, lost);
     setTimeout(
       () => this.lostRequests.delete(lifetime),
@@ -200,9 +211,13 @@
     this.context.log.event('targetCrashed', {
       target: target.id,
       service: target.service,
-      lost: lost.digests.size,
+      lost: lost.requests.length,
+      requests: lost.requests
+        .slice(0, MAX_LOGGED_REQUESTS)
+        .map(({id, sharedParts}) => ({id, parts: sharedParts})),
     });
-    this.report([...lost.digests].map(digest => ({digest, lifetime})));
+    const digests = new Set(lost.requests.map(({digest}) => digest));
+    this.report([...digests].map(digest => ({digest, lifetime})));
   }
 
   /** Sends reports to the entries that arbitrate them. */
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -68,7 +68,12 @@
     target: types.Target,
   ): void {
     call.lossCount += 1;
-    this.context.crashes.noteLost(target, digestOf(request));
+    const {id, sharedParts = []} = request.head;
+    this.context.crashes.noteLost(target, {
+      id,
+      digest: digestOf(request),
+      sharedParts,
+    });
   }
 
   protected noteServed(request: RelayedRequest): void {
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -38,8 +38,6 @@
   readonly maxAnswerTokens: number;
   /** The caller's estimate of the answer's length; 0: none. */
   readonly expectedAnswerTokens: number;
-  /** Id of the prompt part that identifies its subject; empty: unknown. */
-  readonly subject: string;
 }
 
 /** A request as the caller sent it, without its body. */
@@ -55,6 +53,8 @@
   readonly timeLeftMs: number | undefined;
   readonly lastEventId: string | undefined;
   readonly prompt: Prompt | undefined;
+  /** Ids of the prompt's parts that other requests may share, in order. */
+  readonly sharedParts?: readonly string[];
   /** Headers as sent, alternating names and values. */
   readonly rawHeaders: readonly string[];
 }
