Quarantine of the parts of prompts that crash targets

What callers saw: streams were served for a few seconds in every five while requests with one part of a prompt crashed a target each, no two of them alike.

The identity is now a fingerprint: the whole request, or one shared part of its prompt, by service. One entry arbitrates a service instead of a digest, surveys all entries before each verdict (what they have seen served since, also streams that have outlived those that crashed), and quarantines the fingerprint of the fewest requests that explains three crashes of two different requests. Waiting requests are refused when the verdict comes, and checked again before they are sent. A lost request is held until its target was checked, and isn't sent on if a fingerprint of it is one crash from a verdict. Losses at targets that are leaving count as no crash; a new lifetime at the address does. Evidence and trials are known to all entries, so that another one can arbitrate; a process that starts asks peers, else the store, before its first request with parts.

Trials: the first waits for four times the spread of the crashes, at least 1 s, and later ones are up to an hour apart instead of 2 minutes: each costs a crash. A quarantine lasts 10 minutes after the last attempt instead of 2.

--- a/src/crashes/quarantine.ts
+++ b/src/crashes/quarantine.ts
@@ -1,17 +1,17 @@
 /**
- * Requests that are refused because they crash targets. Each attempt by a caller
- * to send one renews its quarantine, which ends early once the request is served.
- * Takes the time as an argument.
+ * Fingerprints whose requests are refused because they crash targets. Each attempt
+ * by a caller to send one renews its quarantine, which ends early once a request
+ * with it is served. Takes the time as an argument.
  */
 import * as bounded from '../bounded';
 
 /** Counted from the latest attempt to send the request. */
-export const QUARANTINE_MS = 120_000;
-/** The request added longest ago is dropped first. */
+export const QUARANTINE_MS = 600_000;
+/** The fingerprint added longest ago is dropped first. */
 const MAX_QUARANTINED = 1_024;
-/** Peers are notified again of a request that is still being sent. */
+/** Peers are notified again of a fingerprint whose requests still arrive. */
 const NOTIFY_INTERVAL_MS = 30_000;
-/** From the start of a quarantine until the request may be tried. */
+/** Least time from the start of a quarantine until a request may be tried. */
 export const FIRST_TRIAL_MS = 1_000;
 
 interface QuarantineEntry {
@@ -22,7 +22,7 @@
   trialRequestAt: number;
 }
 
-/** A quarantined request, as sent to peers. */
+/** A quarantined fingerprint, as sent to peers. */
 export interface QuarantineNotice {
   readonly digest: string;
   readonly leftMs: number;
@@ -33,7 +33,7 @@
   /** Latest end of all entries. */
   private lastEndsAt = -Infinity;
 
-  /** Quarantines a request; true if it was not quarantined before. */
+  /** Quarantines a fingerprint; true if it was not quarantined before. */
   add(digest: string, leftMs: number, now: number): boolean {
     const isNew = !this.has(digest, now);
     const endsAt = now + Math.min(leftMs, QUARANTINE_MS);
@@ -89,7 +89,7 @@
     }
   }
 
-  /** Ends the quarantine of a request; true if it was quarantined. */
+  /** Ends the quarantine of a fingerprint; true if it was quarantined. */
   release(digest: string, now: number): boolean {
     const wasQuarantined = this.has(digest, now);
     this.entries.delete(digest);
--- a/src/crashes/suspect-tracker.ts
+++ b/src/crashes/suspect-tracker.ts
@@ -1,24 +1,59 @@
 /**
- * Requests that were in flight when targets crashed (suspected queries of death).
- * Several requests are in flight in a crash, so one is quarantined only once the
- * lifetimes that crashed with it outnumber its successes by CRASHES_TO_QUARANTINE.
- * The difference is kept between 0 and that, so that neither many crashes at once
- * nor many earlier successes outweigh what follows. Takes the time as an argument.
+ * Fingerprints of requests that were in flight when targets crashed. Several
+ * requests are in flight in a crash, and those that share a part share its
+ * crashes, so a fingerprint is quarantined only once the lifetimes that crashed with
+ * it outnumber its successes by CRASHES_TO_QUARANTINE. The difference is kept
+ * between 0 and that, so that neither many crashes at once nor many earlier
+ * successes outweigh what follows. Of several fingerprints with the same crashes,
+ * the one of the fewest requests is quarantined. Takes the time as an argument.
  */
 import * as bounded from '../bounded';
+import type {SuspectState} from './app';
+import * as fingerprints from './fingerprints';
 
-/** Score of a request that is quarantined. */
+/** Score of a fingerprint that is quarantined. */
 const CRASHES_TO_QUARANTINE = 3;
-/** Counted from the request's latest crash. */
+/** A shared part is quarantined only for crashes with so many different requests. */
+const MIN_REQUESTS = 2;
+/** Counted from the fingerprint's latest crash. */
 const SUSPECT_TTL_MS = 60_000;
-/** The request whose latest crash is oldest is dropped first. */
+/** The fingerprint whose latest crash is oldest is dropped first. */
 const MAX_SUSPECTS = 2_048;
+/** Bounds of the sets kept for one suspect; the oldest are dropped first. */
+const MAX_LIFETIMES = 16;
+/**
+ * A request has survived once it is answered for longer than those that crashed
+ * by this factor and margin.
+ */
+const SURVIVAL_FACTOR = 2;
+const SURVIVAL_MARGIN_MS = 250;
+
+/** How a fingerprint was involved in a crash. */
+export interface Involvement {
+  /** Fingerprint of the whole request. */
+  readonly request: string;
+  /** Milliseconds for which the target had been answering it. */
+  readonly answeredMs: number;
+  /** Higher for fingerprints that fewer requests share. */
+  readonly specificity: number;
+}
 
 interface Suspect {
+  /** Lifetimes that count in the score. */
   readonly lifetimes: Set<string>;
+  /** All recent lifetimes, which don't count again. */
+  readonly seenLifetimes: Set<string>;
+  readonly requests: Set<string>;
   /** Crashed lifetimes minus successes. */
   score: number;
+  firstCrashAt: number;
   lastCrashAt: number;
+  answeredMs: number;
+  specificity: number;
+  /** Open requests with it, summed over surveys. */
+  exposure: number;
+  /** When a success was last reported to the arbiter. */
+  reportedAt: number;
 }
 
 export class SuspectTracker {
@@ -26,40 +61,158 @@
   /** Time of the latest crash of any request. */
   private lastCrashAt = -Infinity;
 
-  /** Records a request that was in flight when a target crashed. */
-  noteCrash(digest: string, lifetime: string, now: number): void {
-    const suspect = this.unexpired(digest, now) ?? {
-      lifetimes: new Set(),
-      score: 0,
-      lastCrashAt: now,
-    };
-    if (!suspect.lifetimes.has(lifetime)) {
-      suspect.lifetimes.add(lifetime);
+  /** Records a fingerprint of a request that was in flight when a target crashed. */
+  noteCrash(
+    fingerprint: string,
+    lifetime: string,
+    now: number,
+    involvement: Involvement = {
+      request: fingerprint,
+      answeredMs: 0,
+      specificity: Infinity,
+    },
+  ): void {
+    const suspect = this.unexpired(fingerprint, now) ?? newSuspect(now);
+    const {request, answeredMs, specificity} = involvement;
+    suspect.requests.add(request);
+    bounded.dropOldest(suspect.requests, MAX_LIFETIMES);
+    if (!suspect.seenLifetimes.has(lifetime)) {
+      suspect.firstCrashAt = suspect.score === 0 ? now : suspect.firstCrashAt;
+      addBounded(suspect.seenLifetimes, lifetime);
+      addBounded(suspect.lifetimes, lifetime);
       suspect.score = Math.min(suspect.score + 1, CRASHES_TO_QUARANTINE);
     }
+    suspect.answeredMs = Math.max(suspect.answeredMs, answeredMs);
+    suspect.specificity = Math.max(suspect.specificity, specificity);
     suspect.lastCrashAt = now;
-    this.lastCrashAt = now;
-    this.suspects.delete(digest);
-    this.suspects.set(digest, suspect);
-    bounded.dropOldest(this.suspects, MAX_SUSPECTS);
+    this.set(fingerprint, suspect, now);
+  }
+
+  /** Records a success; ignored unless the fingerprint is a suspect. */
+  noteServed(fingerprint: string, now: number): void {
+    const suspect = this.unexpired(fingerprint, now);
+    if (suspect === undefined) {
+      return;
+    }
+    suspect.score = Math.max(suspect.score - 1, 0);
+    if (suspect.score === 0) {
+      suspect.lifetimes.clear();
+      suspect.requests.clear();
+    }
+  }
+
+  /** True if the fingerprint was in a recent crash. */
+  isSuspect(fingerprint: string, now: number): boolean {
+    return this.unexpired(fingerprint, now) !== undefined;
+  }
+
+  /** True if one more crash would quarantine the fingerprint. */
+  isNearQuarantine(fingerprint: string, now: number): boolean {
+    const score = this.unexpired(fingerprint, now)?.score ?? 0;
+    return score >= CRASHES_TO_QUARANTINE - 1;
+  }
+
+  shouldQuarantine(fingerprint: string, now: number): boolean {
+    const suspect = this.unexpired(fingerprint, now);
+    return suspect !== undefined && isGuilty(fingerprint, suspect);
+  }
+
+  /**
+   * Fingerprints of the service to quarantine: those of the fewest requests that
+   * explain the crashes. The others stay suspects for crashes to come.
+   */
+  takeGuilty(service: string, now: number): string[] {
+    const candidates = this.ofService(service, now)
+      .filter(([fingerprint, suspect]) => isGuilty(fingerprint, suspect))
+      .sort(
+        ([, a], [, b]) =>
+          a.exposure - b.exposure || b.specificity - a.specificity,
+      );
+    const explained = new Set<string>();
+    const guilty: string[] = [];
+    for (const [fingerprint, suspect] of candidates) {
+      const others = [...suspect.lifetimes].filter(one => !explained.has(one));
+      if (others.length >= CRASHES_TO_QUARANTINE) {
+        guilty.push(fingerprint);
+        others.forEach(one => explained.add(one));
+      } else {
+        suspect.score = CRASHES_TO_QUARANTINE - 1;
+      }
+    }
+    return guilty;
+  }
+
+  /** Milliseconds since the first crash that counts. */
+  firstAgoMs(fingerprint: string, now: number): number {
+    const suspect = this.unexpired(fingerprint, now);
+    return suspect === undefined ? 0 : now - suspect.firstCrashAt;
+  }
+
+  /** True if a request that is answered for so long has survived. */
+  hasSurvived(fingerprint: string, answeredMs: number, now: number): boolean {
+    const suspect = this.unexpired(fingerprint, now);
+    return suspect !== undefined && answeredMs > survivalMs(suspect.answeredMs);
   }
 
-  /** Records a success; ignored unless the request is a suspect. */
-  noteServed(digest: string, now: number): void {
-    const suspect = this.unexpired(digest, now);
+  /** Adds open requests that a survey found with a suspect. */
+  addExposure(fingerprint: string, count: number, now: number): void {
+    const suspect = this.unexpired(fingerprint, now);
     if (suspect !== undefined) {
-      suspect.score = Math.max(suspect.score - 1, 0);
+      suspect.exposure += count;
     }
   }
 
-  /** True if the request was in flight in a recent crash. */
-  isSuspect(digest: string, now: number): boolean {
-    return this.unexpired(digest, now) !== undefined;
+  /** True if a success must be reported; at most one an interval. */
+  takeServedReport(
+    fingerprint: string,
+    now: number,
+    intervalMs: number,
+  ): boolean {
+    const suspect = this.unexpired(fingerprint, now);
+    if (suspect === undefined || now - suspect.reportedAt < intervalMs) {
+      return false;
+    }
+    suspect.reportedAt = now;
+    return true;
   }
 
-  shouldQuarantine(digest: string, now: number): boolean {
-    const suspect = this.unexpired(digest, now);
-    return suspect !== undefined && suspect.score >= CRASHES_TO_QUARANTINE;
+  /** Evidence of a service, strongest first, for peers. */
+  states(
+    service: string | undefined,
+    max: number,
+    now: number,
+  ): SuspectState[] {
+    return this.ofService(service, now)
+      .sort(
+        ([, a], [, b]) => b.score - a.score || b.lastCrashAt - a.lastCrashAt,
+      )
+      .slice(0, max)
+      .map(([fingerprint, suspect]) => ({
+        fingerprint,
+        lifetimes: [...suspect.lifetimes],
+        requests: [...suspect.requests].slice(0, MIN_REQUESTS),
+        score: suspect.score,
+        answeredMs: suspect.answeredMs,
+        specificity: Math.min(suspect.specificity, Number.MAX_SAFE_INTEGER),
+        firstAgoMs: now - suspect.firstCrashAt,
+      }));
+  }
+
+  /** Replaces what is known of a suspect by the arbiter's evidence. */
+  adopt(state: SuspectState, now: number): void {
+    const {fingerprint, lifetimes, requests} = state;
+    const before = this.unexpired(fingerprint, now);
+    const suspect: Suspect = {
+      ...(before ?? newSuspect(now)),
+      lifetimes: new Set(lifetimes.slice(-MAX_LIFETIMES)),
+      requests: new Set(requests.slice(0, MAX_LIFETIMES)),
+      score: Math.min(Math.max(state.score, 0), CRASHES_TO_QUARANTINE),
+      answeredMs: state.answeredMs,
+      specificity: state.specificity,
+      firstCrashAt: now - state.firstAgoMs,
+    };
+    lifetimes.forEach(one => addBounded(suspect.seenLifetimes, one));
+    this.set(fingerprint, suspect, now);
   }
 
   /** True if there was no recent crash. */
@@ -71,12 +224,63 @@
     return this.suspects.size;
   }
 
-  private unexpired(digest: string, now: number): Suspect | undefined {
-    const suspect = this.suspects.get(digest);
+  private ofService(
+    service: string | undefined,
+    now: number,
+  ): Array<[string, Suspect]> {
+    return [...this.suspects].filter(
+      ([fingerprint]) =>
+        this.unexpired(fingerprint, now) !== undefined &&
+        (service ?? fingerprints.serviceOf(fingerprint)) ===
+          fingerprints.serviceOf(fingerprint),
+    );
+  }
+
+  private set(fingerprint: string, suspect: Suspect, now: number): void {
+    this.lastCrashAt = now;
+    this.suspects.delete(fingerprint);
+    this.suspects.set(fingerprint, suspect);
+    bounded.dropOldest(this.suspects, MAX_SUSPECTS);
+  }
+
+  private unexpired(fingerprint: string, now: number): Suspect | undefined {
+    const suspect = this.suspects.get(fingerprint);
     if (suspect !== undefined && now - suspect.lastCrashAt > SUSPECT_TTL_MS) {
-      this.suspects.delete(digest);
+      this.suspects.delete(fingerprint);
       return undefined;
     }
     return suspect;
   }
 }
+
+function newSuspect(now: number): Suspect {
+  return {
+    lifetimes: new Set(),
+    seenLifetimes: new Set(),
+    requests: new Set(),
+    score: 0,
+    firstCrashAt: now,
+    lastCrashAt: now,
+    answeredMs: 0,
+    specificity: 0,
+    exposure: 0,
+    reportedAt: -Infinity,
+  };
+}
+
+function isGuilty(fingerprint: string, suspect: Suspect): boolean {
+  const isWhole = suspect.requests.has(fingerprint);
+  return (
+    suspect.score >= CRASHES_TO_QUARANTINE &&
+    (isWhole || suspect.requests.size >= MIN_REQUESTS)
+  );
+}
+
+export function survivalMs(answeredMs: number): number {
+  return SURVIVAL_FACTOR * answeredMs + SURVIVAL_MARGIN_MS;
+}
+
+function addBounded(set: Set<string>, value: string): void {
+  set.add(value);
+  bounded.dropOldest(set, MAX_LIFETIMES);
+}
--- a/src/crashes/trial-schedule.ts
+++ b/src/crashes/trial-schedule.ts
@@ -1,17 +1,17 @@
 /**
- * When a quarantined request may be sent again, to find out whether it still
- * crashes targets. Trials of one request are spaced further apart each time.
- * Takes the time as an argument.
+ * When a request with a quarantined fingerprint may be sent again, to find out
+ * whether it still crashes targets. Trials of one fingerprint are spaced further
+ * apart each time. Takes the time as an argument.
  */
 import * as bounded from '../bounded';
-import {FIRST_TRIAL_MS, QUARANTINE_MS} from './quarantine';
+import {FIRST_TRIAL_MS} from './quarantine';
 
 /** Each delay between trials is this many times the one before. */
 const DELAY_FACTOR = 4;
-const MAX_DELAY_MS = QUARANTINE_MS;
-/** Later, a request starts with the first delay again. */
+const MAX_DELAY_MS = 3_600_000;
+/** Later, a fingerprint starts with the first delay again. */
 const TTL_MS = 2 * MAX_DELAY_MS;
-/** The request whose latest trial is oldest is dropped first. */
+/** The fingerprint whose latest trial is oldest is dropped first. */
 const MAX_REQUESTS = 1_024;
 
 interface Trials {
@@ -19,13 +19,24 @@
   dueAt: number;
 }
 
+/** The schedule of one fingerprint, as sent to peers. */
+export interface TrialState {
+  readonly delayMs: number;
+  /** Milliseconds until the next trial. */
+  readonly leftMs: number;
+}
+
 export class TrialSchedule {
   private readonly trials = new Map<string, Trials>();
 
-  /** Schedules the next trial of a request that is quarantined now. */
-  schedule(digest: string, now: number): void {
+  /** Schedules the next trial of a fingerprint that is quarantined now. */
+  schedule(
+    digest: string,
+    now: number,
+    firstDelayMs: number = FIRST_TRIAL_MS,
+  ): void {
     const before = this.unexpired(digest, now);
-    const delayMs = before?.delayMs ?? FIRST_TRIAL_MS;
+    const delayMs = before?.delayMs ?? firstDelayMs;
     const dueAt = Math.max(before?.dueAt ?? 0, now + delayMs);
     this.set(digest, {delayMs, dueAt});
   }
@@ -45,6 +56,21 @@
     return true;
   }
 
+  /** Takes over a peer's schedule, unless this one's trials are further apart. */
+  adopt(digest: string, {delayMs, leftMs}: TrialState, now: number): void {
+    const before = this.unexpired(digest, now);
+    if (before === undefined || before.delayMs <= delayMs) {
+      const dueAt = Math.max(before?.dueAt ?? 0, now + leftMs);
+      this.set(digest, {delayMs: Math.min(delayMs, MAX_DELAY_MS), dueAt});
+    }
+  }
+
+  /** Undefined: none is scheduled. */
+  stateOf(digest: string, now: number): TrialState | undefined {
+    const next = this.unexpired(digest, now);
+    return next && {delayMs: next.delayMs, leftMs: this.waitMs(digest, now)};
+  }
+
   /** Milliseconds until the next trial is due. */
   waitMs(digest: string, now: number): number {
     const next = this.unexpired(digest, now);
--- a/src/forwarding/admission-controller.ts
+++ b/src/forwarding/admission-controller.ts
@@ -100,6 +100,18 @@
     }
   }
 
+  /** Refuses waiting requests, whatever their place in the queue. */
+  refuseIf(isRefused: (item: Admittee<V, R>) => boolean): void {
+    const now = performance.now();
+    for (const state of this.services.values()) {
+      for (const item of [...state.queue.order.items()]) {
+        if (isRefused(item)) {
+          this.refuse(state, item, 'expired', now);
+        }
+      }
+    }
+  }
+
   /**
    * After a suspension, in which the monotonic clock may have stood still:
    * refuses what has waited for too long.
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -1,6 +1,7 @@
 /** A caller's request while it is served; it is answered at most once. */
 import type * as http from 'node:http';
 import type {Ticket} from '../admission/admittee';
+import type {OpenRequest} from '../crashes/open-requests';
 import type {Timing} from '../observability/metrics';
 import type {Route} from '../routes/types';
 import type {ForwarderContext} from './forwarder';
@@ -31,6 +32,10 @@
   lastTargetId = '';
   /** Reserved for the next send; undefined: that is not a retry. */
   retry: RetryReservation | undefined;
+  /** Undefined before the request was read. */
+  tracked: OpenRequest | undefined;
+  /** Resolves true if the last send, which was lost, may be repeated. */
+  lossCheck: Promise<boolean> | undefined;
   readonly heldBody: HeldBody;
   readonly heldAnswer: HeldAnswer;
   private route: Route | undefined;
@@ -181,6 +186,7 @@
       this.longestPauseEndMs = now - this.startedAt;
     }
     this.lastEventAt = now;
+    this.tracked?.noteEvents(now);
   }
 
   /** Records the end in log and metrics. */
@@ -246,6 +252,7 @@
   /** Closes the connection if nothing was answered, and frees the bodies. */
   close(): void {
     this.releasePlace(false);
+    this.tracked?.close();
     this.retry?.release();
     this.heldBody.release();
     this.heldAnswer.discard();
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -16,6 +16,7 @@
 import * as tables from '../routes/table';
 import type {ClientAccount, Route} from '../routes/types';
 import {TargetConnections} from './target-connections';
+import * as relayedRequest from './relayed-request';
 import {RetryDetector} from './retry-detector';
 import {Call} from './call';
 import {LoadBalancer} from './load-balancer';
@@ -191,6 +192,9 @@
       service,
       account: resolved.account,
     };
+    call.tracked = this.context.crashes.track(head.id, () =>
+      relayedRequest.fingerprintsOf(request),
+    );
     this.budgetOf(service).noteRequest(performance.now());
     const relay = resolved.route.kind === 'stream' ? this.streams : this.plain;
     await relay.relay(call, request);
--- a/src/forwarding/refusal-builder.ts
+++ b/src/forwarding/refusal-builder.ts
@@ -70,14 +70,18 @@
     });
   }
 
-  /** The request has crashed the targets that ran it. */
-  crashesTargets(call: Call, service: string, digest: string): types.Refusal {
+  /** Requests with these fingerprints have crashed the targets that ran them. */
+  crashesTargets(
+    call: Call,
+    service: string,
+    quarantined: readonly string[],
+  ): types.Refusal {
     this.context.metrics.count('crash_refusals_total', {service});
     this.context.log.event('requestRefused', {
       request: call.head?.id,
       kind: 'crashes-targets',
       service,
-      digest,
+      digest: quarantined[0],
     });
     const retryMs = retryDelays.afterCrashes(call.callerTimeLeftMs);
     return this.counted(service, {
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -7,7 +7,7 @@
 import {OutcomeObserver} from './outcome-observer';
 import * as outcomes from './outcomes';
 import type {RefusalBuilder} from './refusal-builder';
-import {RelayedRequest, digestOf, enginePriorityOf} from './relayed-request';
+import {RelayedRequest, enginePriorityOf} from './relayed-request';
 import type {RetryBudget, RetryReservation} from './retry-budget';
 import type {TargetFinder} from './target-finder';
 import {Result, fail} from '../result';
@@ -62,25 +62,9 @@
   }
 
   /** The connection broke before the response was complete. */
-  protected noteLost(
-    call: Call,
-    request: RelayedRequest,
-    target: types.Target,
-  ): void {
+  protected noteLost(call: Call, target: types.Target): void {
     call.lossCount += 1;
-    const {id, sharedParts = []} = request.head;
-    this.context.crashes.noteLost(target, {
-      id,
-      digest: digestOf(request),
-      sharedParts,
-    });
-  }
-
-  protected noteServed(request: RelayedRequest): void {
-    const {crashes} = this.context;
-    if (crashes.isActive) {
-      crashes.noteServed(digestOf(request));
-    }
+    call.lossCheck = this.context.crashes.noteLost(target, call.tracked!);
   }
 
   /** Sends to a target once and records the outcome. */
@@ -93,6 +77,7 @@
     const {balancer, connections, wire} = this.context;
     const mayRepeat = types.isRetrySafe(request.route);
     call.sendCount += 1;
+    call.tracked!.beginSend();
     call.lastTargetId = target.id;
     const sentAt = performance.now();
     const wait = call.lastWait;
@@ -125,9 +110,9 @@
     this.observer.noteOutcome(target, outcome, responseHead, sentAt);
     call.noteOutcome(outcomes.mayHaveRun(outcome));
     if (outcomes.isLost(outcome)) {
-      this.noteLost(call, request, target);
+      this.noteLost(call, target);
     } else if (outcome.kind === 'answered') {
-      this.noteServed(request);
+      this.context.crashes.noteServed(call.tracked!);
     }
     if (outcome.kind !== 'streaming') {
       // A refusal by a closed group is no failure of the rank.
@@ -252,7 +237,13 @@
     request: RelayedRequest,
     target: types.Target,
   ): Promise<boolean> {
-    if (!this.allowsRetry(call, request, target)) {
+    const {lossCheck} = call;
+    call.lossCheck = undefined;
+    if (
+      !this.allowsRetry(call, request, target) ||
+      (await lossCheck) === false ||
+      call.isCallerGone
+    ) {
       return false;
     }
     const budget = this.budgetOf(request.service);
--- a/src/forwarding/relayed-request.ts
+++ b/src/forwarding/relayed-request.ts
@@ -1,6 +1,7 @@
 /** A request that is relayed to targets, and its identity. */
 import * as crypto from 'node:crypto';
 import {rankFrom} from '../admission/rank';
+import * as fingerprints from '../crashes/fingerprints';
 import type {ClientAccount, Route} from '../routes/types';
 import type {RequestHead} from './types';
 
@@ -14,19 +15,15 @@
 
 /** Characters of the base64url digest that are kept: 96 bits. */
 const DIGEST_LENGTH = 16;
-/** Cached, so that a body is hashed once, however often it is sent. */
-const digests = new WeakMap<RelayedRequest, string>();
 
-/** Identifies equal requests, by method, host, path, caller's key and body. */
-export function digestOf(request: RelayedRequest): string {
-  let digest = digests.get(request);
-  if (digest === undefined) {
-    digest = makeDigest(request);
-    digests.set(request, digest);
-  }
-  return digest;
+/** What the request shares with others that may crash targets, broad to specific. */
+export function fingerprintsOf(request: RelayedRequest): readonly string[] {
+  const {service, head} = request;
+  const digest = makeDigest(request);
+  return fingerprints.fingerprintsOf(service, digest, head.sharedParts ?? []);
 }
 
+/** Identifies equal requests, by method, host, path, caller's key and body. */
 function makeDigest({head, body}: RelayedRequest): string {
   const {method, host, path, key} = head;
   const hash = crypto.createHash('sha256');
--- a/src/forwarding/stream-relay.ts
+++ b/src/forwarding/stream-relay.ts
@@ -71,7 +71,7 @@
           continue;
         }
         if (end === 'done') {
-          this.noteServed(request);
+          this.context.crashes.noteServed(call.tracked!);
           await this.deliver(call, buffer, outcome.head.status);
           return;
         }
@@ -85,7 +85,7 @@
           );
           return;
         }
-        this.noteLost(call, request, target);
+        this.noteLost(call, target);
         if (
           canResume(request, hasBegun, splitter) &&
           (await this.reserveRetry(call, request, target))
--- a/src/forwarding/target-candidate.ts
+++ b/src/forwarding/target-candidate.ts
@@ -8,6 +8,7 @@
   Blocked,
   RefusalDetails,
 } from '../admission/admittee';
+import type {CrashCoordinator} from '../crashes/crash-coordinator';
 import type {AdmissionController} from './admission-controller';
 import * as timing from '../admission/timing';
 import {TRIAL_INTERVAL_MS} from '../targets/cooldown';
@@ -38,6 +39,7 @@
 /** How the last try was blocked, as far as its refusal needs it. */
 type Cause =
   | {readonly kind: 'none'; readonly unavailability?: Unavailability}
+  | {readonly kind: 'quarantined'; readonly fingerprints: readonly string[]}
   | {readonly kind: 'closed'; readonly group: string}
   | {readonly kind: 'full'; readonly capacity: GroupCapacity | undefined};
 
@@ -74,6 +76,8 @@
     private readonly request: RelayedRequest,
     private readonly tried: ReadonlyMap<string, exchanges.Outcome['kind']>,
     private readonly mayWait: boolean,
+    /** It may be sent although it is quarantined. */
+    private readonly isTrial: boolean,
   ) {
     const {route, account} = request;
     const {cfg} = search.context;
@@ -106,6 +110,9 @@
   /** Finds a target that was not tried yet and counts a request in flight there. */
   tryStart(now: number, ahead: number): Attempt<types.Target> {
     const {targets, gate} = this.search.context;
+    if (this.isQuarantined) {
+      return blocked('unavailable', -Infinity);
+    }
     const usable = targets.ofService(this.service, now);
     const known = outcomes.untried(usable, this.tried);
     // The available permits are left to the requests ahead in the queue.
@@ -133,12 +140,24 @@
       : this.blockedByGroups(closed, groups, now);
   }
 
+  /** True if it must be refused because it may crash its target. */
+  get isQuarantined(): boolean {
+    const {call, search, isTrial} = this;
+    const found = isTrial ? [] : quarantinedOf(call, search.context.crashes);
+    if (found.length > 0) {
+      this.cause = {kind: 'quarantined', fingerprints: found};
+    }
+    return found.length > 0;
+  }
+
   refuse(details: RefusalDetails | undefined): types.Refusal {
     const {call, service, cause} = this;
     const {refusals} = this.search;
     switch (cause.kind) {
       case 'none':
         return refusals.noneAvailable(call, service, cause.unavailability);
+      case 'quarantined':
+        return refusals.crashesTargets(call, service, cause.fingerprints);
       case 'closed': {
         const now = performance.now();
         return refusals.closedGroup(call, service, cause.group, now);
@@ -152,10 +171,11 @@
   get lacked():
     'capacity' | 'closed-group' | 'permit' | 'cooldown' | 'targets' {
     const {cause} = this;
-    if (cause.kind !== 'none') {
+    if (cause.kind === 'full' || cause.kind === 'closed') {
       return cause.kind === 'full' ? 'capacity' : 'closed-group';
     }
-    const reason = cause.unavailability?.reason;
+    const reason =
+      cause.kind === 'none' ? cause.unavailability?.reason : undefined;
     return reason === 'limited' ? 'permit' : reason ? 'cooldown' : 'targets';
   }
 
@@ -375,6 +395,16 @@
   }
 }
 
+/** The quarantined fingerprints of a request. */
+export function quarantinedOf(
+  {tracked}: Call,
+  crashes: CrashCoordinator,
+): readonly string[] {
+  return crashes.isActive && tracked !== undefined
+    ? crashes.quarantinedOf(tracked)
+    : [];
+}
+
 function blocked(why: Blocked['why'], waitsUntil: number): Blocked {
   return {
     kind: 'blocked',
--- a/src/forwarding/target-finder.ts
+++ b/src/forwarding/target-finder.ts
@@ -14,8 +14,8 @@
 import type * as exchanges from './exchange';
 import type {ForwarderContext} from './forwarder';
 import {RefusalBuilder} from './refusal-builder';
-import {RelayedRequest, digestOf} from './relayed-request';
-import {TargetCandidate} from './target-candidate';
+import type {RelayedRequest} from './relayed-request';
+import {TargetCandidate, quarantinedOf} from './target-candidate';
 import type * as types from './types';
 
 type WaitingCall = Admittee<types.Target, types.Refusal>;
@@ -43,6 +43,7 @@
     this.subscriptions = [
       gate.openings.subscribe(() => this.admission.wake()),
       views.updates.subscribe(() => this.admission.wake()),
+      context.crashes.convictions.subscribe(() => this.refuseQuarantined()),
     ];
   }
 
@@ -57,13 +58,15 @@
     tried: ReadonlyMap<string, exchanges.Outcome['kind']>,
     mayWait: boolean,
   ): Promise<Result<types.Target, types.Refusal>> {
-    const crashDigest = this.crashDigestOf(request);
-    if (
-      crashDigest !== undefined &&
-      !(await this.context.crashes.requestTrial(crashDigest))
-    ) {
+    const {crashes} = this.context;
+    if (!crashes.isKnown && hasSharedParts(request)) {
+      await crashes.whenKnown();
+    }
+    const quarantined = quarantinedOf(call, crashes);
+    const isTrial = quarantined.length > 0;
+    if (isTrial && !(await crashes.requestTrial(quarantined))) {
       return fail(
-        this.refusals.crashesTargets(call, request.service, crashDigest),
+        this.refusals.crashesTargets(call, request.service, quarantined),
       );
     }
     const {context, refusals, admission} = this;
@@ -76,6 +79,7 @@
       request,
       tried,
       mayWait,
+      isTrial,
     );
     const admitted = await this.admit(call, candidate);
     if (!admitted.ok) {
@@ -90,6 +94,13 @@
     this.admission.close();
   }
 
+  /** Refuses the waiting requests that are quarantined now. */
+  private refuseQuarantined(): void {
+    this.admission.refuseIf(
+      item => item instanceof TargetCandidate && item.isQuarantined,
+    );
+  }
+
   /** Admits a request and notes how long it had to wait. */
   private async admit(
     call: Call,
@@ -111,13 +122,6 @@
     }
     return settled;
   }
-
-  /** Digest of a request that is known to crash targets; undefined otherwise. */
-  private crashDigestOf(request: RelayedRequest): string | undefined {
-    const {crashes} = this.context;
-    const digest = crashes.isActive ? digestOf(request) : undefined;
-    return digest !== undefined && crashes.refuses(digest) ? digest : undefined;
-  }
 }
 
 /** What a request that started late had to wait for. */
@@ -133,3 +137,7 @@
   }
   return blocked?.passMs === undefined ? 'slots' : 'group';
 }
+
+function hasSharedParts({head}: RelayedRequest): boolean {
+  return head.sharedParts !== undefined && head.sharedParts.length > 0;
+}
--- a/src/forwarding/target-list.ts
+++ b/src/forwarding/target-list.ts
@@ -190,6 +190,11 @@
     }
   }
 
+  /** True if the target is leaving, or has left by its entry. */
+  isEnding({id, lifetime}: Target): boolean {
+    return !this.isListed(lifetime, id);
+  }
+
   /** True for an entry of a removed target from an older copy of the store. */
   private isFromOldCopy(target: Target): boolean {
     const last = this.removed.get(target.lifetime);
--- a/src/peers/peer-poller.ts
+++ b/src/peers/peer-poller.ts
@@ -4,7 +4,7 @@
  * calls a random peer now and then, so that processes keep discovering each
  * other.
  */
-import type {QuarantineNotice} from '../crashes/quarantine';
+import type {QuarantineNotice} from '../crashes/app';
 import type {RpcClient} from '../rpc/client';
 import * as app from './app';
 import type {PeerDirectory} from './peer-directory';
--- a/src/roles/site-documents.ts
+++ b/src/roles/site-documents.ts
@@ -17,6 +17,8 @@
   readonly emptiedHallsKind: string;
   /** Kind of the objects that record the elected planners. */
   readonly seatKind: string;
+  /** Kind of the objects that keep what crashes targets. */
+  readonly quarantineKind: string;
   /** Path of an entry's readiness check. */
   readonly readyPath: string;
   makeEngine(address: string): Engine;
--- a/src/roles/site-follower.ts
+++ b/src/roles/site-follower.ts
@@ -140,7 +140,10 @@
     this.crashes = new CrashCoordinator({
       rpc: context.rpc,
       peers,
+      store: context.store,
+      storeKind: documents.quarantineKind,
       log: context.log,
+      isEnding: target => this.targets.isEnding(target),
     });
     this.limits = new LimitCoordinator({
       rpc: context.rpc,
@@ -557,6 +560,7 @@
     const fields = {target: id, service, address};
     switch (change.kind) {
       case 'joined':
+        this.crashes.noteJoined(change.target);
         log.event('targetJoined', {...fields, slots, group, rank});
         return;
       case 'leaving':
