--- a/src/crashes/suspect-tracker.test.ts
+++ b/src/crashes/suspect-tracker.test.ts
@@ -56,4 +56,85 @@
     expect(tracker.isEmpty(60_001)).toBe(true);
     expect(tracker.isSuspect('d-2999', 60_001)).toBe(false);
   });
+
+  // Guards against a shared first part that is blamed for the crashes of another.
+  it('are blamed where the fewest requests have them, of all that explain the crashes', () => {
+    const tracker = new SuspectTracker();
+    crash(tracker, 'a', 'first', 'bad', 'session-1', 'request-1');
+    crash(tracker, 'b', 'first', 'bad', 'session-2', 'request-2');
+    crash(tracker, 'c', 'first', 'bad', 'session-3', 'request-3');
+    tracker.addExposure('svc first', 20, 0);
+    tracker.addExposure('svc bad', 2, 0);
+    expect(tracker.takeGuilty('svc', 0)).toEqual(['svc bad']);
+    crash(tracker, 'd', 'first', 'session-4', 'request-4');
+    tracker.noteServed('svc first', 0);
+    expect(tracker.takeGuilty('svc', 0)).not.toContain('svc first');
+  });
+
+  it('are blamed beside each other if their crashes differ', () => {
+    const tracker = new SuspectTracker();
+    ['a', 'b', 'c'].forEach(life => {
+      crash(tracker, life, 'first', 'bad-1', `request-${life}`);
+    });
+    ['d', 'e', 'f'].forEach(life => {
+      crash(tracker, life, 'first', 'bad-2', `request-${life}`);
+    });
+    tracker.addExposure('svc first', 20, 0);
+    expect(tracker.takeGuilty('svc', 0).sort()).toEqual([
+      'svc bad-1',
+      'svc bad-2',
+    ]);
+  });
+
+  // Guards against sessions that are refused for one request of theirs.
+  it('are no parts if only one request crashes targets', () => {
+    const tracker = new SuspectTracker();
+    ['a', 'b', 'c', 'd'].forEach(life => {
+      crash(tracker, life, 'first', 'session', 'request');
+    });
+    expect(tracker.takeGuilty('svc', 0)).toEqual(['svc request']);
+  });
+
+  it('are passed on with their evidence', () => {
+    const [tracker, other] = [new SuspectTracker(), new SuspectTracker()];
+    crash(tracker, 'a', 'bad', 'request-1');
+    crash(tracker, 'b', 'bad', 'request-2');
+    tracker.states('svc', 10, 0).forEach(state => other.adopt(state, 0));
+    crash(other, 'b', 'bad', 'request-2');
+    expect(other.takeGuilty('svc', 0)).toEqual([]);
+    crash(other, 'c', 'bad', 'request-3');
+    expect(other.takeGuilty('svc', 0)).toEqual(['svc bad']);
+  });
+
+  it('have survived once they are answered for longer than those that crashed', () => {
+    const tracker = new SuspectTracker();
+    const involvement = {request: 'r', answeredMs: 100, specificity: 0};
+    tracker.noteCrash('svc part', 'a', 0, involvement);
+    expect(tracker.hasSurvived('svc part', 450, 0)).toBe(false);
+    expect(tracker.hasSurvived('svc part', 451, 0)).toBe(true);
+    expect(tracker.hasSurvived('svc other', 9_999, 0)).toBe(false);
+  });
+
+  // Guards against unique requests that push out a part which all of them share.
+  it('keep a part of all crashes among requests of which no two are alike', () => {
+    const tracker = new SuspectTracker();
+    for (let at = 0; at < 2_500; at += 1) {
+      crash(tracker, `life-${at}`, 'bad', `request-${at}`);
+    }
+    expect(tracker.size).toBe(2_048);
+    expect(tracker.shouldQuarantine('svc bad', 0)).toBe(true);
+  });
 });
+
+/** Records a crash with one request; its last fingerprint is the whole one. */
+function crash(
+  tracker: SuspectTracker,
+  lifetime: string,
+  ...names: string[]
+): void {
+  const all = names.map(name => `svc ${name}`);
+  const request = all[all.length - 1]!;
+  all.forEach((one, specificity) =>
+    tracker.noteCrash(one, lifetime, 0, {request, answeredMs: 0, specificity}),
+  );
+}
