A stream without any event that ends with its connection is broken off

What callers saw: 200 and an empty stream where the target ended, as the system closes the connections of a process that is killed, before its first event of an answer with neither a length nor chunks. It counted as whole, since no event was incomplete.

--- a/src/forwarding/stream-relay.ts
+++ b/src/forwarding/stream-relay.ts
@@ -260,9 +260,9 @@
 
 /**
  * True if the target ended the stream. If only the end of the connection marks
- * the end, an incomplete last event shows that the stream broke off.
+ * the end, an incomplete last event, or none at all, shows that the stream broke off.
  */
 function isComplete(from: StreamingOutcome, splitter: EventSplitter): boolean {
-  const isTruncated = from.head.isUnframed && splitter.partial.length > 0;
-  return resets.isComplete(from.res) && !isTruncated;
+  const isTruncated = splitter.partial.length > 0 || splitter.count === 0;
+  return resets.isComplete(from.res) && !(from.head.isUnframed && isTruncated);
 }
