--- /dev/null
+++ b/src/http/load-shedder.ts
@@ -0,0 +1,71 @@
+/**
+ * Decides which new connections are closed unread while this process can't keep up
+ * with what it has read: callers can connect to another process at once, instead of
+ * waiting for a response that comes too late.
+ */
+import * as random from '../random';
+
+const WINDOW_MS = 200;
+/** Utilization of the event loop from which it has no idle time left. */
+const MIN_SATURATED = 0.98;
+/** Saturated windows in a row before any connection is closed. */
+const MIN_SATURATED_WINDOWS = 5;
+/** Utilization below which fewer connections are closed. */
+const MAX_RELAXED = 0.9;
+const FIRST_SHARE = 0.5;
+const SHARE_INCREASE = 0.1;
+const SHARE_DECREASE = 0.05;
+/** Some are always read, also by the only process that callers reach. */
+const MAX_SHARE = 0.9;
+
+export class LoadShedder {
+  private share = 0;
+  private saturatedWindows = 0;
+  private readonly timer: NodeJS.Timeout;
+
+  /** `utilization`: of the event loop since the call before, 0 to 1. */
+  constructor(
+    private readonly utilization: () => number,
+    /** Called when the closing of connections begins or ends. */
+    private readonly onChange: (isShedding: boolean) => void,
+  ) {
+    this.timer = setInterval(() => this.adjust(), WINDOW_MS);
+    this.timer.unref();
+  }
+
+  close(): void {
+    clearInterval(this.timer);
+  }
+
+  /** True if a new connection is to be closed. */
+  shouldClose(): boolean {
+    return this.share > 0 && random.uniform() < this.share;
+  }
+
+  private adjust(): void {
+    const utilization = this.utilization();
+    const before = this.share;
+    this.saturatedWindows =
+      utilization >= MIN_SATURATED ? this.saturatedWindows + 1 : 0;
+    if (this.saturatedWindows >= MIN_SATURATED_WINDOWS) {
+      const next = before === 0 ? FIRST_SHARE : before + SHARE_INCREASE;
+      this.share = Math.min(next, MAX_SHARE);
+    } else if (utilization < MAX_RELAXED) {
+      this.share = Math.max(before - SHARE_DECREASE, 0);
+    }
+    if ((before === 0) !== (this.share === 0)) {
+      this.onChange(this.share > 0);
+    }
+  }
+}
+
+/** Returns the utilization of this process's event loop since the call before. */
+export function measureUtilization(): () => number {
+  let last = performance.eventLoopUtilization();
+  return () => {
+    const now = performance.eventLoopUtilization();
+    const {utilization} = performance.eventLoopUtilization(now, last);
+    last = now;
+    return utilization;
+  };
+}
--- a/src/observability/catalogue.ts
+++ b/src/observability/catalogue.ts
@@ -74,6 +74,11 @@
     level: 'warn',
     text: 'request was served: not refused any more',
   },
+  connectionsShed: {
+    id: 'FC2017',
+    level: 'warn',
+    text: 'closing of new connections began or ended: no processor time left',
+  },
   platformUnavailable: {
     id: 'FC3001',
     level: 'warn',
--- a/src/roles/site-entry.ts
+++ b/src/roles/site-entry.ts
@@ -1,5 +1,6 @@
 /** The entry of a site: forwards callers' requests to the targets that it knows. */
 import * as http from 'node:http';
+import type * as net from 'node:net';
 import {SharedCapacity} from '../capacity/shared-capacity';
 import {TargetConnections} from '../forwarding/target-connections';
 import {LoadBalancer} from '../forwarding/load-balancer';
@@ -8,6 +9,7 @@
 import {GroupViews} from '../forwarding/group-views';
 import * as heldBytes from '../forwarding/held-bytes';
 import type {Wire} from '../forwarding/types';
+import * as loadShedder from '../http/load-shedder';
 import * as httpServer from '../http/server';
 import {SuspensionDetector} from '../suspension-detector';
 import type {Log} from '../observability/log';
@@ -45,6 +47,7 @@
   private readonly shares: SharedCapacity;
   private readonly forwarder: Forwarder;
   private readonly metrics = new Metrics();
+  private readonly shedder: loadShedder.LoadShedder;
   private readonly servers: http.Server[] = [];
   private callerServer: http.Server | undefined;
   private isStopping = false;
@@ -142,6 +145,14 @@
       log,
       metrics: this.metrics,
     });
+    this.shedder = new loadShedder.LoadShedder(
+      loadShedder.measureUtilization(),
+      isShedding =>
+        log.event('connectionsShed', {
+          isShedding,
+          open: this.forwarder.openCount,
+        }),
+    );
     this.shares.changes.subscribe(() => this.forwarder.noteSharesChanged());
   }
 
@@ -165,6 +176,12 @@
       cfg.callersAddress ?? `${cfg.host}:0`,
       http.createServer((req, res) => this.answer(req, res)),
     );
+    this.callerServer.on('connection', (socket: net.Socket) => {
+      if (this.shedder.shouldClose()) {
+        this.metrics.count('connections_shed_total', {});
+        socket.destroy();
+      }
+    });
     if (cfg.readyAddress !== undefined) {
       const ready = http.createServer((req, res) => {
         const isReadyPath =
@@ -211,6 +228,7 @@
   /** Closes at once, also with requests in flight. */
   close(): void {
     this.suspensionDetector.close();
+    this.shedder.close();
     this.forwarder.close();
     this.shares.close();
     this.site.close();
