--- a/src/crashes/crash-coordinator.ts
+++ b/src/crashes/crash-coordinator.ts
@@ -205,7 +205,7 @@
     const {isGranted, nextMs} = answer.value;
     this.quarantine.scheduleTrialRequest(digest!, now + nextMs);
     if (isGranted) {
-      log.event('requestTried', {digest});
+      log.event('requestTried', {fingerprint: digest});
     }
     return isGranted;
   }
@@ -277,7 +277,10 @@
       }
       if (this.quarantine.add(digest, leftMs, now)) {
         hasNew = true;
-        this.context.log.event('requestConvicted', {digest, by: 'peer'});
+        this.context.log.event('requestConvicted', {
+          fingerprint: digest,
+          by: 'peer',
+        });
       }
       if (trial !== undefined) {
         this.trials.adopt(digest, trial, now);
@@ -410,7 +413,7 @@
     for (const one of guilty) {
       if (this.quarantine.add(one, QUARANTINE_MS, now)) {
         this.context.log.event('requestConvicted', {
-          digest: one,
+          fingerprint: one,
           by: 'crashes',
         });
         const spreadMs = this.tracker.firstAgoMs(one, now);
@@ -451,7 +454,7 @@
   private release(digest: string, by: 'served' | 'peer'): boolean {
     const wasQuarantined = this.quarantine.release(digest, performance.now());
     if (wasQuarantined) {
-      this.context.log.event('requestReleased', {digest, by});
+      this.context.log.event('requestReleased', {fingerprint: digest, by});
     }
     return wasQuarantined;
   }
--- a/src/forwarding/refusal-builder.ts
+++ b/src/forwarding/refusal-builder.ts
@@ -81,7 +81,7 @@
       request: call.head?.id,
       kind: 'crashes-targets',
       service,
-      digest: quarantined[0],
+      fingerprint: quarantined[0],
     });
     const retryMs = retryDelays.afterCrashes(call.callerTimeLeftMs);
     return this.counted(service, {
--- a/src/observability/catalogue.ts
+++ b/src/observability/catalogue.ts
@@ -52,7 +52,7 @@
   requestConvicted: {
     id: 'FC2012',
     level: 'error',
-    text: 'request crashes its targets: refused from now on',
+    text: 'requests crash their targets: refused from now on',
   },
   admissionQueued: {
     id: 'FC2013',
@@ -62,7 +62,7 @@
   requestTried: {
     id: 'FC2014',
     level: 'warn',
-    text: 'quarantined request is sent once as a trial',
+    text: 'one quarantined request is sent as a trial',
   },
   slowReaderCut: {
     id: 'FC2015',
@@ -72,7 +72,7 @@
   requestReleased: {
     id: 'FC2016',
     level: 'warn',
-    text: 'request was served: not refused any more',
+    text: 'quarantined request was served: not refused any more',
   },
   connectionsShed: {
     id: 'FC2017',
