Crashes at the same time count once for parts that were served before

Where all targets of a service crash together (a loss of power, a rack), the part that all its prompts share was in three crashes of different requests with no success between them, and would have been refused with every request. The evidence of crashes has a module of its own.

--- a/src/crashes/app.ts
+++ b/src/crashes/app.ts
@@ -53,16 +53,15 @@
 /** Evidence against a fingerprint. */
 export const suspectSchema = v.object({
   fingerprint: fingerprintSchema,
-  /** Crashed lifetimes since the latest success, most recent last. */
-  lifetimes: listOf(v.string()),
+  /** Lifetimes that crashed with it, and how many milliseconds ago; oldest first. */
+  lifetimes: listOf(v.tuple([v.string(), durationSchema])),
   /** Fingerprints of the whole requests that were lost in them. */
   requests: listOf(v.string()),
-  score: v.number(),
+  /** Requests with it were served before the first of the crashes. */
+  isProven: v.boolean(),
   /** Longest time for which a target had answered it before it crashed. */
   answeredMs: durationSchema,
   specificity: v.number(),
-  /** Milliseconds since the first of the crashes. */
-  firstAgoMs: durationSchema,
 });
 export type SuspectState = v.InferOutput<typeof suspectSchema>;
 
@@ -94,6 +93,8 @@
   }),
   v.object({
     served: listOf(fingerprintSchema),
+    /** Those that were served before they became suspects. */
+    proven: listOf(fingerprintSchema),
     open: listOf(v.tuple([fingerprintSchema, v.number()])),
   }),
 );
--- a/src/crashes/crash-arbiter.ts
+++ b/src/crashes/crash-arbiter.ts
@@ -95,9 +95,10 @@
     }
   }
 
-  private applyAnswer({served, open}: app.SurveyAnswer): void {
+  private applyAnswer({served, proven, open}: app.SurveyAnswer): void {
     const {tracker} = this.context;
     const now = performance.now();
+    proven.forEach(fingerprint => tracker.noteProven(fingerprint, now));
     served.forEach(fingerprint => tracker.noteServed(fingerprint, now));
     open.forEach(([fingerprint, count]) =>
       tracker.addExposure(fingerprint, count, now),
--- a/src/crashes/crash-coordinator.ts
+++ b/src/crashes/crash-coordinator.ts
@@ -6,7 +6,6 @@
  * Without crashes there are no calls, and no fingerprints are made.
  */
 import * as rxjs from 'rxjs';
-import * as bounded from '../bounded';
 import type {Target} from '../forwarding/types';
 import type {Log} from '../observability/log';
 import type {PeerRanking} from '../peers/peer-ranking';
@@ -17,10 +16,12 @@
 import * as app from './app';
 import {CrashArbiter} from './crash-arbiter';
 import {CrashDetector, LostRequest} from './crash-detector';
+import {CrashEvidence} from './crash-evidence';
 import * as fingerprints from './fingerprints';
-import {OpenRequest, OpenRequests} from './open-requests';
+import {OpenRequest, OpenRequests, TrackedRequest} from './open-requests';
 import {FIRST_TRIAL_MS, QUARANTINE_MS, Quarantine} from './quarantine';
 import {QuarantineStore} from './quarantine-store';
+import {ServedParts} from './served-parts';
 import {StartupState} from './startup-state';
 import {SuspectTracker} from './suspect-tracker';
 import {TrialSchedule} from './trial-schedule';
@@ -46,8 +47,6 @@
  * spread: crashes at the same moment may have one other cause.
  */
 const TRIAL_DELAY_FACTOR = 4;
-/** Crashes explained by a quarantined fingerprint; the oldest are dropped first. */
-const MAX_EXPLAINED = 256;
 
 export interface CrashContext {
   readonly rpc: RpcClient;
@@ -65,6 +64,12 @@
   readonly convictions = new rxjs.Subject<void>();
   private readonly tracker = new SuspectTracker();
   private readonly quarantine = new Quarantine();
+  private readonly servedParts = new ServedParts();
+  private readonly evidence = new CrashEvidence(
+    this.tracker,
+    this.quarantine,
+    this.servedParts,
+  );
   private readonly trials = new TrialSchedule();
   private readonly openRequests = new OpenRequests();
   private readonly detector: CrashDetector;
@@ -73,7 +78,6 @@
   private readonly startup: StartupState;
   /** Successes to report, by service. */
   private readonly served = new Map<string, Set<string>>();
-  private readonly explained = new Set<string>();
   private servedTimer: NodeJS.Timeout | undefined;
   private isClosed = false;
 
@@ -163,8 +167,8 @@
   }
 
   /** Follows a request until it is closed. */
-  track(id: string, makeFingerprints: () => readonly string[]): OpenRequest {
-    return this.openRequests.open(id, makeFingerprints);
+  track(request: TrackedRequest): OpenRequest {
+    return this.openRequests.open(request);
   }
 
   /** The request's quarantined fingerprints, renewed; none: it may be sent. */
@@ -243,6 +247,7 @@
 
   /** Records that a request was served. */
   noteServed(request: OpenRequest): void {
+    this.servedParts.note(request.parts);
     if (!this.isActive) {
       return;
     }
@@ -325,7 +330,7 @@
     if (arbiter === this.context.peers.ownAddress) {
       this.handleReport(report);
     } else {
-      this.applyCrashes(report.crashes);
+      this.noteCrashes(report.crashes);
       void this.sendReport(arbiter, report);
     }
   }
@@ -353,59 +358,14 @@
       }
     }
     if (crashes.length > 0) {
-      this.applyCrashes(crashes);
+      this.noteCrashes(crashes);
       this.arbiter.schedule(service);
     }
   }
 
-  /** Records the evidence of crashes that no quarantined fingerprint explains. */
-  private applyCrashes(crashes: readonly app.Crash[]): void {
+  private noteCrashes(crashes: readonly app.Crash[]): void {
     const now = performance.now();
-    for (const {lifetime, requests} of crashes) {
-      const isExplained = requests.some(one =>
-        one.fingerprints.some(each => this.quarantine.has(each, now)),
-      );
-      if (isExplained) {
-        this.explained.add(lifetime);
-        bounded.dropOldest(this.explained, MAX_EXPLAINED);
-      }
-      if (!this.explained.has(lifetime)) {
-        this.applyCrash(lifetime, requests, now);
-      }
-    }
-  }
-
-  private applyCrash(
-    lifetime: string,
-    requests: readonly app.LostRequest[],
-    now: number,
-  ): void {
-    /** Shortest and longest time answered, by fingerprint. */
-    const answered = new Map<string, {min: number; max: number}>();
-    for (const {fingerprints: all, answeredMs} of requests) {
-      for (const one of all) {
-        const {min, max} = answered.get(one) ?? {min: Infinity, max: 0};
-        answered.set(one, {
-          min: Math.min(min, answeredMs),
-          max: Math.max(max, answeredMs),
-        });
-      }
-    }
-    for (const {fingerprints: all} of requests) {
-      all.forEach((one, at) => {
-        const isWhole = at === all.length - 1;
-        this.tracker.noteCrash(one, lifetime, now, {
-          request: all[all.length - 1]!,
-          answeredMs: answered.get(one)!.min,
-          specificity: isWhole ? Number.MAX_SAFE_INTEGER : at,
-        });
-      });
-    }
-    for (const [one, {max}] of answered) {
-      if (this.tracker.hasSurvived(one, max, now)) {
-        this.tracker.noteServed(one, now);
-      }
-    }
+    crashes.forEach(one => this.evidence.noteCrash(one, now));
   }
 
   private convict(service: string, guilty: readonly string[]): void {
@@ -436,7 +396,10 @@
     suspects: readonly app.SuspectState[],
   ): app.SurveyAnswer {
     const names = new Set(suspects.map(one => one.fingerprint));
-    return this.openRequests.survey(names, this.tracker, performance.now());
+    return {
+      ...this.openRequests.survey(names, this.tracker, performance.now()),
+      proven: [...names].filter(one => this.servedParts.has(one)),
+    };
   }
 
   private decideTrial(digest: string): {isGranted: boolean; nextMs: number} {
--- a/src/crashes/fingerprints.ts
+++ b/src/crashes/fingerprints.ts
@@ -11,19 +11,20 @@
 /** Separates fields; no service has it in its name. */
 const SEPARATOR = ' ';
 
-/** From broad to specific: the shared parts in order, then the whole request. */
-export function fingerprintsOf(
+/** Of the shared parts of a prompt, in order. */
+export function ofParts(
   service: string,
-  digest: string,
   sharedParts: readonly string[],
 ): readonly string[] {
   const parts = new Set(sharedParts.filter(id => id !== ''));
-  return [
-    ...[...parts]
-      .slice(0, MAX_PARTS)
-      .map(id => fingerprint(service, 'part', id)),
-    fingerprint(service, 'request', digest),
-  ];
+  return [...parts]
+    .slice(0, MAX_PARTS)
+    .map(id => fingerprint(service, 'part', id));
+}
+
+/** Of a whole request, by its digest. */
+export function ofRequest(service: string, digest: string): string {
+  return fingerprint(service, 'request', digest);
 }
 
 export function serviceOf(fingerprint: string): string {
--- a/src/crashes/open-requests.ts
+++ b/src/crashes/open-requests.ts
@@ -3,25 +3,48 @@
  * answering them. Counts events, not time: a target that stalls answers nothing.
  */
 import type {SurveyAnswer} from './app';
+import * as fingerprints from './fingerprints';
 import type {SuspectTracker} from './suspect-tracker';
 
+/** What is known of a request when it arrives. */
+export interface TrackedRequest {
+  readonly id: string;
+  readonly service: string;
+  readonly sharedParts: readonly string[];
+  /** Called once at most, and only where crashes are suspected. */
+  makeDigest(): string;
+}
+
 export class OpenRequest {
   private cached: readonly string[] | undefined;
   private firstEventAt: number | undefined;
   private lastEventAt = 0;
 
   constructor(
-    readonly id: string,
-    private readonly makeFingerprints: () => readonly string[],
+    private readonly request: TrackedRequest,
     private readonly onClose: (request: OpenRequest) => void,
   ) {}
 
-  /** From broad to specific. Made on first use: most requests need none. */
+  get id(): string {
+    return this.request.id;
+  }
+
+  /** From broad to specific: the shared parts, then the whole request. */
   get fingerprints(): readonly string[] {
-    this.cached ??= this.makeFingerprints();
+    const {service, makeDigest} = this.request;
+    this.cached ??= [
+      ...this.parts,
+      fingerprints.ofRequest(service, makeDigest()),
+    ];
     return this.cached;
   }
 
+  /** Fingerprints of the shared parts. */
+  get parts(): readonly string[] {
+    const {service, sharedParts} = this.request;
+    return fingerprints.ofParts(service, sharedParts);
+  }
+
   /** Milliseconds from the first to the latest event of the current send. */
   get answeredMs(): number {
     return this.firstEventAt === undefined
@@ -46,10 +69,8 @@
 export class OpenRequests {
   private readonly requests = new Set<OpenRequest>();
 
-  open(id: string, makeFingerprints: () => readonly string[]): OpenRequest {
-    const request = new OpenRequest(id, makeFingerprints, one =>
-      this.requests.delete(one),
-    );
+  open(tracked: TrackedRequest): OpenRequest {
+    const request = new OpenRequest(tracked, one => this.requests.delete(one));
     this.requests.add(request);
     return request;
   }
@@ -59,7 +80,7 @@
     suspects: ReadonlySet<string>,
     tracker: SuspectTracker,
     now: number,
-  ): SurveyAnswer {
+  ): Pick<SurveyAnswer, 'served' | 'open'> {
     const open = new Map<string, number>();
     const served = new Set<string>();
     for (const request of this.requests) {
--- a/src/crashes/quarantine.ts
+++ b/src/crashes/quarantine.ts
@@ -34,14 +34,14 @@
   private lastEndsAt = -Infinity;
 
   /** Quarantines a fingerprint; true if it was not quarantined before. */
-  add(digest: string, leftMs: number, now: number): boolean {
-    const isNew = !this.has(digest, now);
+  add(fingerprint: string, leftMs: number, now: number): boolean {
+    const isNew = !this.has(fingerprint, now);
     const endsAt = now + Math.min(leftMs, QUARANTINE_MS);
-    const before = this.entries.get(digest);
+    const before = this.entries.get(fingerprint);
     this.lastEndsAt = Math.max(this.lastEndsAt, endsAt);
     const trialRequestAt = before?.trialRequestAt ?? now + FIRST_TRIAL_MS;
-    this.entries.delete(digest);
-    this.entries.set(digest, {
+    this.entries.delete(fingerprint);
+    this.entries.set(fingerprint, {
       endsAt: Math.max(endsAt, before?.endsAt ?? 0),
       notifiedAt: now,
       trialRequestAt,
@@ -51,18 +51,18 @@
   }
 
   /** True if a request must be refused; renews its quarantine. */
-  checkAndRenew(digest: string, now: number): boolean {
-    const isQuarantined = this.has(digest, now);
+  checkAndRenew(fingerprint: string, now: number): boolean {
+    const isQuarantined = this.has(fingerprint, now);
     if (isQuarantined) {
       this.lastEndsAt = now + QUARANTINE_MS;
-      this.entries.get(digest)!.endsAt = this.lastEndsAt;
+      this.entries.get(fingerprint)!.endsAt = this.lastEndsAt;
     }
     return isQuarantined;
   }
 
   /** True if peers must be notified again; records the notification. */
-  takeNotification(digest: string, now: number): boolean {
-    const entry = this.entries.get(digest);
+  takeNotification(fingerprint: string, now: number): boolean {
+    const entry = this.entries.get(fingerprint);
     const isDue =
       entry !== undefined && now - entry.notifiedAt > NOTIFY_INTERVAL_MS;
     if (isDue) {
@@ -72,8 +72,8 @@
   }
 
   /** True if the arbiter must be asked now whether the request may be tried. */
-  takeTrialRequest(digest: string, now: number): boolean {
-    const entry = this.entries.get(digest);
+  takeTrialRequest(fingerprint: string, now: number): boolean {
+    const entry = this.entries.get(fingerprint);
     const isDue = entry !== undefined && now >= entry.trialRequestAt;
     if (isDue) {
       entry.trialRequestAt = Infinity;
@@ -82,17 +82,17 @@
   }
 
   /** Sets when to ask the arbiter again. */
-  scheduleTrialRequest(digest: string, at: number): void {
-    const entry = this.entries.get(digest);
+  scheduleTrialRequest(fingerprint: string, at: number): void {
+    const entry = this.entries.get(fingerprint);
     if (entry !== undefined) {
       entry.trialRequestAt = at;
     }
   }
 
   /** Ends the quarantine of a fingerprint; true if it was quarantined. */
-  release(digest: string, now: number): boolean {
-    const wasQuarantined = this.has(digest, now);
-    this.entries.delete(digest);
+  release(fingerprint: string, now: number): boolean {
+    const wasQuarantined = this.has(fingerprint, now);
+    this.entries.delete(fingerprint);
     if (this.entries.size === 0) {
       this.lastEndsAt = -Infinity;
     }
@@ -103,14 +103,17 @@
   notices(now: number): QuarantineNotice[] {
     return [...this.entries]
       .filter(([, {endsAt}]) => endsAt > now)
-      .map(([digest, {endsAt}]) => ({digest, leftMs: endsAt - now}));
+      .map(([fingerprint, {endsAt}]) => ({
+        digest: fingerprint,
+        leftMs: endsAt - now,
+      }));
   }
 
   /** True if the request is quarantined; does not renew that. */
-  has(digest: string, now: number): boolean {
-    const entry = this.entries.get(digest);
+  has(fingerprint: string, now: number): boolean {
+    const entry = this.entries.get(fingerprint);
     if (entry !== undefined && entry.endsAt <= now) {
-      this.entries.delete(digest);
+      this.entries.delete(fingerprint);
       return false;
     }
     return entry !== undefined;
--- a/src/crashes/suspect-tracker.test.ts
+++ b/src/crashes/suspect-tracker.test.ts
@@ -95,6 +95,22 @@
     expect(tracker.takeGuilty('svc', 0)).toEqual(['svc request']);
   });
 
+  // Guards against a part that a whole service shares being blamed for a loss of power.
+  it('count crashes at the same time once if they were served before', () => {
+    const tracker = new SuspectTracker();
+    const at = (now: number, life: string) => {
+      const involvement = {request: `r-${life}`, answeredMs: 0, specificity: 0};
+      tracker.noteCrash('svc first', life, now, involvement);
+      tracker.noteProven('svc first', now);
+    };
+    ['a', 'b', 'c', 'd', 'e'].forEach((life, index) => at(index * 100, life));
+    expect(tracker.takeGuilty('svc', 500)).toEqual([]);
+    at(1_500, 'f');
+    expect(tracker.takeGuilty('svc', 1_500)).toEqual([]);
+    at(3_000, 'g');
+    expect(tracker.takeGuilty('svc', 3_000)).toEqual(['svc first']);
+  });
+
   it('are passed on with their evidence', () => {
     const [tracker, other] = [new SuspectTracker(), new SuspectTracker()];
     crash(tracker, 'a', 'bad', 'request-1');
--- a/src/crashes/suspect-tracker.ts
+++ b/src/crashes/suspect-tracker.ts
@@ -5,7 +5,9 @@
  * it outnumber its successes by CRASHES_TO_QUARANTINE. The difference is kept
  * between 0 and that, so that neither many crashes at once nor many earlier
  * successes outweigh what follows. Of several fingerprints with the same crashes,
- * the one of the fewest requests is quarantined. Takes the time as an argument.
+ * the one of the fewest requests is quarantined. Of fingerprints that were served
+ * before, crashes at the same time count once: they have another cause, such as a loss
+ * of power, more often than not. Takes the time as an argument.
  */
 import * as bounded from '../bounded';
 import type {SuspectState} from './app';
@@ -27,6 +29,8 @@
  */
 const SURVIVAL_FACTOR = 2;
 const SURVIVAL_MARGIN_MS = 250;
+/** Crashes of a fingerprint that was served before count once in this time. */
+const SAME_TIME_MS = 1_000;
 
 /** How a fingerprint was involved in a crash. */
 export interface Involvement {
@@ -39,14 +43,12 @@
 }
 
 interface Suspect {
-  /** Lifetimes that count in the score. */
-  readonly lifetimes: Set<string>;
+  /** When lifetimes crashed that no success outweighs; oldest first. */
+  readonly lifetimes: Map<string, number>;
   /** All recent lifetimes, which don't count again. */
   readonly seenLifetimes: Set<string>;
   readonly requests: Set<string>;
-  /** Crashed lifetimes minus successes. */
-  score: number;
-  firstCrashAt: number;
+  isProven: boolean;
   lastCrashAt: number;
   answeredMs: number;
   specificity: number;
@@ -77,10 +79,10 @@
     suspect.requests.add(request);
     bounded.dropOldest(suspect.requests, MAX_LIFETIMES);
     if (!suspect.seenLifetimes.has(lifetime)) {
-      suspect.firstCrashAt = suspect.score === 0 ? now : suspect.firstCrashAt;
-      addBounded(suspect.seenLifetimes, lifetime);
-      addBounded(suspect.lifetimes, lifetime);
-      suspect.score = Math.min(suspect.score + 1, CRASHES_TO_QUARANTINE);
+      suspect.seenLifetimes.add(lifetime);
+      suspect.lifetimes.set(lifetime, now);
+      bounded.dropOldest(suspect.seenLifetimes, MAX_LIFETIMES);
+      bounded.dropOldest(suspect.lifetimes, MAX_LIFETIMES);
     }
     suspect.answeredMs = Math.max(suspect.answeredMs, answeredMs);
     suspect.specificity = Math.max(suspect.specificity, specificity);
@@ -94,13 +96,21 @@
     if (suspect === undefined) {
       return;
     }
-    suspect.score = Math.max(suspect.score - 1, 0);
-    if (suspect.score === 0) {
-      suspect.lifetimes.clear();
+    const groups = crashGroups(suspect).slice(-CRASHES_TO_QUARANTINE);
+    keepOnly(suspect, groups.slice(1));
+    if (suspect.lifetimes.size === 0) {
       suspect.requests.clear();
     }
   }
 
+  /** Records that requests with it were served before it became a suspect. */
+  noteProven(fingerprint: string, now: number): void {
+    const suspect = this.unexpired(fingerprint, now);
+    if (suspect !== undefined) {
+      suspect.isProven = true;
+    }
+  }
+
   /** True if the fingerprint was in a recent crash. */
   isSuspect(fingerprint: string, now: number): boolean {
     return this.unexpired(fingerprint, now) !== undefined;
@@ -108,7 +118,8 @@
 
   /** True if one more crash would quarantine the fingerprint. */
   isNearQuarantine(fingerprint: string, now: number): boolean {
-    const score = this.unexpired(fingerprint, now)?.score ?? 0;
+    const suspect = this.unexpired(fingerprint, now);
+    const score = suspect === undefined ? 0 : scoreOf(suspect);
     return score >= CRASHES_TO_QUARANTINE - 1;
   }
 
@@ -131,12 +142,15 @@
     const explained = new Set<string>();
     const guilty: string[] = [];
     for (const [fingerprint, suspect] of candidates) {
-      const others = [...suspect.lifetimes].filter(one => !explained.has(one));
+      const others = crashGroups(suspect).filter(
+        group => !group.some(one => explained.has(one)),
+      );
       if (others.length >= CRASHES_TO_QUARANTINE) {
         guilty.push(fingerprint);
-        others.forEach(one => explained.add(one));
+        others.flat().forEach(one => explained.add(one));
       } else {
-        suspect.score = CRASHES_TO_QUARANTINE - 1;
+        const groups = crashGroups(suspect);
+        keepOnly(suspect, groups.slice(1 - CRASHES_TO_QUARANTINE));
       }
     }
     return guilty;
@@ -145,7 +159,8 @@
   /** Milliseconds since the first crash that counts. */
   firstAgoMs(fingerprint: string, now: number): number {
     const suspect = this.unexpired(fingerprint, now);
-    return suspect === undefined ? 0 : now - suspect.firstCrashAt;
+    const [firstAt = now] = suspect?.lifetimes.values() ?? [];
+    return now - firstAt;
   }
 
   /** True if a request that is answered for so long has survived. */
@@ -184,17 +199,19 @@
   ): SuspectState[] {
     return this.ofService(service, now)
       .sort(
-        ([, a], [, b]) => b.score - a.score || b.lastCrashAt - a.lastCrashAt,
+        ([, a], [, b]) =>
+          scoreOf(b) - scoreOf(a) || b.lastCrashAt - a.lastCrashAt,
       )
       .slice(0, max)
       .map(([fingerprint, suspect]) => ({
         fingerprint,
-        lifetimes: [...suspect.lifetimes],
+        lifetimes: [...suspect.lifetimes].map(
+          ([lifetime, at]): [string, number] => [lifetime, now - at],
+        ),
         requests: [...suspect.requests].slice(0, MIN_REQUESTS),
-        score: suspect.score,
+        isProven: suspect.isProven,
         answeredMs: suspect.answeredMs,
         specificity: Math.min(suspect.specificity, Number.MAX_SAFE_INTEGER),
-        firstAgoMs: now - suspect.firstCrashAt,
       }));
   }
 
@@ -204,14 +221,20 @@
     const before = this.unexpired(fingerprint, now);
     const suspect: Suspect = {
       ...(before ?? newSuspect(now)),
-      lifetimes: new Set(lifetimes.slice(-MAX_LIFETIMES)),
+      lifetimes: new Map(
+        lifetimes
+          .slice(-MAX_LIFETIMES)
+          .map(([lifetime, agoMs]) => [lifetime, now - agoMs]),
+      ),
       requests: new Set(requests.slice(0, MAX_LIFETIMES)),
-      score: Math.min(Math.max(state.score, 0), CRASHES_TO_QUARANTINE),
+      isProven: state.isProven || before?.isProven === true,
       answeredMs: state.answeredMs,
       specificity: state.specificity,
-      firstCrashAt: now - state.firstAgoMs,
     };
-    lifetimes.forEach(one => addBounded(suspect.seenLifetimes, one));
+    for (const [lifetime] of lifetimes) {
+      suspect.seenLifetimes.add(lifetime);
+      bounded.dropOldest(suspect.seenLifetimes, MAX_LIFETIMES);
+    }
     this.set(fingerprint, suspect, now);
   }
 
@@ -255,11 +278,10 @@
 
 function newSuspect(now: number): Suspect {
   return {
-    lifetimes: new Set(),
+    lifetimes: new Map(),
     seenLifetimes: new Set(),
     requests: new Set(),
-    score: 0,
-    firstCrashAt: now,
+    isProven: false,
     lastCrashAt: now,
     answeredMs: 0,
     specificity: 0,
@@ -271,7 +293,7 @@
 function isGuilty(fingerprint: string, suspect: Suspect): boolean {
   const isWhole = suspect.requests.has(fingerprint);
   return (
-    suspect.score >= CRASHES_TO_QUARANTINE &&
+    scoreOf(suspect) >= CRASHES_TO_QUARANTINE &&
     (isWhole || suspect.requests.size >= MIN_REQUESTS)
   );
 }
@@ -280,7 +302,34 @@
   return SURVIVAL_FACTOR * answeredMs + SURVIVAL_MARGIN_MS;
 }
 
-function addBounded(set: Set<string>, value: string): void {
-  set.add(value);
-  bounded.dropOldest(set, MAX_LIFETIMES);
+/** Crashes minus successes, from 0 to CRASHES_TO_QUARANTINE. */
+function scoreOf(suspect: Suspect): number {
+  return Math.min(crashGroups(suspect).length, CRASHES_TO_QUARANTINE);
+}
+
+/** The lifetimes of each crash that counts, oldest first. */
+function crashGroups({lifetimes, isProven}: Suspect): string[][] {
+  const groups: string[][] = [];
+  let groupAt = -Infinity;
+  for (const [lifetime, at] of lifetimes) {
+    if (isProven && at - groupAt < SAME_TIME_MS) {
+      groups[groups.length - 1]!.push(lifetime);
+    } else {
+      groups.push([lifetime]);
+      groupAt = at;
+    }
+  }
+  return groups;
+}
+
+function keepOnly(
+  {lifetimes}: Suspect,
+  groups: readonly (readonly string[])[],
+): void {
+  const kept = new Set(groups.flat());
+  for (const lifetime of [...lifetimes.keys()]) {
+    if (!kept.has(lifetime)) {
+      lifetimes.delete(lifetime);
+    }
+  }
 }
--- a/src/crashes/trial-schedule.ts
+++ b/src/crashes/trial-schedule.ts
@@ -31,62 +31,64 @@
 
   /** Schedules the next trial of a fingerprint that is quarantined now. */
   schedule(
-    digest: string,
+    fingerprint: string,
     now: number,
     firstDelayMs: number = FIRST_TRIAL_MS,
   ): void {
-    const before = this.unexpired(digest, now);
+    const before = this.unexpired(fingerprint, now);
     const delayMs = before?.delayMs ?? firstDelayMs;
     const dueAt = Math.max(before?.dueAt ?? 0, now + delayMs);
-    this.set(digest, {delayMs, dueAt});
+    this.set(fingerprint, {delayMs, dueAt});
   }
 
   /** Grants a trial if one is due, and schedules the next. */
-  take(digest: string, now: number): boolean {
-    const next = this.unexpired(digest, now);
+  take(fingerprint: string, now: number): boolean {
+    const next = this.unexpired(fingerprint, now);
     if (next === undefined) {
-      this.schedule(digest, now);
+      this.schedule(fingerprint, now);
       return false;
     }
     if (next.dueAt > now) {
       return false;
     }
     const delayMs = Math.min(next.delayMs * DELAY_FACTOR, MAX_DELAY_MS);
-    this.set(digest, {delayMs, dueAt: now + delayMs});
+    this.set(fingerprint, {delayMs, dueAt: now + delayMs});
     return true;
   }
 
   /** Takes over a peer's schedule, unless this one's trials are further apart. */
-  adopt(digest: string, {delayMs, leftMs}: TrialState, now: number): void {
-    const before = this.unexpired(digest, now);
+  adopt(fingerprint: string, {delayMs, leftMs}: TrialState, now: number): void {
+    const before = this.unexpired(fingerprint, now);
     if (before === undefined || before.delayMs <= delayMs) {
       const dueAt = Math.max(before?.dueAt ?? 0, now + leftMs);
-      this.set(digest, {delayMs: Math.min(delayMs, MAX_DELAY_MS), dueAt});
+      this.set(fingerprint, {delayMs: Math.min(delayMs, MAX_DELAY_MS), dueAt});
     }
   }
 
   /** Undefined: none is scheduled. */
-  stateOf(digest: string, now: number): TrialState | undefined {
-    const next = this.unexpired(digest, now);
-    return next && {delayMs: next.delayMs, leftMs: this.waitMs(digest, now)};
+  stateOf(fingerprint: string, now: number): TrialState | undefined {
+    const next = this.unexpired(fingerprint, now);
+    return (
+      next && {delayMs: next.delayMs, leftMs: this.waitMs(fingerprint, now)}
+    );
   }
 
   /** Milliseconds until the next trial is due. */
-  waitMs(digest: string, now: number): number {
-    const next = this.unexpired(digest, now);
+  waitMs(fingerprint: string, now: number): number {
+    const next = this.unexpired(fingerprint, now);
     return Math.max((next?.dueAt ?? now + FIRST_TRIAL_MS) - now, 0);
   }
 
-  private set(digest: string, next: Trials): void {
-    this.trials.delete(digest);
-    this.trials.set(digest, next);
+  private set(fingerprint: string, next: Trials): void {
+    this.trials.delete(fingerprint);
+    this.trials.set(fingerprint, next);
     bounded.dropOldest(this.trials, MAX_REQUESTS);
   }
 
-  private unexpired(digest: string, now: number): Trials | undefined {
-    const next = this.trials.get(digest);
+  private unexpired(fingerprint: string, now: number): Trials | undefined {
+    const next = this.trials.get(fingerprint);
     if (next !== undefined && now - next.dueAt > TTL_MS) {
-      this.trials.delete(digest);
+      this.trials.delete(fingerprint);
       return undefined;
     }
     return next;
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -192,9 +192,12 @@
       service,
       account: resolved.account,
     };
-    call.tracked = this.context.crashes.track(head.id, () =>
-      relayedRequest.fingerprintsOf(request),
-    );
+    call.tracked = this.context.crashes.track({
+      id: head.id,
+      service,
+      sharedParts: head.sharedParts ?? [],
+      makeDigest: () => relayedRequest.digestOf(request),
+    });
     this.budgetOf(service).noteRequest(performance.now());
     const relay = resolved.route.kind === 'stream' ? this.streams : this.plain;
     await relay.relay(call, request);
--- a/src/forwarding/relayed-request.ts
+++ b/src/forwarding/relayed-request.ts
@@ -1,7 +1,6 @@
 /** A request that is relayed to targets, and its identity. */
 import * as crypto from 'node:crypto';
 import {rankFrom} from '../admission/rank';
-import * as fingerprints from '../crashes/fingerprints';
 import type {ClientAccount, Route} from '../routes/types';
 import type {RequestHead} from './types';
 
@@ -16,15 +15,8 @@
 /** Characters of the base64url digest that are kept: 96 bits. */
 const DIGEST_LENGTH = 16;
 
-/** What the request shares with others that may crash targets, broad to specific. */
-export function fingerprintsOf(request: RelayedRequest): readonly string[] {
-  const {service, head} = request;
-  const digest = makeDigest(request);
-  return fingerprints.fingerprintsOf(service, digest, head.sharedParts ?? []);
-}
-
 /** Identifies equal requests, by method, host, path, caller's key and body. */
-function makeDigest({head, body}: RelayedRequest): string {
+export function digestOf({head, body}: RelayedRequest): string {
   const {method, host, path, key} = head;
   const hash = crypto.createHash('sha256');
   hash.update(JSON.stringify([method, host, path, key ?? '']));
