--- a/src/crashes/crash-coordinator.ts
+++ b/src/crashes/crash-coordinator.ts
@@ -17,6 +17,7 @@
 import {CrashArbiter} from './crash-arbiter';
 import {CrashDetector, LostRequest} from './crash-detector';
 import {CrashEvidence} from './crash-evidence';
+import {CrashReporter} from './crash-reporter';
 import * as fingerprints from './fingerprints';
 import {OpenRequest, OpenRequests, TrackedRequest} from './open-requests';
 import {FIRST_TRIAL_MS, QUARANTINE_MS, Quarantine} from './quarantine';
@@ -32,8 +33,6 @@
 const MAX_ATTEMPTS = 3;
 /** Minimum time between reports that a suspect was served. */
 const SERVED_REPORT_INTERVAL_MS = 250;
-/** Successes are collected for so long before they are reported. */
-const SERVED_REPORT_DELAY_MS = 50;
 /** Lost requests of a crash that are logged. */
 const MAX_LOGGED_REQUESTS = 8;
 /** Suspects that a process is told at its start. */
@@ -76,9 +75,7 @@
   private readonly arbiter: CrashArbiter;
   private readonly quarantineStore: QuarantineStore;
   private readonly startup: StartupState;
-  /** Successes to report, by service. */
-  private readonly served = new Map<string, Set<string>>();
-  private servedTimer: NodeJS.Timeout | undefined;
+  private readonly reporter: CrashReporter;
   private isClosed = false;
 
   constructor(private readonly context: CrashContext) {
@@ -94,6 +91,15 @@
       survey: suspects => this.answerSurvey(suspects),
       onGuilty: (service, guilty) => this.convict(service, guilty),
     });
+    this.reporter = new CrashReporter({
+      rpc,
+      peers,
+      onOwnReport: report => this.handleReport(report),
+      onSentReport: ({crashes, served}) => {
+        this.noteCrashes(crashes);
+        served.forEach(one => this.release(one, 'served'));
+      },
+    });
     this.quarantineStore = new QuarantineStore(store, storeKind);
     this.startup = new StartupState({
       rpc,
@@ -144,7 +150,7 @@
 
   close(): void {
     this.isClosed = true;
-    clearTimeout(this.servedTimer);
+    this.reporter.close();
     this.detector.close();
     this.arbiter.close();
     this.convictions.complete();
@@ -194,7 +200,7 @@
     ) {
       return false;
     }
-    const arbiter = this.arbiterOf(fingerprints.serviceOf(digest!));
+    const arbiter = this.reporter.arbiterOf(fingerprints.serviceOf(digest!));
     const params = {from: peers.ownAddress, digest: digest!};
     const answer =
       arbiter === peers.ownAddress
@@ -258,7 +264,7 @@
         isQuarantined ||
         this.tracker.takeServedReport(one, now, SERVED_REPORT_INTERVAL_MS)
       ) {
-        this.reportServed(one);
+        this.reporter.reportServed(one);
       }
     }
   }
@@ -321,31 +327,11 @@
       fingerprints: [...one.fingerprints],
       answeredMs: one.answeredMs,
     }));
-    this.report({service, crashes: [{lifetime, requests: lost}], served: []});
-  }
-
-  /** Sends a report to the entry that arbitrates its service. */
-  private report(report: app.Report): void {
-    const arbiter = this.arbiterOf(report.service);
-    if (arbiter === this.context.peers.ownAddress) {
-      this.handleReport(report);
-    } else {
-      this.noteCrashes(report.crashes);
-      void this.sendReport(arbiter, report);
-    }
-  }
-
-  private async sendReport(arbiter: string, report: app.Report): Promise<void> {
-    const {rpc, peers} = this.context;
-    const params = {...report, from: peers.ownAddress};
-    const answer = await rpc.call(arbiter, app.report, params, RPC_TIMEOUT_MS);
-    if (answer.ok) {
-      peers.markResponsive(arbiter);
-    } else if (!this.isClosed) {
-      // The next peer in the order arbitrates now.
-      peers.markUnresponsive(arbiter);
-      this.report(report);
-    }
+    this.reporter.report({
+      service,
+      crashes: [{lifetime, requests: lost}],
+      served: [],
+    });
   }
 
   private handleReport({service, crashes, served}: app.Report): void {
@@ -422,21 +408,6 @@
     return wasQuarantined;
   }
 
-  private reportServed(fingerprint: string): void {
-    const service = fingerprints.serviceOf(fingerprint);
-    const served = this.served.get(service) ?? new Set();
-    this.served.set(service, served.add(fingerprint));
-    this.servedTimer ??= setTimeout(() => {
-      this.servedTimer = undefined;
-      const reports = [...this.served];
-      this.served.clear();
-      for (const [of, all] of reports) {
-        this.report({service: of, crashes: [], served: [...all]});
-        all.forEach(one => this.release(one, 'served'));
-      }
-    }, SERVED_REPORT_DELAY_MS);
-  }
-
   private async saveQuarantine(service: string): Promise<void> {
     const notices = this.quarantineNotices().filter(
       one => fingerprints.serviceOf(one.digest) === service,
@@ -444,10 +415,6 @@
     await this.quarantineStore.save(service, notices);
   }
 
-  private arbiterOf(service: string): string {
-    return this.context.peers.responsive(service)[0]!;
-  }
-
   private noticeOf(
     digest: string,
     leftMs: number,
