--- a/src/crashes/app.ts
+++ b/src/crashes/app.ts
@@ -18,7 +18,7 @@
 const durationSchema = v.pipe(v.number(), v.minValue(0));
 
 export const quarantineSchema = v.object({
-  /** A fingerprint. */
+  /** The fingerprint; earlier versions had digests only. */
   digest: fingerprintSchema,
   /** Milliseconds until the quarantine ends; 0 ends it. */
   leftMs: durationSchema,
--- a/src/crashes/crash-coordinator.ts
+++ b/src/crashes/crash-coordinator.ts
@@ -192,30 +192,33 @@
    */
   async requestTrial(quarantined: readonly string[]): Promise<boolean> {
     const {rpc, peers, log} = this.context;
-    const [digest] = quarantined;
+    const [fingerprint] = quarantined;
     // Its success or crash would say nothing about one of several.
     if (
-      quarantined.length !== 1 ||
-      !this.quarantine.takeTrialRequest(digest!, performance.now())
+      fingerprint === undefined ||
+      quarantined.length > 1 ||
+      !this.quarantine.takeTrialRequest(fingerprint, performance.now())
     ) {
       return false;
     }
-    const arbiter = this.reporter.arbiterOf(fingerprints.serviceOf(digest!));
-    const params = {from: peers.ownAddress, digest: digest!};
+    const arbiter = this.reporter.arbiterOf(
+      fingerprints.serviceOf(fingerprint),
+    );
+    const params = {from: peers.ownAddress, digest: fingerprint};
     const answer =
       arbiter === peers.ownAddress
-        ? ok(this.decideTrial(digest!))
+        ? ok(this.decideTrial(fingerprint))
         : await rpc.call(arbiter, app.requestTrial, params, RPC_TIMEOUT_MS);
     const now = performance.now();
     if (!answer.ok) {
       peers.markUnresponsive(arbiter);
-      this.quarantine.scheduleTrialRequest(digest!, now + FIRST_TRIAL_MS);
+      this.quarantine.scheduleTrialRequest(fingerprint, now + FIRST_TRIAL_MS);
       return false;
     }
     const {isGranted, nextMs} = answer.value;
-    this.quarantine.scheduleTrialRequest(digest!, now + nextMs);
+    this.quarantine.scheduleTrialRequest(fingerprint, now + nextMs);
     if (isGranted) {
-      log.event('requestTried', {fingerprint: digest});
+      log.event('requestTried', {fingerprint});
     }
     return isGranted;
   }
@@ -388,22 +391,28 @@
     };
   }
 
-  private decideTrial(digest: string): {isGranted: boolean; nextMs: number} {
+  private decideTrial(fingerprint: string): {
+    isGranted: boolean;
+    nextMs: number;
+  } {
     const now = performance.now();
-    const isGranted = this.trials.take(digest, now);
+    const isGranted = this.trials.take(fingerprint, now);
     if (isGranted) {
       // Another arbiter must not grant the same trial.
-      this.notifyPeers([this.noticeOf(digest, QUARANTINE_MS, now)]);
-      void this.saveQuarantine(fingerprints.serviceOf(digest));
+      this.notifyPeers([this.noticeOf(fingerprint, QUARANTINE_MS, now)]);
+      void this.saveQuarantine(fingerprints.serviceOf(fingerprint));
     }
-    return {isGranted, nextMs: this.trials.waitMs(digest, now)};
+    return {isGranted, nextMs: this.trials.waitMs(fingerprint, now)};
   }
 
   /** Ends a quarantine; true if the fingerprint was quarantined. */
-  private release(digest: string, by: 'served' | 'peer'): boolean {
-    const wasQuarantined = this.quarantine.release(digest, performance.now());
+  private release(fingerprint: string, by: 'served' | 'peer'): boolean {
+    const wasQuarantined = this.quarantine.release(
+      fingerprint,
+      performance.now(),
+    );
     if (wasQuarantined) {
-      this.context.log.event('requestReleased', {fingerprint: digest, by});
+      this.context.log.event('requestReleased', {fingerprint, by});
     }
     return wasQuarantined;
   }
@@ -416,11 +425,15 @@
   }
 
   private noticeOf(
-    digest: string,
+    fingerprint: string,
     leftMs: number,
     now: number,
   ): app.QuarantineNotice {
-    return {digest, leftMs, trial: this.trials.stateOf(digest, now)};
+    return {
+      digest: fingerprint,
+      leftMs,
+      trial: this.trials.stateOf(fingerprint, now),
+    };
   }
 
   private notifyPeers(notices: readonly app.QuarantineNotice[]): void {
