--- a/src/http/load-shedder.test.ts
+++ b/src/http/load-shedder.test.ts
@@ -4,15 +4,18 @@
 
 describe('closing of new connections', () => {
   let utilization: number;
+  let isUneven: boolean;
   let changes: boolean[];
   let shedder: LoadShedder;
 
   beforeEach(() => {
     jest.useFakeTimers();
     utilization = 0;
+    isUneven = true;
     changes = [];
     shedder = new LoadShedder(
       () => utilization,
+      () => isUneven,
       isShedding => changes.push(isShedding),
     );
   });
@@ -52,6 +55,7 @@
     shedder.close();
     shedder = new LoadShedder(
       () => utilization,
+      () => isUneven,
       () => undefined,
     );
     for (let at = 0; at < 20; at += 1) {
@@ -60,4 +64,18 @@
     }
     expect(closedShare()).toBe(0);
   });
+
+  // Guards against callers that are turned away where no other entry has room.
+  it('does not begin, and ends, where other processes get as many', () => {
+    isUneven = false;
+    utilization = 1;
+    jest.advanceTimersByTime(20 * WINDOW_MS);
+    expect(closedShare()).toBe(0);
+    isUneven = true;
+    jest.advanceTimersByTime(WINDOW_MS);
+    expect(closedShare()).toBeGreaterThan(0.4);
+    isUneven = false;
+    jest.advanceTimersByTime(20 * WINDOW_MS);
+    expect(closedShare()).toBe(0);
+  });
 });
--- a/src/http/load-shedder.ts
+++ b/src/http/load-shedder.ts
@@ -1,7 +1,8 @@
 /**
  * Decides which new connections are closed unread while this process can't keep up
- * with what it has read: callers can connect to another process at once, instead of
- * waiting for a response that comes too late.
+ * with what it has read and others get fewer: callers can connect to one of them at
+ * once, instead of waiting for a response that comes too late. Where all processes
+ * are as busy, requests are read and refused by their priority instead.
  */
 import * as random from '../random';
 
@@ -26,6 +27,8 @@
   /** `utilization`: of the event loop since the call before, 0 to 1. */
   constructor(
     private readonly utilization: () => number,
+    /** True if other processes get far fewer new connections. */
+    private readonly isUneven: () => boolean,
     /** Called when the closing of connections begins or ends. */
     private readonly onChange: (isShedding: boolean) => void,
   ) {
@@ -45,12 +48,13 @@
   private adjust(): void {
     const utilization = this.utilization();
     const before = this.share;
+    const isUneven = this.isUneven();
     this.saturatedWindows =
       utilization >= MIN_SATURATED ? this.saturatedWindows + 1 : 0;
-    if (this.saturatedWindows >= MIN_SATURATED_WINDOWS) {
+    if (isUneven && this.saturatedWindows >= MIN_SATURATED_WINDOWS) {
       const next = before === 0 ? FIRST_SHARE : before + SHARE_INCREASE;
       this.share = Math.min(next, MAX_SHARE);
-    } else if (utilization < MAX_RELAXED) {
+    } else if (!isUneven || utilization < MAX_RELAXED) {
       this.share = Math.max(before - SHARE_DECREASE, 0);
     }
     if ((before === 0) !== (this.share === 0)) {
--- a/src/peers/peer-poller.ts
+++ b/src/peers/peer-poller.ts
@@ -50,6 +50,9 @@
   /** Applies a peer's updates. Returns true if they are recent. */
   applyUpdates(updates: readonly types.KindUpdate[], askedAt: number): boolean;
   applyQuarantines(notices: readonly QuarantineNotice[]): void;
+  /** New connections per second of this process. */
+  connectionsPerSecond(): number;
+  onPeerConnections(peer: string, perSecond: number): void;
   onAnswer(): void;
 }
 
@@ -107,7 +110,11 @@
   ): Promise<void> {
     const {rpc, directory, from} = this.context;
     const askedAt = performance.now();
-    const params = {from, held: this.context.digests()};
+    const params = {
+      from,
+      held: this.context.digests(),
+      connectionsPerSecond: this.context.connectionsPerSecond(),
+    };
     const answer = await rpc.call(peer, app.pullUpdates, params, answerMs);
     if (this.isClosed) {
       return;
@@ -115,6 +122,10 @@
     let isHelpful = false;
     if (answer.ok) {
       this.context.onAnswer();
+      const {connectionsPerSecond} = answer.value;
+      if (connectionsPerSecond !== undefined) {
+        this.context.onPeerConnections(peer, connectionsPerSecond);
+      }
       this.hasPeerAnswered = true;
       directory.add(answer.value.peers);
       this.context.applyQuarantines(answer.value.convicted);
--- a/src/roles/site-entry.ts
+++ b/src/roles/site-entry.ts
@@ -147,6 +147,7 @@
     });
     this.shedder = new loadShedder.LoadShedder(
       loadShedder.measureUtilization(),
+      () => this.site.hasUnevenConnections(performance.now()),
       isShedding =>
         log.event('connectionsShed', {
           isShedding,
@@ -177,6 +178,7 @@
       http.createServer((req, res) => this.answer(req, res)),
     );
     this.callerServer.on('connection', (socket: net.Socket) => {
+      this.site.connections.note(performance.now());
       if (this.shedder.shouldClose()) {
         this.metrics.count('connections_shed_total', {});
         socket.destroy();
--- a/src/roles/site-follower.ts
+++ b/src/roles/site-follower.ts
@@ -11,6 +11,7 @@
 import {ExtraRetries} from '../forwarding/extra-retries';
 import {TargetChange, TargetList} from '../forwarding/target-list';
 import type {Target} from '../forwarding/types';
+import {ConnectionRate} from '../http/connection-rate';
 import type {SuspensionDetector} from '../suspension-detector';
 import type {Log} from '../observability/log';
 import * as peersApp from '../peers/app';
@@ -18,6 +19,7 @@
 import {KindReplica} from '../peers/kind-replica';
 import {PeerDirectory} from '../peers/peer-directory';
 import {PeerPoller} from '../peers/peer-poller';
+import {PeerRates} from '../peers/peer-rates';
 import {PeerRanking} from '../peers/peer-ranking';
 import type {LastContact} from '../peers/last-contact';
 import * as election from '../peers/watcher-election';
@@ -110,6 +112,9 @@
   /** Ids of targets in use that have turned cold in the update being applied. */
   private readonly turnedCold = new Set<string>();
   readonly crashes: CrashCoordinator;
+  /** New connections of callers to this process. */
+  readonly connections = new ConnectionRate();
+  private readonly peerRates = new PeerRates();
   /** Replays to late subscribers. */
   private readonly becameRoutable = new rxjs.ReplaySubject<void>(1);
   private isStoreDown = false;
@@ -199,6 +204,9 @@
       applyUpdates: (updates, askedAt) =>
         this.applyPeerUpdates(updates, askedAt),
       applyQuarantines: notices => this.crashes.applyNotices(notices),
+      connectionsPerSecond: () => this.connections.perSecond(performance.now()),
+      onPeerConnections: (peer, perSecond) =>
+        this.peerRates.note(peer, perSecond, performance.now()),
       onAnswer: () => context.lastContact.recordAnswer(),
     });
   }
@@ -208,6 +216,11 @@
     return this.configuration.table !== undefined && this.hasSeenTargets;
   }
 
+  /** True if peers get far fewer new connections than this process. */
+  hasUnevenConnections(now: number): boolean {
+    return this.peerRates.isUneven(this.connections.perSecond(now), now);
+  }
+
   /** Resolves once requests can be routed, or after `waitMs`. */
   async whenRoutable(waitMs: number): Promise<void> {
     if (!this.isRoutable) {
@@ -270,8 +283,15 @@
         const held = call.held.find(one => one.kind === replica.kind);
         return replica.updateFor(held, isSettling, now) ?? [];
       });
-      const convicted = this.crashes.quarantineNotices();
-      return {kinds, peers: this.peerDirectory.chooseToShare(), convicted};
+      if (call.connectionsPerSecond !== undefined) {
+        this.peerRates.note(call.from, call.connectionsPerSecond, now);
+      }
+      return {
+        kinds,
+        peers: this.peerDirectory.chooseToShare(),
+        convicted: this.crashes.quarantineNotices(),
+        connectionsPerSecond: this.connections.perSecond(now),
+      };
     });
     this.limits.open(server);
     this.coldLimits.open(server);
