--- a/src/crashes/app.ts
+++ b/src/crashes/app.ts
@@ -57,8 +57,8 @@
   lifetimes: listOf(v.tuple([v.string(), durationSchema])),
   /** Fingerprints of the whole requests that were lost in them. */
   requests: listOf(v.string()),
-  /** Requests with it were served before the first of the crashes. */
-  isProven: v.boolean(),
+  /** Crashes at the same time count once. */
+  isSpaced: v.boolean(),
   /** Longest time for which a target had answered it before it crashed. */
   answeredMs: durationSchema,
   specificity: v.number(),
--- a/src/crashes/crash-arbiter.ts
+++ b/src/crashes/crash-arbiter.ts
@@ -23,6 +23,8 @@
   readonly peers: PeerRanking;
   readonly tracker: SuspectTracker;
   readonly log: Log;
+  /** True if any request of the service was served here. */
+  isServed(service: string): boolean;
   /** Answers a survey for this entry. */
   survey(suspects: readonly app.SuspectState[]): app.SurveyAnswer;
   /** Quarantines fingerprints of a service at all entries. */
@@ -77,7 +79,11 @@
         .map(peer => this.surveyPeer(peer, service, suspects)),
     );
     if (!this.isClosed) {
-      const guilty = tracker.takeGuilty(service, performance.now());
+      const guilty = tracker.takeGuilty(
+        service,
+        performance.now(),
+        !this.context.isServed(service),
+      );
       onGuilty(service, guilty);
     }
   }
@@ -98,7 +104,7 @@
   private applyAnswer({served, proven, open}: app.SurveyAnswer): void {
     const {tracker} = this.context;
     const now = performance.now();
-    proven.forEach(fingerprint => tracker.noteProven(fingerprint, now));
+    proven.forEach(fingerprint => tracker.noteSpaced(fingerprint, now));
     served.forEach(fingerprint => tracker.noteServed(fingerprint, now));
     open.forEach(([fingerprint, count]) =>
       tracker.addExposure(fingerprint, count, now),
--- a/src/crashes/crash-coordinator.ts
+++ b/src/crashes/crash-coordinator.ts
@@ -88,6 +88,7 @@
       peers,
       log,
       tracker: this.tracker,
+      isServed: service => this.servedParts.hasService(service),
       survey: suspects => this.answerSurvey(suspects),
       onGuilty: (service, guilty) => this.convict(service, guilty),
     });
@@ -256,7 +257,7 @@
 
   /** Records that a request was served. */
   noteServed(request: OpenRequest): void {
-    this.servedParts.note(request.parts);
+    this.servedParts.note(request.service, request.parts);
     if (!this.isActive) {
       return;
     }
--- a/src/crashes/crash-evidence.ts
+++ b/src/crashes/crash-evidence.ts
@@ -58,7 +58,7 @@
       });
       fingerprints
         .filter(one => this.servedParts.has(one))
-        .forEach(one => this.tracker.noteProven(one, now));
+        .forEach(one => this.tracker.noteSpaced(one, now));
     }
     // A request that was answered for longer than others with the same part didn't
     // crash the target by that part.
--- a/src/crashes/open-requests.ts
+++ b/src/crashes/open-requests.ts
@@ -29,6 +29,10 @@
     return this.request.id;
   }
 
+  get service(): string {
+    return this.request.service;
+  }
+
   /** From broad to specific: the shared parts, then the whole request. */
   get fingerprints(): readonly string[] {
     const {service, makeDigest} = this.request;
--- a/src/crashes/suspect-tracker.test.ts
+++ b/src/crashes/suspect-tracker.test.ts
@@ -101,7 +101,7 @@
     const at = (now: number, life: string) => {
       const involvement = {request: `r-${life}`, answeredMs: 0, specificity: 0};
       tracker.noteCrash('svc first', life, now, involvement);
-      tracker.noteProven('svc first', now);
+      tracker.noteSpaced('svc first', now);
     };
     ['a', 'b', 'c', 'd', 'e'].forEach((life, index) => at(index * 100, life));
     expect(tracker.takeGuilty('svc', 500)).toEqual([]);
--- a/src/crashes/suspect-tracker.ts
+++ b/src/crashes/suspect-tracker.ts
@@ -6,8 +6,8 @@
  * between 0 and that, so that neither many crashes at once nor many earlier
  * successes outweigh what follows. Of several fingerprints with the same crashes,
  * the one of the fewest requests is quarantined. Of fingerprints that were served
- * before, crashes at the same time count once: they have another cause, such as a loss
- * of power, more often than not. Takes the time as an argument.
+ * before, crashes at the same time count once: they may have another cause, such as a
+ * loss of power. Takes the time as an argument.
  */
 import * as bounded from '../bounded';
 import type {SuspectState} from './app';
@@ -30,7 +30,7 @@
 const SURVIVAL_FACTOR = 2;
 const SURVIVAL_MARGIN_MS = 250;
 /** Crashes of a fingerprint that was served before count once in this time. */
-const SAME_TIME_MS = 1_000;
+const SAME_TIME_MS = 500;
 
 /** How a fingerprint was involved in a crash. */
 export interface Involvement {
@@ -48,7 +48,7 @@
   /** All recent lifetimes, which don't count again. */
   readonly seenLifetimes: Set<string>;
   readonly requests: Set<string>;
-  isProven: boolean;
+  isSpaced: boolean;
   lastCrashAt: number;
   answeredMs: number;
   specificity: number;
@@ -103,11 +103,11 @@
     }
   }
 
-  /** Records that requests with it were served before it became a suspect. */
-  noteProven(fingerprint: string, now: number): void {
+  /** Crashes of it at the same time count once from now on. */
+  noteSpaced(fingerprint: string, now: number): void {
     const suspect = this.unexpired(fingerprint, now);
     if (suspect !== undefined) {
-      suspect.isProven = true;
+      suspect.isSpaced = true;
     }
   }
 
@@ -131,10 +131,14 @@
   /**
    * Fingerprints of the service to quarantine: those of the fewest requests that
    * explain the crashes. The others stay suspects for crashes to come.
+   * `areAllSpaced`: crashes at the same time count once for all, since it isn't
+   * known yet which fingerprints are served.
    */
-  takeGuilty(service: string, now: number): string[] {
+  takeGuilty(service: string, now: number, areAllSpaced = false): string[] {
     const candidates = this.ofService(service, now)
-      .filter(([fingerprint, suspect]) => isGuilty(fingerprint, suspect))
+      .filter(([fingerprint, suspect]) =>
+        isGuilty(fingerprint, suspect, areAllSpaced),
+      )
       .sort(
         ([, a], [, b]) =>
           a.exposure - b.exposure || b.specificity - a.specificity,
@@ -209,7 +213,7 @@
           ([lifetime, at]): [string, number] => [lifetime, now - at],
         ),
         requests: [...suspect.requests].slice(0, MIN_REQUESTS),
-        isProven: suspect.isProven,
+        isSpaced: suspect.isSpaced,
         answeredMs: suspect.answeredMs,
         specificity: Math.min(suspect.specificity, Number.MAX_SAFE_INTEGER),
       }));
@@ -227,7 +231,7 @@
           .map(([lifetime, agoMs]) => [lifetime, now - agoMs]),
       ),
       requests: new Set(requests.slice(0, MAX_LIFETIMES)),
-      isProven: state.isProven || before?.isProven === true,
+      isSpaced: state.isSpaced || before?.isSpaced === true,
       answeredMs: state.answeredMs,
       specificity: state.specificity,
     };
@@ -281,7 +285,7 @@
     lifetimes: new Map(),
     seenLifetimes: new Set(),
     requests: new Set(),
-    isProven: false,
+    isSpaced: false,
     lastCrashAt: now,
     answeredMs: 0,
     specificity: 0,
@@ -290,10 +294,15 @@
   };
 }
 
-function isGuilty(fingerprint: string, suspect: Suspect): boolean {
+function isGuilty(
+  fingerprint: string,
+  suspect: Suspect,
+  areAllSpaced = false,
+): boolean {
   const isWhole = suspect.requests.has(fingerprint);
+  const isSpaced = suspect.isSpaced || (areAllSpaced && !isWhole);
   return (
-    scoreOf(suspect) >= CRASHES_TO_QUARANTINE &&
+    crashGroups(suspect, isSpaced).length >= CRASHES_TO_QUARANTINE &&
     (isWhole || suspect.requests.size >= MIN_REQUESTS)
   );
 }
@@ -308,11 +317,14 @@
 }
 
 /** The lifetimes of each crash that counts, oldest first. */
-function crashGroups({lifetimes, isProven}: Suspect): string[][] {
+function crashGroups(
+  {lifetimes, isSpaced: ownSpacing}: Suspect,
+  isSpaced = ownSpacing,
+): string[][] {
   const groups: string[][] = [];
   let groupAt = -Infinity;
   for (const [lifetime, at] of lifetimes) {
-    if (isProven && at - groupAt < SAME_TIME_MS) {
+    if (isSpaced && at - groupAt < SAME_TIME_MS) {
       groups[groups.length - 1]!.push(lifetime);
     } else {
       groups.push([lifetime]);
