Connections are counted against processor time only when they arrive

The timer of the load shedder, five times a second, is the one thing that an idle entry does more; it looks at the event loop when a connection arrives instead.

--- a/src/http/load-shedder.ts
+++ b/src/http/load-shedder.ts
@@ -2,10 +2,12 @@
  * Decides which new connections are closed unread while this process can't keep up
  * with what it has read and others get fewer: callers can connect to one of them at
  * once, instead of waiting for a response that comes too late. Where all processes
- * are as busy, requests are read and refused by their priority instead.
+ * are as busy, requests are read and refused by their priority instead. Looks at the
+ * event loop when connections arrive only, so that it costs nothing otherwise.
  */
 import * as random from '../random';
 
+/** Minimum time between two measurements. */
 const WINDOW_MS = 200;
 /** Utilization of the event loop from which it has no idle time left. */
 const MIN_SATURATED = 0.98;
@@ -22,7 +24,7 @@
 export class LoadShedder {
   private share = 0;
   private saturatedWindows = 0;
-  private readonly timer: NodeJS.Timeout;
+  private measuredAt = performance.now();
 
   /** `utilization`: of the event loop since the call before, 0 to 1. */
   constructor(
@@ -31,17 +33,14 @@
     private readonly isUneven: () => boolean,
     /** Called when the closing of connections begins or ends. */
     private readonly onChange: (isShedding: boolean) => void,
-  ) {
-    this.timer = setInterval(() => this.adjust(), WINDOW_MS);
-    this.timer.unref();
-  }
-
-  close(): void {
-    clearInterval(this.timer);
-  }
+  ) {}
 
-  /** True if a new connection is to be closed. */
-  shouldClose(): boolean {
+  /** True if a connection that arrives now is to be closed. */
+  shouldClose(now: number): boolean {
+    if (now - this.measuredAt >= WINDOW_MS) {
+      this.measuredAt = now;
+      this.adjust();
+    }
     return this.share > 0 && random.uniform() < this.share;
   }
 
