--- a/src/crashes/crash-arbiter.ts
+++ b/src/crashes/crash-arbiter.ts
@@ -4,7 +4,6 @@
  * asks all entries what they have seen served. The survey gives them the evidence
  * too, so that another entry can take over.
  */
-import type {Log} from '../observability/log';
 import type {PeerRanking} from '../peers/peer-ranking';
 import type {RpcClient} from '../rpc/client';
 import * as app from './app';
@@ -22,7 +21,6 @@
   readonly rpc: RpcClient;
   readonly peers: PeerRanking;
   readonly tracker: SuspectTracker;
-  readonly log: Log;
   /** True if any request of the service was served here. */
   isServed(service: string): boolean;
   /** Answers a survey for this entry. */
--- a/src/crashes/crash-coordinator.ts
+++ b/src/crashes/crash-coordinator.ts
@@ -35,7 +35,7 @@
 const SERVED_REPORT_INTERVAL_MS = 250;
 /** Lost requests of a crash that are logged. */
 const MAX_LOGGED_REQUESTS = 8;
-/** Suspects that a process is told at its start. */
+/** Suspects in the answer to a process that starts. */
 const MAX_STARTUP_SUSPECTS = 256;
 /** Maximum wait of a retry for the check whether its target has crashed. */
 const CHECK_WAIT_MS = 200;
@@ -79,14 +79,13 @@
   private isClosed = false;
 
   constructor(private readonly context: CrashContext) {
-    const {rpc, peers, log, store, storeKind} = context;
+    const {rpc, peers, store, storeKind} = context;
     this.detector = new CrashDetector((target, requests) =>
       this.noteCrash(target, requests),
     );
     this.arbiter = new CrashArbiter({
       rpc,
       peers,
-      log,
       tracker: this.tracker,
       isServed: service => this.servedParts.hasService(service),
       survey: suspects => this.answerSurvey(suspects),
--- a/src/crashes/suspect-tracker.ts
+++ b/src/crashes/suspect-tracker.ts
@@ -307,7 +307,7 @@
   );
 }
 
-export function survivalMs(answeredMs: number): number {
+function survivalMs(answeredMs: number): number {
   return SURVIVAL_FACTOR * answeredMs + SURVIVAL_MARGIN_MS;
 }
 
