--- a/review/lib/site.js
+++ b/review/lib/site.js
@@ -13,9 +13,12 @@
 
 /** A server of a service without an engine. */
 class Server {
-  /** `answer(req)`: resolves with the body of the answer. */
-  constructor({id, service, host, port, zone, store, answer}) {
-    Object.assign(this, {id, service, host, port, zone, store, answer});
+  /**
+   * `answer(req)`: resolves with the body of the answer. `stream`: it sends
+   * `events` events instead, one each `eventMs`.
+   */
+  constructor(options) {
+    Object.assign(this, options);
     /** What reached it: attempt id, time, and whether it was run. */
     this.arrivals = [];
     this.state = 'ready';
@@ -77,6 +80,10 @@
     }
     const arrival = {id, at, hasEnded: false};
     this.arrivals.push(arrival);
+    if (this.stream !== undefined) {
+      this.sendEvents(id, res, arrival);
+      return;
+    }
     const body = await this.answer(req);
     arrival.hasEnded = !res.destroyed;
     res.writeHead(200, {
@@ -89,6 +96,27 @@
     });
     res.end(body);
   }
+
+  sendEvents(id, res, arrival) {
+    const {events, eventMs} = this.stream;
+    let sent = 0;
+    res.writeHead(200, {
+      [ATTEMPT]: id,
+      [SIGNATURE]: `sig-${id}`,
+      'Content-Type': 'text/event-stream',
+      'Keep-Alive': 'timeout=5',
+    });
+    const timer = setInterval(() => {
+      sent += 1;
+      res.write(`id: ${sent}\ndata: ${'x'.repeat(50)}\n\n`);
+      if (sent === events) {
+        arrival.hasEnded = true;
+        clearInterval(timer);
+        res.end();
+      }
+    }, eventMs);
+    res.once('close', () => clearInterval(timer));
+  }
 }
 
 /**
@@ -189,4 +217,4 @@
   });
 }
 
-module.exports = {Server, request, isReady};
+module.exports = {Server, request, isReady, ATTEMPT};
