--- a/review/3/case.js
+++ b/review/3/case.js
@@ -180,6 +180,18 @@
         `the client gets ${status}, ${end}`,
     );
   }
+  const ran = new Map();
+  for (const server of servers) {
+    server.arrivals.forEach(({id, at}) => ran.set(id, {server, at}));
+  }
+  for (const {id, status, end, ms} of results) {
+    const {server, at} = ran.get(id) ?? {};
+    const run =
+      server === undefined
+        ? 'reached no server'
+        : `reached ${server.id} ${Math.round(at - drainedAt)} ms from the confirmation`;
+    test.record(`${id}: ${status}, ${end} after ${Math.round(ms)} ms; ${run}`);
+  }
   const lost = late.filter(({id}) => byId.get(id)?.status !== 200);
   const unanswered = results.filter(({status}) => status !== 200);
   test.record(
--- a/review/lib/group.js
+++ b/review/lib/group.js
@@ -149,14 +149,23 @@
       send(res, 200, this.picked(this.ranks[at], query !== undefined));
     } else if (path === '/api/order') {
       const order = JSON.parse(Buffer.concat(chunks).toString());
-      if (this.onOrder(at, order, req, res) !== true) {
-        send(res, this.carryOut(at, order), {});
+      const isUnanswered = this.onOrder(at, order, req, res) === true;
+      const status = isUnanswered ? 'no answer' : this.carryOut(at, order);
+      this.recordOrder(at, order, status);
+      if (!isUnanswered) {
+        send(res, status, {});
       }
     } else {
       send(res, 404, {});
     }
   }
 
+  recordOrder(at, {op, version, step}, status) {
+    const map = version === undefined ? '' : ` map ${version}`;
+    const pass = step === undefined ? '' : ` pass ${step}`;
+    this.record(`order to rank ${at}: ${op}${map}${pass}: ${status}`);
+  }
+
   report(rank) {
     return {
       stage: 'both',
