Review, case 2: a lost release leaves a group held for good

While a burst makes a rank's queue long, it resets new channels; the channel of the planner's release is reset as well. The planner tries 11 times more within milliseconds and never again.

--- a/review/lib/group.js
+++ b/review/lib/group.js
@@ -2,21 +2,30 @@
 /**
  * Stand-in of a group of model servers in lock-step, as PROTOCOL.md describes
  * it: passes, expert counters and the orders that change the expert map. Every
- * pass is checked: all ranks must begin it on the same map (rule MAP).
+ * pass is checked: all ranks must begin it on the same map (rule MAP). Where it
+ * serves streams, each of them gets an event with each pass.
  *
- * Its requests are the stand-in's own; their number doesn't depend on the map.
+ * The counters are the stand-in's own and don't depend on the streams.
  */
 const http = require('node:http');
 const {send} = require('./store');
 
+const ATTEMPT = 'X-Ferrycleat-Attempt-Identifier';
+const SIGNATURE = 'X-Ferrycleat-Response-Signature';
+const NOT_EXECUTED = 'X-Ferrycleat-Not-Executed';
+const SLOTS = 8;
+/** Requests that wait at a rank. */
+const MAX_WAITING = 16;
 const PASS_MS = 45;
 const CHOICES_PER_PASS = 480;
 const ZIPF_EXPONENT = 0.92;
 
 class Group {
   /** `shape`: ranks, sets, experts, places, copyMs. */
-  constructor(shape, record) {
+  constructor(shape, record, events = 0) {
     this.shape = shape;
+    /** Of each stream; 0: the group serves none. */
+    this.events = events;
     this.record = record;
     this.step = 0;
     this.ranks = [];
@@ -25,6 +34,8 @@
     this.longestHoldMs = 0;
     /** Called with each order before it is carried out; true: taken over. */
     this.onOrder = () => false;
+    /** Called with each new channel to a rank; true: it is reset. */
+    this.onConnection = () => false;
     /** Called with the text of a broken rule. */
     this.onBroken = () => undefined;
     this.shiftDemand();
@@ -51,12 +62,36 @@
       armed: undefined,
       hold: undefined,
       sequence: 0,
+      running: new Set(),
+      waiting: [],
     });
     const server = http.createServer((req, res) => this.handle(at, req, res));
     server.keepAliveTimeout = 60_000;
+    server.on('connection', socket => {
+      if (this.onConnection(at) === true) {
+        socket.resetAndDestroy();
+      }
+    });
     await new Promise(resolve => server.listen(port, host, resolve));
   }
 
+  /** The entry of a rank in the store. */
+  entryOf(rank, host, zones) {
+    return {
+      service: 'hjelper-llm',
+      address: `${host}:8120`,
+      zone: zones[rank % zones.length],
+      version: 'v1',
+      slots: SLOTS,
+      state: 'ready',
+      'cold-remaining-ms': 0,
+      sequence: 1,
+      stage: 'both',
+      models: [{name: 'm', version: 1, adapters: []}],
+      group: {name: 'g0', rank},
+    };
+  }
+
   /** Other experts are in demand. */
   shiftDemand() {
     const {sets, experts} = this.shape;
@@ -101,6 +136,7 @@
       }
       rank.hold = rank.hold === next ? undefined : rank.hold;
       this.count(rank);
+      this.work(rank);
     }
     const versions = this.ranks.map(rank => rank.active.version);
     if (switched > 0) {
@@ -155,11 +191,68 @@
       if (!isUnanswered) {
         send(res, status, {});
       }
+    } else if (this.events > 0) {
+      this.take(this.ranks[at], req, res);
     } else {
       send(res, 404, {});
     }
   }
 
+  /** A request for a stream waits for a slot. */
+  take(rank, req, res) {
+    const id = req.headers[ATTEMPT.toLowerCase()] ?? '';
+    const refuse = status => {
+      res.writeHead(status, {[ATTEMPT]: id, [NOT_EXECUTED]: '1'});
+      res.end();
+    };
+    const meant = req.headers['x-ferrycleat-expected-instance'];
+    if (meant !== undefined && meant !== `i-${rank.at}`) {
+      refuse(421);
+      return;
+    }
+    if (rank.waiting.length >= MAX_WAITING) {
+      refuse(503);
+      return;
+    }
+    const one = {id, res, sent: 0};
+    const limitMs = Number(req.headers['x-ferrycleat-deadline-milliseconds']);
+    const timer = setTimeout(() => {
+      if (rank.running.has(one)) {
+        res.destroy();
+      } else {
+        refuse(503);
+      }
+    }, limitMs);
+    res.once('close', () => {
+      clearTimeout(timer);
+      rank.running.delete(one);
+      rank.waiting = rank.waiting.filter(other => other !== one);
+    });
+    rank.waiting.push(one);
+  }
+
+  /** Each running request gets an event with each pass. */
+  work(rank) {
+    while (rank.running.size < SLOTS && rank.waiting.length > 0) {
+      const one = rank.waiting.shift();
+      rank.running.add(one);
+      one.res.writeHead(200, {
+        [ATTEMPT]: one.id,
+        [SIGNATURE]: `sig-${one.id}`,
+        'Content-Type': 'text/event-stream',
+        Versions: '1',
+      });
+    }
+    for (const one of rank.running) {
+      one.sent += 1;
+      one.res.write(`id: ${one.sent}\ndata: ${'x'.repeat(50)}\n\n`);
+      if (one.sent === this.events) {
+        rank.running.delete(one);
+        one.res.end();
+      }
+    }
+  }
+
   recordOrder(at, {op, version, step}, status) {
     const map = version === undefined ? '' : ` map ${version}`;
     const pass = step === undefined ? '' : ` pass ${step}`;
@@ -172,8 +265,8 @@
       models: [{name: 'm', version: 1, adapters: []}],
       busy: rank.copying !== undefined,
       sequence: rank.sequence,
-      waiting: 0,
-      running: 4,
+      waiting: rank.waiting.length,
+      running: this.events > 0 ? rank.running.size : 4,
       'cache-used': 41000,
       'cache-total': 186666,
       handles: 0,
@@ -276,4 +369,58 @@
   }
 }
 
-module.exports = {Group};
+/** The desired state: one route to the group, and its engine. */
+function configurationOf(shape) {
+  return {
+    version: 1,
+    routes: [
+      {
+        name: 'dispute-explain',
+        host: 'llm.example',
+        'path-prefix': '/explain/',
+        kind: 'streaming',
+        'timeout-ms': 8000,
+        'target-latency-ms': 501,
+        priority: 1,
+        service: 'hjelper-llm',
+        attempts: 2,
+        resumable: true,
+        public: true,
+        gap_aim_ms: 120,
+      },
+    ],
+    services: [
+      {
+        name: 'hjelper-llm',
+        'connection-limit': 348,
+        'health-path': '/health',
+        engine: {
+          slots: 8,
+          step_ms: 4.55,
+          per_seq_ms: 0.905,
+          context_per_k: 0.0183,
+          read_per_s: 61400,
+          chunk: 512,
+          stride: 4,
+          usual: {prompt: 800, answer: 96},
+          'link-mbps': 14,
+          sets: shape.sets,
+          experts: shape.experts,
+          places: shape.places,
+          spare: 2,
+          expert_mb: (shape.copyMs * 14) / 8000,
+          expert_share: 0.6,
+          form_ms: 400,
+        },
+      },
+    ],
+    limits: {
+      'header-bytes': 16384,
+      'body-bytes': 4194304,
+      'header-timeout-ms': 10000,
+      'idle-timeout-ms': 30000,
+    },
+  };
+}
+
+module.exports = {Group, configurationOf};
