Review, case 2: a burst alone leaves a group held for good

The rank that holds the group closes the channel with its answer to arm, with and without the burst, so that the release needs a new channel; while its queue is long, the rank resets that.

--- a/review/lib/group.js
+++ b/review/lib/group.js
@@ -34,6 +34,8 @@
     this.longestHoldMs = 0;
     /** Called with each order before it is carried out; true: taken over. */
     this.onOrder = () => false;
+    /** Called with each order; true: its answer closes the channel. */
+    this.closesAfter = () => false;
     /** Called with each new channel to a rank; true: it is reset. */
     this.onConnection = () => false;
     /** Called with the text of a broken rule. */
@@ -185,6 +187,9 @@
       send(res, 200, this.picked(this.ranks[at], query !== undefined));
     } else if (path === '/api/order') {
       const order = JSON.parse(Buffer.concat(chunks).toString());
+      if (this.closesAfter(at, order)) {
+        res.setHeader('Connection', 'close');
+      }
       const isUnanswered = this.onOrder(at, order, req, res) === true;
       const status = isUnanswered ? 'no answer' : this.carryOut(at, order);
       this.recordOrder(at, order, status);
