--- a/features/support/process.ts
+++ b/features/support/process.ts
@@ -48,10 +48,20 @@
     this.recordLines(child.stderr);
   }
 
+  /** Id of the running process; 0: it was not started. */
+  get pid(): number {
+    return this.child?.pid ?? 0;
+  }
+
   get isRunning(): boolean {
     return this.child !== undefined && this.child.exitCode === null;
   }
 
+  /** False also if a signal ended the process. */
+  get isAlive(): boolean {
+    return this.isRunning && this.child?.signalCode === null;
+  }
+
   /** Simulates a crash with SIGKILL. */
   async kill(): Promise<void> {
     this.child?.kill('SIGKILL');
--- a/jest.config.js
+++ b/jest.config.js
@@ -1,7 +1,11 @@
 /** Tests lie beside the files; scenarios lie in features/. */
 module.exports = {
   testMatch: ['**/*.test.ts', '**/*.steps.ts'],
-  testPathIgnorePatterns: ['/node_modules/', '/dist/'],
+  testPathIgnorePatterns: [
+    '/node_modules/',
+    '/dist/',
+    '\\.memory\\.test\\.ts$',
+  ],
   modulePathIgnorePatterns: ['<rootDir>/dist/'],
   transform: {
     '^.+\\.ts$': [
