--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -8,8 +8,8 @@
 import type {ForwarderContext} from './forwarder';
 import {EventGaps} from './event-gaps';
 import {HeldAnswer} from './held-answer';
-import {HeldBody} from './held-body';
-import type {CutKind} from './held-bytes';
+import {HeldBody} from '../http/held-body';
+import type {CutKind} from '../http/held-bytes';
 import type {RetryReservation} from './retry-budget';
 import type {ResponseHead, Refusal, RequestHead, Target} from './types';
 
--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -3,7 +3,7 @@
 import * as body from '../http/body';
 import * as httpClient from '../http/client';
 import type {HeldAnswer} from './held-answer';
-import type {HeldBody} from './held-body';
+import type {HeldBody} from '../http/held-body';
 import type {
   RequestMetadata,
   ResponseHead,
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -22,7 +22,7 @@
 import {LoadBalancer} from './load-balancer';
 import {GroupGate} from './group-gate';
 import {GroupViews} from './group-views';
-import type {HeldBytes} from './held-bytes';
+import type {HeldBytes} from '../http/held-bytes';
 import type {ExtraRetries} from './extra-retries';
 import {PlainRelay} from './plain-relay';
 import {ForwarderPools} from './pools';
--- a/src/forwarding/held-answer.ts
+++ b/src/forwarding/held-answer.ts
@@ -5,7 +5,7 @@
  */
 import type {Writable} from 'node:stream';
 import type {BodyObserver} from '../http/body';
-import * as heldBytes from './held-bytes';
+import * as heldBytes from '../http/held-bytes';
 
 export class HeldAnswer extends heldBytes.Holder implements BodyObserver {
   private readonly pace = new heldBytes.ReaderPace();
--- a/src/forwarding/stream-buffer.test.ts
+++ b/src/forwarding/stream-buffer.test.ts
@@ -1,5 +1,5 @@
 import {Writable} from 'node:stream';
-import {HeldBytes} from './held-bytes';
+import {HeldBytes} from '../http/held-bytes';
 import {StreamBuffer} from './stream-buffer';
 
 const KIB = 1024;
--- a/src/forwarding/stream-buffer.ts
+++ b/src/forwarding/stream-buffer.ts
@@ -3,7 +3,7 @@
  * caller's response, so it outlives the target that a stream began at.
  */
 import type {Writable} from 'node:stream';
-import * as heldBytes from './held-bytes';
+import * as heldBytes from '../http/held-bytes';
 
 /** Events smaller than this are copied into blocks of this size. */
 const BLOCK_BYTES = 16 * 1024;
--- a/src/forwarding/held-body.ts
+++ b/src/http/held-body.ts
@@ -3,7 +3,7 @@
  * it may be sent again until then.
  */
 import type {Readable, Writable} from 'node:stream';
-import type {BodyObserver} from '../http/body';
+import type {BodyObserver} from './body';
 import * as heldBytes from './held-bytes';
 
 /** Size from which a body is worth more to cut off than a smaller one. */
--- a/src/roles/site-entry.ts
+++ b/src/roles/site-entry.ts
@@ -7,7 +7,7 @@
 import {Forwarder} from '../forwarding/forwarder';
 import {GroupGate} from '../forwarding/group-gate';
 import {GroupViews} from '../forwarding/group-views';
-import * as heldBytes from '../forwarding/held-bytes';
+import * as heldBytes from '../http/held-bytes';
 import type {Wire} from '../forwarding/types';
 import {StopDeadline} from '../forwarding/stop-deadline';
 import {ConnectionTracker} from '../http/connection-tracker';
