A body in small chunks no longer takes hundreds of bytes for each

Callers saw: one caller that sent a body of 1 MiB in chunks of one byte ended the entry within 2 s (out of memory, 80 MB of heap); such a body, just under the limit, alone and in calm, got no answer within 40 s.

Cause: a body was kept as the list of its chunks, and the runtime makes a buffer object with a store of its own for each.

An announced length above the limit is refused at once, and a limit that a new configuration lowers holds for bodies that are being read.

--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -209,12 +209,14 @@
       call.refuse(this.finder.refusals.stopping(call));
       return;
     }
-    const limit = this.context.configuration.table!.snapshot.limits.bodyBytes;
+    const {configuration} = this.context;
+    // A new configuration may lower the limit while the body is read.
+    const limit = () => configuration.table!.snapshot.limits.bodyBytes;
     const read = await body.readBody(call.req, limit, call.heldBody);
     call.heldBody.noteRead();
     if (!read.ok) {
       if (read.error.kind === 'body-too-large') {
-        call.refuse({kind: 'too-large', limitBytes: limit});
+        call.refuse({kind: 'too-large', limitBytes: read.error.limitBytes});
       } else if (call.isGivenUp) {
         call.refuse(this.finder.refusals.stopping(call));
       } else if (call.heldBody.wasStopped) {
--- a/src/http/body.ts
+++ b/src/http/body.ts
@@ -3,6 +3,7 @@
 import type {Readable} from 'node:stream';
 import {pipeline} from 'node:stream/promises';
 import {Result, fail, ok} from '../result';
+import {BodyBuffer} from './body-buffer';
 import * as resets from './resets';
 
 /**
@@ -14,56 +15,73 @@
   | {readonly kind: 'body-cut'}
   | {readonly kind: 'bad-json'; readonly detail: string};
 
-/** Follows the reading of a body; may pause the stream and resume it. */
+/** Follows the reading of a body. */
 export interface BodyObserver {
   /** `stop` ends the reading with `body-cut`; the rest is read and dropped. */
   onStart(stream: Readable, stop: () => void): void;
-  /** `size`: bytes read so far. */
+  /** The body takes more memory. `size`: bytes read so far. */
   onBytes(size: number): void;
 }
 
+/** Bytes; a function if it may change while a body is read. */
+export type BodyLimit = number | (() => number);
+
 /**
- * Reads a body of at most `limitBytes`. Fails with `body-too-large` or
- * `body-cut`.
+ * Reads a body within a limit. Fails with `body-too-large`, at once if the
+ * announced length exceeds the limit, or with `body-cut`. What follows a failure
+ * is read and dropped: closing the connection with unread data would reset it
+ * before the peer has read its response.
  */
 export function readBody(
   stream: Readable,
-  limitBytes: number,
+  limit: BodyLimit,
   observer?: BodyObserver,
 ): Promise<Result<Buffer, BodyError>> {
-  if (stream instanceof http.IncomingMessage && hasNoBody(stream)) {
-    stream.resume();
-    return Promise.resolve(ok(EMPTY_BODY));
+  if (stream instanceof http.IncomingMessage) {
+    if (hasNoBody(stream)) {
+      stream.resume();
+      return Promise.resolve(ok(EMPTY_BODY));
+    }
+    const limitBytes = bytesOf(limit);
+    if (isRequest(stream) && announcedBytes(stream) > limitBytes) {
+      stream.resume();
+      return Promise.resolve(fail({kind: 'body-too-large', limitBytes}));
+    }
   }
   return new Promise(resolve => {
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const buffer = new BodyBuffer();
     let isStopped = false;
-    observer?.onStart(stream, () => {
+    const stop = (err: BodyError) => {
       isStopped = true;
-      chunks.length = 0;
-      // What follows is read and dropped: closing the connection with unread
-      // data would reset it before the peer has read its response.
+      buffer.clear();
       stream.resume();
-      resolve(fail({kind: 'body-cut'}));
-    });
+      resolve(fail(err));
+    };
+    observer?.onStart(stream, () => stop({kind: 'body-cut'}));
     stream.on('data', (chunk: Buffer) => {
       if (isStopped) {
         return;
       }
-      size += chunk.length;
-      if (size > limitBytes) {
-        stream.pause();
-        resolve(fail({kind: 'body-too-large', limitBytes}));
+      const limitBytes = bytesOf(limit);
+      if (buffer.size + chunk.length > limitBytes) {
+        stop({kind: 'body-too-large', limitBytes});
         return;
       }
-      chunks.push(chunk);
-      observer?.onBytes(size);
+      // Most small chunks take no more memory.
+      if (buffer.add(chunk)) {
+        observer?.onBytes(buffer.size);
+      }
     });
     stream.on('end', () => {
       const isCut =
-        stream instanceof http.IncomingMessage && !resets.isComplete(stream);
-      resolve(isCut ? fail({kind: 'body-cut'}) : ok(Buffer.concat(chunks)));
+        isStopped ||
+        (stream instanceof http.IncomingMessage && !resets.isComplete(stream));
+      if (isCut) {
+        resolve(fail({kind: 'body-cut'}));
+        return;
+      }
+      observer?.onBytes(buffer.size);
+      resolve(ok(buffer.take()));
     });
     // If the peer disconnects early, these events come without `end`.
     stream.on('error', () => resolve(fail({kind: 'body-cut'})));
@@ -73,16 +91,29 @@
 
 const EMPTY_BODY = Buffer.alloc(0);
 
+function bytesOf(limit: BodyLimit): number {
+  return typeof limit === 'number' ? limit : limit();
+}
+
+/** The announced length; 0: none is announced. */
+function announcedBytes(message: http.IncomingMessage): number {
+  return Number(message.headers['content-length'] ?? 0);
+}
+
 /** A request without content-length and transfer-encoding has no body. */
 function hasNoBody(message: http.IncomingMessage): boolean {
   return (
-    message.method !== undefined &&
-    message.method !== null &&
+    isRequest(message) &&
     message.headers['content-length'] === undefined &&
     message.headers['transfer-encoding'] === undefined
   );
 }
 
+/** A response to HEAD announces a length too, but has no body. */
+function isRequest(message: http.IncomingMessage): boolean {
+  return message.method !== undefined && message.method !== null;
+}
+
 /** Fails with `bad-json`. */
 export function parseJson(text: string): Result<unknown, BodyError> {
   try {
