A paused body stops its connection, not only its stream

Callers saw: 60 to 200 callers that sent bodies in chunks of one byte and left them open ended the entry (out of memory), also with bodies of 8 KiB.

Cause: above the bound of held bytes the body's stream is paused. The runtime then keeps each chunk in an object of its own until 16 KiB of payload are buffered: two reads of the connection, 11,000 buffers each. Pausing the socket alone is undone by the runtime, which resumes it for each body it expects more of.

Change: a gate pauses the socket, again whenever the runtime resumes it, until all that paused it have resumed it. What the last read brought still flows into the body's blocks.

--- a/src/http/held-body.ts
+++ b/src/http/held-body.ts
@@ -2,9 +2,12 @@
  * Bytes of a request's body, from its first byte until the request has ended:
  * it may be sent again until then.
  */
+import * as http from 'node:http';
+import type * as net from 'node:net';
 import type {Readable, Writable} from 'node:stream';
 import type {BodyObserver} from './body';
 import * as heldBytes from './held-bytes';
+import * as readingGate from './reading-gate';
 
 /** Size from which a body is worth more to cut off than a smaller one. */
 const LARGE_BYTES = 256 * 1024;
@@ -23,8 +26,8 @@
 export class HeldBody extends heldBytes.Holder implements BodyObserver {
   private size = 0;
   private transfer: Transfer | undefined;
-  /** The caller's request while its body is read. */
-  private source: Readable | undefined;
+  /** The caller's connection while the body is read from it. */
+  private source: net.Socket | undefined;
   private isStopped = false;
 
   constructor(
@@ -35,7 +38,8 @@
   }
 
   onStart(source: Readable, stop: () => void): void {
-    this.source = source;
+    this.source =
+      source instanceof http.IncomingMessage ? source.socket : undefined;
     this.transfer = {
       kind: 'upload',
       startedAt: performance.now(),
@@ -48,8 +52,8 @@
   onBytes(size: number): void {
     this.size = size;
     this.held.update(this);
-    if (this.held.isOver) {
-      this.source?.pause();
+    if (this.held.isOver && this.source !== undefined) {
+      readingGate.pause(this.source, this);
     }
   }
 
@@ -72,6 +76,7 @@
 
   /** Call when the body is not read any more. */
   noteRead(): void {
+    this.resumeSource();
     this.source = undefined;
     this.transfer = undefined;
   }
@@ -132,6 +137,12 @@
   }
 
   override onRoom(): void {
-    this.source?.resume();
+    this.resumeSource();
+  }
+
+  private resumeSource(): void {
+    if (this.source !== undefined) {
+      readingGate.resume(this.source, this);
+    }
   }
 }
