Bodies in many small chunks are read in turn

Callers saw: beside 50 callers that sent chunks of one byte, and 50 with chunks of 64 KiB, an ordinary request got no answer for over 40 s, though the entry lived.

Cause: a read of 64 KiB in chunks of one byte takes 30 ms to parse, the runtime reads a connection up to 32 times before the next, and all were read at once, so a turn of the event loop took seconds. Ruled out: the accounting of held bytes for each chunk; with one call for each block the time was the same (42.4 and 42.5 s).

Change: once a body's first 512 chunks are below 512 bytes on average, its connection takes turns with others of that kind: one buffer each, then as long a rest as that took. A connection that is alone rests for no time. Bodies that are dropped after a refusal take turns too.

--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -3,6 +3,7 @@
 import type {Ticket} from '../admission/admittee';
 import type {OpenRequest} from '../crashes/open-requests';
 import * as lingering from '../http/lingering-end';
+import * as readingTurns from '../http/reading-turns';
 import type {Timing} from '../observability/metrics';
 import type {Route} from '../routes/types';
 import type {ForwarderContext} from './forwarder';
@@ -191,6 +192,7 @@
     if (this.shouldCloseConnection() && !isTooLarge) {
       lingering.endAfterRequest(this.req, this.res, body);
     } else {
+      readingTurns.dropBody(this.req);
       this.res.end(body);
     }
     this.end('why' in refusal ? refusal.why : refusal.kind, response.status);
--- a/src/http/body.ts
+++ b/src/http/body.ts
@@ -4,6 +4,7 @@
 import {pipeline} from 'node:stream/promises';
 import {Result, fail, ok} from '../result';
 import {BodyBuffer} from './body-buffer';
+import * as readingTurns from './reading-turns';
 import * as resets from './resets';
 
 /**
@@ -44,12 +45,16 @@
     }
     const limitBytes = bytesOf(limit);
     if (isRequest(stream) && announcedBytes(stream) > limitBytes) {
-      stream.resume();
+      readingTurns.dropBody(stream);
       return Promise.resolve(fail({kind: 'body-too-large', limitBytes}));
     }
   }
   return new Promise(resolve => {
     const buffer = new BodyBuffer();
+    const meter =
+      stream instanceof http.IncomingMessage && isRequest(stream)
+        ? new readingTurns.ChunkMeter(stream)
+        : undefined;
     let isStopped = false;
     const stop = (err: BodyError) => {
       isStopped = true;
@@ -59,6 +64,7 @@
     };
     observer?.onStart(stream, () => stop({kind: 'body-cut'}));
     stream.on('data', (chunk: Buffer) => {
+      meter?.note(chunk.length);
       if (isStopped) {
         return;
       }
@@ -73,6 +79,7 @@
       }
     });
     stream.on('end', () => {
+      meter?.close();
       const isCut =
         isStopped ||
         (stream instanceof http.IncomingMessage && !resets.isComplete(stream));
--- a/src/http/lingering-end.ts
+++ b/src/http/lingering-end.ts
@@ -1,6 +1,7 @@
 /** Ends responses to requests that are still being received. */
 import type * as http from 'node:http';
 import {finished} from 'node:stream';
+import * as readingTurns from './reading-turns';
 
 /**
  * Sends the last bytes of a response, and ends it once its request has been
@@ -17,6 +18,6 @@
     return;
   }
   res.write(last);
-  req.resume();
+  readingTurns.dropBody(req);
   finished(req, () => res.end());
 }
--- /dev/null
+++ b/src/http/reading-turns.ts
@@ -0,0 +1,139 @@
+/**
+ * Connections whose bodies come in many small chunks are read in turn. Such chunks
+ * cost far more processor time per byte than others, and the runtime reads up to 32
+ * buffers of a connection before it looks at the next one.
+ */
+import type * as http from 'node:http';
+import type * as net from 'node:net';
+import * as readingGate from './reading-gate';
+
+/** Chunks after which a body may count as finely divided. */
+const MIN_CHUNKS = 512;
+/** Mean size of a chunk below which it does. */
+const MAX_MEAN_BYTES = 512;
+/** Longest turn of a connection that sends nothing. */
+const IDLE_TURN_MS = 5;
+
+class ReadingTurns {
+  /** In the order of their next turns. */
+  private readonly members = new Set<net.Socket>();
+  private current: net.Socket | undefined;
+  /** Monotonic time at which the current one's data arrived; undefined: none. */
+  private readAt: number | undefined;
+  private timer: NodeJS.Timeout | undefined;
+
+  has(socket: net.Socket): boolean {
+    return this.members.has(socket);
+  }
+
+  /** The connection takes turns until it is closed or leaves. */
+  join(socket: net.Socket): void {
+    if (this.members.has(socket)) {
+      return;
+    }
+    this.members.add(socket);
+    readingGate.pause(socket, this);
+    socket.once('close', () => this.leave(socket));
+    if (this.current === undefined) {
+      this.current = socket;
+      this.scheduleNext(0);
+    }
+  }
+
+  leave(socket: net.Socket): void {
+    if (!this.members.delete(socket)) {
+      return;
+    }
+    readingGate.resume(socket, this);
+    if (this.current === socket) {
+      this.scheduleNext(0);
+    }
+  }
+
+  /** Call with each chunk; ends the turn once its first buffer was read. */
+  noteChunk(socket: net.Socket): void {
+    if (this.current === socket && this.readAt === undefined) {
+      this.readAt = performance.now();
+      readingGate.pause(socket, this);
+      setImmediate(() => this.noteBufferRead(socket));
+    }
+  }
+
+  private noteBufferRead(socket: net.Socket): void {
+    if (this.current === socket && this.readAt !== undefined) {
+      const isAlone = this.members.size === 1;
+      // Leaves the other half of the time to all other connections.
+      const restMs = isAlone ? 0 : performance.now() - this.readAt;
+      this.scheduleNext(restMs);
+    }
+  }
+
+  private scheduleNext(delayMs: number): void {
+    clearTimeout(this.timer);
+    this.timer = undefined;
+    if (delayMs === 0) {
+      setImmediate(() => this.next());
+    } else {
+      this.timer = setTimeout(() => this.next(), delayMs);
+    }
+  }
+
+  private next(): void {
+    const {current} = this;
+    if (current !== undefined && this.members.delete(current)) {
+      readingGate.pause(current, this);
+      this.members.add(current);
+    }
+    const [socket] = this.members;
+    this.current = socket;
+    this.readAt = undefined;
+    if (socket !== undefined) {
+      readingGate.resume(socket, this);
+      if (this.members.size > 1) {
+        this.scheduleNext(IDLE_TURN_MS);
+      }
+    }
+  }
+}
+
+/** One for the process: what is shared is its event loop. */
+const turns = new ReadingTurns();
+
+/** Finds out whether the body of a request is finely divided. */
+export class ChunkMeter {
+  private count = 0;
+  private bytes = 0;
+
+  constructor(private readonly req: http.IncomingMessage) {}
+
+  /** Call with each chunk. */
+  note(chunkBytes: number): void {
+    const {socket} = this.req;
+    this.count += 1;
+    this.bytes += chunkBytes;
+    if (turns.has(socket)) {
+      turns.noteChunk(socket);
+    } else if (
+      this.count >= MIN_CHUNKS &&
+      this.bytes < this.count * MAX_MEAN_BYTES
+    ) {
+      turns.join(socket);
+    }
+  }
+
+  /** Call when the body has ended. */
+  close(): void {
+    turns.leave(this.req.socket);
+  }
+}
+
+/** Reads and drops the rest of a request's body. */
+export function dropBody(req: http.IncomingMessage): void {
+  if (req.complete) {
+    req.resume();
+    return;
+  }
+  const meter = new ChunkMeter(req);
+  req.on('data', (chunk: Buffer) => meter.note(chunk.length));
+  req.once('end', () => meter.close());
+}
--- a/src/roles/metrics-endpoint.ts
+++ b/src/roles/metrics-endpoint.ts
@@ -1,5 +1,6 @@
 /** The address at which a process of a site serves its metrics and queues. */
 import * as http from 'node:http';
+import * as readingTurns from '../http/reading-turns';
 import * as httpServer from '../http/server';
 import type {Metrics} from '../observability/metrics';
 import * as prometheus from '../observability/prometheus';
@@ -17,6 +18,7 @@
   formatQueues?: () => string,
 ): Promise<http.Server> {
   const server = http.createServer((req, res) => {
+    readingTurns.dropBody(req);
     if (req.url === METRICS_PATH) {
       sendMetrics(res, metrics);
     } else if (req.url === QUEUES_PATH && formatQueues !== undefined) {
--- a/src/roles/site-entry.ts
+++ b/src/roles/site-entry.ts
@@ -12,6 +12,7 @@
 import {StopDeadline} from '../forwarding/stop-deadline';
 import {ConnectionTracker} from '../http/connection-tracker';
 import * as loadShedder from '../http/load-shedder';
+import * as readingTurns from '../http/reading-turns';
 import * as httpServer from '../http/server';
 import {SuspensionDetector} from '../suspension-detector';
 import type {Log} from '../observability/log';
@@ -205,6 +206,7 @@
     });
     if (cfg.readyAddress !== undefined) {
       const ready = http.createServer((req, res) => {
+        readingTurns.dropBody(req);
         const isReadyPath =
           req.url?.split('?', 1)[0] === this.documents.readyPath;
         res.writeHead(isReadyPath ? (this.isReady ? 200 : 503) : 404);
