A body that is overdue is refused with 408, the rest of a refused one is bounded

Callers saw: a body that was never finished held its memory for up to 330 s, the runtime's time for a request, whatever time the route allows; and a refused body was read and dropped without end.

Change: a body that has not been received by the request's deadline is refused with 408; no target has seen it. Of a refused request 8 MiB, framing included, or 5 s are read, so that its caller gets the refusal; then its connection is closed. 413 is delivered that way too: its connection used to be closed with unread data, which resets it.

--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -2,7 +2,7 @@
 import type * as http from 'node:http';
 import type {Ticket} from '../admission/admittee';
 import type {OpenRequest} from '../crashes/open-requests';
-import * as lingering from '../http/lingering-end';
+import * as closing from '../http/closing';
 import * as readingTurns from '../http/reading-turns';
 import type {Timing} from '../observability/metrics';
 import type {Route} from '../routes/types';
@@ -180,17 +180,19 @@
     this.isAnswered = true;
     const response = this.context.wire.refusalHead(refusal, this.head?.id);
     const body = Buffer.from(JSON.stringify(bodyOf(refusal)));
-    const isTooLarge = refusal.kind === 'too-large';
+    // The rest of its body is of no use.
+    const mustClose =
+      refusal.kind === 'too-large' || refusal.kind === 'upload-timed-out';
     this.res.writeHead(response.status, [
       ...response.headers,
       'Content-Type',
       'application/json',
       'Content-Length',
       String(body.length),
-      ...this.connectionHeaders(isTooLarge),
+      ...this.connectionHeaders(mustClose),
     ]);
-    if (this.shouldCloseConnection() && !isTooLarge) {
-      lingering.endAfterRequest(this.req, this.res, body);
+    if (mustClose || this.shouldCloseConnection()) {
+      closing.endAfterRequest(this.req, this.res, body);
     } else {
       readingTurns.dropBody(this.req);
       this.res.end(body);
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -6,7 +6,8 @@
 import type {SharedCapacity} from '../capacity/shared-capacity';
 import type {CapacityShares, PoolSource} from '../capacity/types';
 import type {CrashCoordinator} from '../crashes/crash-coordinator';
-import * as body from '../http/body';
+import type * as body from '../http/body';
+import type {Result} from '../result';
 import {Log} from '../observability/log';
 import {Metrics} from '../observability/metrics';
 import type {LastContact} from '../peers/last-contact';
@@ -209,20 +210,9 @@
       call.refuse(this.finder.refusals.stopping(call));
       return;
     }
-    const {configuration} = this.context;
-    // A new configuration may lower the limit while the body is read.
-    const limit = () => configuration.table!.snapshot.limits.bodyBytes;
-    const read = await body.readBody(call.req, limit, call.heldBody);
-    call.heldBody.noteRead();
+    const read = await this.readBody(call);
     if (!read.ok) {
-      if (read.error.kind === 'body-too-large') {
-        call.refuse({kind: 'too-large', limitBytes: read.error.limitBytes});
-      } else if (call.isGivenUp) {
-        call.refuse(this.finder.refusals.stopping(call));
-      } else if (call.heldBody.wasStopped) {
-        const retryMs = retryDelays.afterFull(call.callerTimeLeftMs);
-        call.refuse({kind: 'not-run', why: 'slow-upload', retryMs});
-      }
+      this.refuseUnread(call, read.error);
       return;
     }
     const service = tables.pickService(resolved.route, random.uniform());
@@ -244,6 +234,38 @@
     await relay.relay(call, request);
   }
 
+  /** Reads the body until the request's deadline. */
+  private async readBody(call: Call): Promise<Result<Buffer, body.BodyError>> {
+    const {heldBody, req} = call;
+    const {configuration} = this.context;
+    // A new configuration may lower the limit while the body is read.
+    const limit = () => configuration.table!.snapshot.limits.bodyBytes;
+    if (req.complete) {
+      return heldBody.read(req, limit);
+    }
+    const timer = setTimeout(
+      () => heldBody.stopUpload(),
+      Math.max(call.timeLeftMs, 0),
+    );
+    const read = await heldBody.read(req, limit);
+    clearTimeout(timer);
+    return read;
+  }
+
+  /** Refuses a request whose body was not read to its end. */
+  private refuseUnread(call: Call, err: body.BodyError): void {
+    if (err.kind === 'body-too-large') {
+      call.refuse({kind: 'too-large', limitBytes: err.limitBytes});
+    } else if (call.isGivenUp) {
+      call.refuse(this.finder.refusals.stopping(call));
+    } else if (call.timeLeftMs <= 0) {
+      call.refuse({kind: 'upload-timed-out'});
+    } else if (err.kind === 'body-too-slow') {
+      const retryMs = retryDelays.afterFull(call.callerTimeLeftMs);
+      call.refuse({kind: 'not-run', why: 'slow-upload', retryMs});
+    }
+  }
+
   /** Finds route and client account; undefined if the request was refused. */
   private resolveRoute(
     call: Call,
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -100,6 +100,8 @@
   | {readonly kind: 'no-route'}
   | {readonly kind: 'unknown-key'}
   | {readonly kind: 'too-large'; readonly limitBytes: number}
+  /** The time limit passed before the body was received; not run. */
+  | {readonly kind: 'upload-timed-out'}
   /** Certainly not run by any target. `retryMs`: when to retry. */
   | {readonly kind: 'not-run'; readonly why: NotRunReason; retryMs: number}
   /**
--- a/src/http/body.ts
+++ b/src/http/body.ts
@@ -14,6 +14,8 @@
 export type BodyError =
   | {readonly kind: 'body-too-large'; readonly limitBytes: number}
   | {readonly kind: 'body-cut'}
+  /** Its memory was needed for other callers. */
+  | {readonly kind: 'body-too-slow'}
   | {readonly kind: 'bad-json'; readonly detail: string};
 
 /** Follows the reading of a body. */
--- a/src/http/held-body.ts
+++ b/src/http/held-body.ts
@@ -5,7 +5,8 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
 import type {Readable, Writable} from 'node:stream';
-import type {BodyObserver} from './body';
+import {Result, fail} from '../result';
+import * as body from './body';
 import * as heldBytes from './held-bytes';
 import * as readingGate from './reading-gate';
 
@@ -23,7 +24,7 @@
   stop(): void;
 }
 
-export class HeldBody extends heldBytes.Holder implements BodyObserver {
+export class HeldBody extends heldBytes.Holder implements body.BodyObserver {
   private size = 0;
   private transfer: Transfer | undefined;
   /** The caller's connection while the body is read from it. */
@@ -57,6 +58,16 @@
     }
   }
 
+  /** Reads a body of a caller; fails with `body-too-slow` if it was cut off. */
+  async read(
+    req: http.IncomingMessage,
+    limit: body.BodyLimit,
+  ): Promise<Result<Buffer, body.BodyError>> {
+    const read = await body.readBody(req, limit, this);
+    this.noteRead();
+    return !read.ok && this.isStopped ? fail({kind: 'body-too-slow'}) : read;
+  }
+
   /** True if the reading of the body was cut off. */
   get wasStopped(): boolean {
     return this.isStopped;
--- a/src/requests/responses.ts
+++ b/src/requests/responses.ts
@@ -6,6 +6,7 @@
 import type {IncomingRequest, SidecarContext} from './sidecar-context';
 
 const LEAVING_RETRY_MS = 1_000;
+const SLOW_BODY_RETRY_MS = 1_000;
 
 /** Headers that a sidecar adds to every response that is not a refusal. */
 export function sidecarHeaders(
@@ -72,6 +73,12 @@
         'body-too-large',
         `the limit is ${err.limitBytes} bytes`,
       );
+    case 'body-too-slow':
+      return refusals.notRun(
+        'request-timeout',
+        'the memory for bodies is used up',
+        SLOW_BODY_RETRY_MS,
+      );
     case 'body-cut':
       return refusals.notRun('bad-request', 'the body ended early');
     case 'bad-json':
