Requests sent ahead of their answers are bounded by connection and process

Callers saw: one caller that sent 2,000 requests ahead and read no answer took the entry to 1,657 MB of 200; 40 with unknown keys and 60 with silent targets ended it (out of memory), and others got next to nothing meanwhile.

Cause: (a) the runtime parses all that a read has brought, and reads on while answers are pending; all requests were handled at once. (b) When a connection closes, the runtime tells only the response that is being sent; those that wait for it were never told, so their requests went on and their answers stayed. Destroying one of them, as the bound of held bytes does with the answer of a slow caller, frees nothing.

Change: a connection's requests are handled 16 at a time, the rest waits in order, one a turn of the event loop, and the connection isn't read meanwhile; the time limit runs from the arrival. With 1,024 waiting it is closed. What waits is counted with the held bytes of the process, which closes the connections with most first. All responses of a connection end with it, and cutting one off closes its connection. All servers of all processes, also of the own path, are made in one place; a connection with one request at a time takes the same path as before. FC2019 and connections_closed_total tell which connections were closed and why.

--- a/src/commands/local-site.ts
+++ b/src/commands/local-site.ts
@@ -2,6 +2,7 @@
 import type {Document} from '../configuration/types';
 import * as edit from '../configuration/edit';
 import {Log} from '../observability/log';
+import {DEFAULT_LIMITS} from '../http/connection-limits';
 import {HttpObjectApi} from '../platform/client';
 import {Entry} from '../roles/entry';
 import type {EntrySettings, SidecarSettings} from '../roles/settings';
@@ -42,7 +43,6 @@
     const settings: EntrySettings = {
       ...commonSettings('entry-0', HALLS[0], platform),
       listen,
-      maxConnections: 10_000,
     };
     this.entry = new Entry(settings, this.log);
     const address = await this.entry.open();
@@ -150,5 +150,7 @@
     peers: [],
     logLevel: 'info' as const,
     stopPatienceMs: STOP_TIMEOUT_MS,
+    ...DEFAULT_LIMITS,
+    memoryMb: 0,
   };
 }
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -23,7 +23,6 @@
   route: Route | undefined;
   /** Monotonic time in milliseconds. */
   deadline = Infinity;
-  readonly startedAt = performance.now();
   /** Sends to any target so far. */
   sendCount = 0;
   /** Sends that may have run. */
@@ -69,6 +68,8 @@
     readonly res: http.ServerResponse,
     private readonly context: ForwarderContext,
     private readonly shouldCloseConnection: () => boolean,
+    /** Monotonic time of its arrival, in milliseconds. */
+    readonly startedAt = performance.now(),
   ) {
     const {held} = context;
     this.heldBody = new HeldBody(held, this.noteCut);
@@ -316,7 +317,7 @@
     this.heldBody.release();
     this.heldAnswer.discard();
     if (!this.res.headersSent && !this.isCallerGone) {
-      this.res.destroy();
+      closing.closeConnectionOf(this.res);
     }
   }
 
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -143,13 +143,21 @@
     this.budgets.forEach(budget => budget.close());
   }
 
-  /** Serves one request; resolves when its answer was handed over. */
+  /**
+   * Serves one request; resolves when its answer was handed over. `arrivedAt`:
+   * monotonic time in milliseconds.
+   */
   async handle(
     req: http.IncomingMessage,
     res: http.ServerResponse,
+    arrivedAt: number,
   ): Promise<void> {
-    const call = new Call(req, res, this.context, () =>
-      this.shouldCloseConnections(),
+    const call = new Call(
+      req,
+      res,
+      this.context,
+      () => this.shouldCloseConnections(),
+      arrivedAt,
     );
     this.openCalls.add(call);
     res.once('close', () => this.noteClosed(call));
--- a/src/forwarding/held-answer.ts
+++ b/src/forwarding/held-answer.ts
@@ -5,6 +5,7 @@
  */
 import type {Writable} from 'node:stream';
 import type {BodyObserver} from '../http/body';
+import * as closing from '../http/closing';
 import * as heldBytes from '../http/held-bytes';
 
 export class HeldAnswer extends heldBytes.Holder implements BodyObserver {
@@ -67,7 +68,7 @@
 
   cut(now: number): void {
     const bytes = this.bytes();
-    this.res.destroy();
+    closing.closeConnectionOf(this.res);
     this.onCut('answer', bytes, this.pace.behindMs(now));
   }
 }
--- a/src/forwarding/stream-buffer.ts
+++ b/src/forwarding/stream-buffer.ts
@@ -3,6 +3,7 @@
  * caller's response, so it outlives the target that a stream began at.
  */
 import type {Writable} from 'node:stream';
+import * as closing from '../http/closing';
 import * as heldBytes from '../http/held-bytes';
 
 /** Events smaller than this are copied into blocks of this size. */
@@ -131,7 +132,7 @@
 
   cut(now: number): void {
     const bytes = this.bytes();
-    this.res.destroy();
+    closing.closeConnectionOf(this.res);
     this.free();
     this.onCut('answer', bytes, this.pace.behindMs(now));
   }
--- a/src/http/closing.ts
+++ b/src/http/closing.ts
@@ -1,6 +1,7 @@
 /** Ends responses whose request is still being received, and connections. */
-import type * as http from 'node:http';
+import * as http from 'node:http';
 import {finished} from 'node:stream';
+import type {Writable} from 'node:stream';
 import * as readingTurns from './reading-turns';
 
 /** What is read and dropped of a request that was refused, framing included. */
@@ -50,3 +51,14 @@
   }, CHECK_INTERVAL_MS);
   timer.unref();
 }
+
+/**
+ * Closes the connection of a response at once. Destroying a response that waits for
+ * earlier ones on its connection would close nothing.
+ */
+export function closeConnectionOf(res: Writable): void {
+  if (res instanceof http.ServerResponse) {
+    res.req.socket.destroy();
+  }
+  res.destroy();
+}
--- a/src/http/connection-tracker.ts
+++ b/src/http/connection-tracker.ts
@@ -1,29 +1,52 @@
 /**
- * The connections of a server and the requests open on them. During a planned
- * stop it closes only connections that are idle: the methods of `http.Server`
- * also destroy those whose response has ended but has not been flushed.
+ * The connections of a server and the requests open on them: bounds what they
+ * hold, and closes idle ones during a planned stop. The methods of `http.Server`
+ * for that also destroy connections whose response has ended but has not been
+ * flushed.
  */
 import type * as http from 'node:http';
 import * as net from 'node:net';
+import * as closing from './closing';
+import type {CloseReason, ConnectionLimits} from './connection-limits';
+import type {HeldBytes} from './held-bytes';
+import {RequestQueue} from './request-queue';
+import type {QueuedHandler} from './request-queue';
 
 const POLL_INTERVAL_MS = 50;
+/** Entries of `rawHeaders`, two per field, whose memory is not counted. */
+const UNCOUNTED_HEADERS = 128;
 
 interface ConnectionState {
   /** Requests whose response has not been flushed. */
-  openRequests: number;
+  readonly open: Set<http.ServerResponse>;
   /** Bytes received before the last response ended. */
   settledBytes: number;
   /** Monotonic time of the last response, or of the connection. */
   idleSince: number;
+  /** Undefined until a request arrives before the response to an earlier one. */
+  queue: RequestQueue | undefined;
+}
+
+export interface TrackerOptions {
+  readonly limits: ConnectionLimits;
+  /** Counts what waiting requests and large heads hold. */
+  readonly held: HeldBytes;
+  readonly handler: QueuedHandler;
+  /** Called when a connection is closed because of a limit. */
+  onClose(reason: CloseReason, peer: string): void;
 }
 
 export class ConnectionTracker {
   private readonly connections = new Map<net.Socket, ConnectionState>();
   private openRequests = 0;
 
-  constructor(private readonly server: http.Server) {
+  /** Without options, the server's own listener handles all requests. */
+  constructor(
+    private readonly server: http.Server,
+    private readonly options?: TrackerOptions,
+  ) {
     server.on('connection', (socket: net.Socket) => this.add(socket));
-    server.on('request', (req, res) => this.noteRequest(req.socket, res));
+    server.on('request', (req, res) => this.receive(req, res));
   }
 
   /** Open connections. */
@@ -50,7 +73,7 @@
     const now = performance.now();
     for (const [socket, state] of this.connections) {
       const isReceiving = socket.bytesRead > state.settledBytes;
-      const isInUse = state.openRequests > 0 || isReceiving;
+      const isInUse = state.open.size > 0 || isReceiving;
       if (!isInUse && now - state.idleSince >= minIdleMs) {
         socket.destroy();
       }
@@ -78,26 +101,107 @@
   }
 
   private add(socket: net.Socket): void {
-    this.connections.set(socket, {
-      openRequests: 0,
+    if (!this.makeRoom()) {
+      this.closeConnection(socket, 'connections');
+      return;
+    }
+    const state: ConnectionState = {
+      open: new Set(),
       settledBytes: 0,
       idleSince: performance.now(),
-    });
-    socket.once('close', () => this.connections.delete(socket));
+      queue: undefined,
+    };
+    this.connections.set(socket, state);
+    socket.once('close', () => this.remove(socket, state));
+  }
+
+  /** Closes the connection that has been idle for longest if all are taken. */
+  private makeRoom(): boolean {
+    const max = this.options?.limits.maxConnections ?? Infinity;
+    if (this.connections.size < max) {
+      return true;
+    }
+    let idlest: [net.Socket, ConnectionState] | undefined;
+    for (const one of this.connections) {
+      if (
+        one[1].open.size === 0 &&
+        (idlest === undefined || one[1].idleSince < idlest[1].idleSince)
+      ) {
+        idlest = one;
+      }
+    }
+    if (idlest === undefined) {
+      return false;
+    }
+    const [socket] = idlest;
+    this.connections.delete(socket);
+    this.closeConnection(socket, 'idle');
+    return true;
+  }
+
+  private remove(socket: net.Socket, state: ConnectionState): void {
+    this.connections.delete(socket);
+    state.queue?.close();
+    for (const res of state.open) {
+      // The runtime tells only the response that is being sent.
+      if (res.socket === null) {
+        res.destroy();
+        res.emit('close');
+      }
+    }
   }
 
-  private noteRequest(socket: net.Socket, res: http.ServerResponse): void {
+  private receive(req: http.IncomingMessage, res: http.ServerResponse): void {
+    const {options} = this;
+    const {socket} = req;
     const state = this.connections.get(socket);
-    if (state === undefined) {
+    if (state === undefined || socket.destroyed) {
+      // What was parsed after the connection had been closed.
       return;
     }
-    state.openRequests += 1;
+    this.noteRequest(state, req, res);
+    if (options === undefined) {
+      return;
+    }
+    const {length} = req.rawHeaders;
+    if (state.open.size === 1 && length <= UNCOUNTED_HEADERS) {
+      options.handler(req, res, performance.now());
+    } else {
+      state.queue ??= new RequestQueue(
+        socket,
+        {...options, onCut: reason => this.closeConnection(socket, reason)},
+        () => state.open.size,
+      );
+      state.queue.receive(req, res);
+    }
+  }
+
+  private noteRequest(
+    state: ConnectionState,
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+  ): void {
+    const {socket} = req;
+    state.open.add(res);
     this.openRequests += 1;
     res.once('close', () => {
-      state.openRequests -= 1;
+      state.open.delete(res);
       state.settledBytes = socket.bytesRead;
       state.idleSince = performance.now();
       this.openRequests -= 1;
+      state.queue?.noteEnd(res);
+      if (!req.complete && !socket.destroyed) {
+        closing.limitRest(req, () =>
+          this.closeConnection(socket, 'refused-body'),
+        );
+      }
     });
   }
+
+  private closeConnection(socket: net.Socket, reason: CloseReason): void {
+    if (!socket.destroyed) {
+      this.options?.onClose(reason, socket.remoteAddress ?? '');
+      socket.destroy();
+    }
+  }
 }
--- a/src/http/held-bytes.ts
+++ b/src/http/held-bytes.ts
@@ -1,6 +1,7 @@
 /**
- * The bytes that this process holds for callers and targets that read slowly.
- * Above a bound, the slowest of them are cut off.
+ * The bytes that this process holds for callers and targets: bodies, answers that
+ * are unread, and requests that wait behind others of their connection. Above a
+ * bound the slowest holders are cut off.
  */
 
 /** Unread bytes of one answer above which its caller is behind. */
@@ -30,12 +31,20 @@
 
 /** What is cut off first: the lowest class, within it the highest weight. */
 export interface CutRank {
-  readonly class: 'answer' | 'large-body' | 'small-body';
-  /** Bytes of an answer; of a body, milliseconds per byte of progress. */
+  readonly class: 'connection' | 'answer' | 'large-body' | 'small-body';
+  /**
+   * Bytes of a connection or an answer; of a body, milliseconds per byte of
+   * progress.
+   */
   readonly weight: number;
 }
 
-const CLASS_ORDER = {answer: 0, 'large-body': 1, 'small-body': 2} as const;
+const CLASS_ORDER = {
+  connection: 0,
+  answer: 1,
+  'large-body': 2,
+  'small-body': 3,
+} as const;
 
 /** What was cut off. `upload`: from a caller; `send`: to a target. */
 export type CutKind = 'answer' | 'upload' | 'send';
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -1,13 +1,21 @@
 /** Starting and stopping HTTP servers. */
 import * as http from 'node:http';
 import * as net from 'node:net';
+import {SILENT_LOG} from '../observability/log';
+import {Metrics} from '../observability/metrics';
 import {joinAddress, splitAddress} from './address';
+import * as closing from './closing';
+import {ClosureLog} from './closure-log';
+import * as connectionLimits from './connection-limits';
 import {ConnectionTracker} from './connection-tracker';
+import {HeldBytes} from './held-bytes';
+import type {QueuedHandler} from './request-queue';
 
 const HEADERS_TIMEOUT_MS = 10_000;
 const REQUEST_TIMEOUT_MS = 60_000;
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
-const MAX_HEADER_BYTES = 16 * 1024;
+/** Interval of the checks for requests that are received too slowly. */
+const CONNECTIONS_CHECK_INTERVAL_MS = 2_000;
 
 /** Handles one request; a rejection is passed to `onFault`. */
 export type Handler = (
@@ -28,9 +36,36 @@
   close(): Promise<void>;
 }
 
-export interface ServerLimits {
-  readonly maxConnections?: number;
-  readonly requestTimeoutMs?: number;
+/** What bounds the connections of a server, and who is told. */
+export interface ServerGuard {
+  /** Name of the server in logs and metrics. */
+  readonly listener: string;
+  readonly limits: connectionLimits.ConnectionLimits;
+  readonly held: HeldBytes;
+  readonly closures: ClosureLog;
+}
+
+export interface GuardedServer {
+  readonly server: http.Server;
+  readonly connections: ConnectionTracker;
+}
+
+/** A server whose connections are bounded; it is not bound to an address yet. */
+export function createServer(
+  handler: QueuedHandler,
+  guard: ServerGuard,
+): GuardedServer {
+  const server = http.createServer({
+    connectionsCheckingInterval: CONNECTIONS_CHECK_INTERVAL_MS,
+  });
+  const {limits, held, closures, listener} = guard;
+  const connections = new ConnectionTracker(server, {
+    limits,
+    held,
+    handler,
+    onClose: (reason, peer) => closures.note(listener, reason, peer),
+  });
+  return {server, connections};
 }
 
 /**
@@ -41,26 +76,17 @@
   address: string,
   handler: Handler,
   onFault: (err: Error) => void,
-  limits: ServerLimits = {},
+  guard: ServerGuard = unguarded(),
 ): Promise<Listener> {
-  const server = http.createServer(
-    {
-      headersTimeout: HEADERS_TIMEOUT_MS,
-      requestTimeout: limits.requestTimeoutMs ?? REQUEST_TIMEOUT_MS,
-      keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-      maxHeaderSize: MAX_HEADER_BYTES,
-    },
-    (req, res) => {
-      handler(req, res).catch(err => {
-        onFault(err as Error);
-        res.destroy();
-      });
-    },
-  );
-  if (limits.maxConnections !== undefined) {
-    server.maxConnections = limits.maxConnections;
-  }
-  const connections = new ConnectionTracker(server);
+  const {server, connections} = createServer((req, res) => {
+    handler(req, res).catch(err => {
+      onFault(err as Error);
+      closing.closeConnectionOf(res);
+    });
+  }, guard);
+  server.headersTimeout = HEADERS_TIMEOUT_MS;
+  server.requestTimeout = REQUEST_TIMEOUT_MS;
+  server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
   await bind(address, server);
   server.on('error', onFault);
   const bound = server.address() as net.AddressInfo;
@@ -71,6 +97,16 @@
   };
 }
 
+/** For servers that only this system's own tests and stand-ins call. */
+export function unguarded(): ServerGuard {
+  return {
+    listener: 'standin',
+    limits: connectionLimits.DEFAULT_LIMITS,
+    held: new HeldBytes(Infinity),
+    closures: new ClosureLog(SILENT_LOG, new Metrics()),
+  };
+}
+
 /** Binds a server to an address. Rejects with the system's error. */
 export async function bind(
   address: string,
--- a/src/observability/catalogue.ts
+++ b/src/observability/catalogue.ts
@@ -84,6 +84,11 @@
     level: 'warn',
     text: 'process ended before the caller had the whole answer',
   },
+  connectionClosed: {
+    id: 'FC2019',
+    level: 'warn',
+    text: 'connection closed or refused because of a limit on callers',
+  },
   platformUnavailable: {
     id: 'FC3001',
     level: 'warn',
--- a/src/roles/entry.ts
+++ b/src/roles/entry.ts
@@ -4,6 +4,8 @@
 import * as claims from '../claims/owner-directory';
 import {Follower} from '../configuration/follower';
 import * as httpClient from '../http/client';
+import * as memoryLimit from '../http/memory-limit';
+import {ProcessGuard} from '../http/process-guard';
 import * as httpServer from '../http/server';
 import {Log} from '../observability/log';
 import {Metrics} from '../observability/metrics';
@@ -32,6 +34,7 @@
 const STARTUP_RETRY_AFTER_MS = 1_000;
 
 export class Entry {
+  private readonly guard: ProcessGuard;
   private readonly store: HttpObjectApi;
   private readonly rpc: RpcClient;
   private readonly rpcServer: RpcServer;
@@ -51,6 +54,12 @@
     private readonly cfg: EntrySettings,
     private readonly log: Log,
   ) {
+    this.guard = new ProcessGuard({
+      log,
+      metrics: this.metrics,
+      memoryBytes: memoryLimit.bytesOf(cfg.memoryMb),
+      limits: cfg,
+    });
     this.store = new HttpObjectApi(cfg.platform);
     this.follower = new Follower(cfg, this.store, log, () => this.rpc);
     const stamps = this.follower.stampExchange;
@@ -77,7 +86,7 @@
       this.cfg.listen,
       (req, res) => this.answer(req, res),
       err => this.log.event('requestFault', {error: String(err)}),
-      {maxConnections: this.cfg.maxConnections},
+      this.guard.forServer('callers'),
     );
     this.subscriptions.add(
       this.follower.instanceLists.subscribe(list => this.onInstances(list)),
@@ -117,6 +126,7 @@
     this.follower.close();
     await this.listener?.close();
     this.agent.destroy();
+    this.guard.close();
     this.rpc.close();
     this.store.close();
   }
--- a/src/roles/metrics-endpoint.ts
+++ b/src/roles/metrics-endpoint.ts
@@ -1,5 +1,5 @@
 /** The address at which a process of a site serves its metrics and queues. */
-import * as http from 'node:http';
+import type * as http from 'node:http';
 import * as readingTurns from '../http/reading-turns';
 import * as httpServer from '../http/server';
 import type {Metrics} from '../observability/metrics';
@@ -15,9 +15,10 @@
 export async function serveMetrics(
   address: string,
   metrics: Metrics,
+  guard: httpServer.ServerGuard,
   formatQueues?: () => string,
 ): Promise<http.Server> {
-  const server = http.createServer((req, res) => {
+  const {server} = httpServer.createServer((req, res) => {
     readingTurns.dropBody(req);
     if (req.url === METRICS_PATH) {
       sendMetrics(res, metrics);
@@ -26,7 +27,7 @@
     } else {
       res.writeHead(404).end();
     }
-  });
+  }, guard);
   return httpServer.bind(address, server);
 }
 
--- a/src/roles/rpc-endpoint.ts
+++ b/src/roles/rpc-endpoint.ts
@@ -1,5 +1,5 @@
 /** The address at which a process of a site takes RPC calls. */
-import * as http from 'node:http';
+import * as closing from '../http/closing';
 import * as httpServer from '../http/server';
 import type {Log} from '../observability/log';
 import type {RpcServer} from '../rpc/server';
@@ -9,12 +9,14 @@
   address: string,
   rpc: RpcServer,
   log: Log,
-): Promise<http.Server> {
-  const server = http.createServer((req, res) => {
+  guard: httpServer.ServerGuard = httpServer.unguarded(),
+): Promise<httpServer.GuardedServer> {
+  const guarded = httpServer.createServer((req, res) => {
     rpc.handleRequest(req, res).catch(err => {
       log.event('requestFault', {error: String((err as Error).stack)});
-      res.destroy();
+      closing.closeConnectionOf(res);
     });
-  });
-  return httpServer.bind(address, server);
+  }, guard);
+  await httpServer.bind(address, guarded.server);
+  return guarded;
 }
--- a/src/roles/settings.ts
+++ b/src/roles/settings.ts
@@ -1,6 +1,7 @@
 /** Settings of the long-running commands. */
 import * as v from 'valibot';
 import {addressSchema} from '../http/address';
+import {DEFAULT_LIMITS} from '../http/connection-limits';
 import * as settings from '../settings/types';
 
 /** One day. */
@@ -42,21 +43,44 @@
   },
 } as const satisfies settings.SettingTable;
 
+/** What callers and other processes may make a process hold. */
+const connectionTable = {
+  maxConnections: {
+    schema: settings.wholeNumber(1, 1_000_000),
+    fallback: String(DEFAULT_LIMITS.maxConnections),
+    text: 'connections that are open at once',
+    placeholder: 'count',
+  },
+  maxConcurrentRequests: {
+    schema: settings.wholeNumber(1, 100_000),
+    fallback: String(DEFAULT_LIMITS.maxConcurrentRequests),
+    text: 'requests of one connection that are handled at once',
+    placeholder: 'count',
+  },
+  maxWaitingRequests: {
+    schema: settings.wholeNumber(1, 100_000),
+    fallback: String(DEFAULT_LIMITS.maxWaitingRequests),
+    text: 'requests of one connection that wait for earlier ones',
+    placeholder: 'count',
+  },
+  memoryMb: {
+    schema: settings.wholeNumber(0, 1_000_000),
+    fallback: '0',
+    text: 'memory limit of the process; 0: twice the heap limit of Node.js',
+    placeholder: 'megabytes',
+  },
+} as const satisfies settings.SettingTable;
+
 /** Settings of `entry`. */
 export const entryTable = {
   ...commonTable,
+  ...connectionTable,
   listen: {
     schema: addressSchema,
     fallback: '127.0.0.1:8080',
     text: 'address towards callers and other processes',
     placeholder: 'ip:port',
   },
-  maxConnections: {
-    schema: settings.wholeNumber(1, 1_000_000),
-    fallback: '20000',
-    text: 'connections that are open at once',
-    placeholder: 'count',
-  },
   stopPatienceMs: {
     schema: settings.wholeNumber(0, MAX_DURATION_MS),
     fallback: '600000',
@@ -78,6 +102,7 @@
 /** Settings of `sidecar`. */
 export const sidecarTable = {
   ...commonTable,
+  ...connectionTable,
   listen: {
     schema: addressSchema,
     text: 'address towards entries and other processes',
--- a/src/roles/sidecar.ts
+++ b/src/roles/sidecar.ts
@@ -16,6 +16,8 @@
 import {RankService} from '../groups/rank-service';
 import * as body from '../http/body';
 import * as httpClient from '../http/client';
+import * as memoryLimit from '../http/memory-limit';
+import {ProcessGuard} from '../http/process-guard';
 import * as httpServer from '../http/server';
 import {Log} from '../observability/log';
 import {Metrics} from '../observability/metrics';
@@ -57,6 +59,7 @@
 };
 
 export class Sidecar {
+  private readonly guard: ProcessGuard;
   private readonly store: HttpObjectApi;
   private readonly rpc: RpcClient;
   private readonly rpcServer: RpcServer;
@@ -84,6 +87,12 @@
     private readonly cfg: SidecarSettings,
     private readonly log: Log,
   ) {
+    this.guard = new ProcessGuard({
+      log,
+      metrics: this.metrics,
+      memoryBytes: memoryLimit.bytesOf(cfg.memoryMb),
+      limits: cfg,
+    });
     this.store = new HttpObjectApi(cfg.platform);
     this.follower = new Follower(cfg, this.store, log, () => this.rpc);
     const stamps = this.follower.stampExchange;
@@ -116,6 +125,7 @@
       this.cfg.listen,
       (req, res) => this.answer(req, res),
       err => this.log.event('requestFault', {error: String(err)}),
+      this.guard.forServer('rpc'),
     );
     if (this.serves.kind === 'model') {
       this.openEngine();
@@ -152,6 +162,7 @@
     this.follower.close();
     await this.listener?.close();
     this.agent.destroy();
+    this.guard.close();
     this.rpc.close();
     this.store.close();
   }
--- a/src/roles/site-entry.ts
+++ b/src/roles/site-entry.ts
@@ -1,5 +1,5 @@
 /** The entry of a site: forwards callers' requests to the targets that it knows. */
-import * as http from 'node:http';
+import type * as http from 'node:http';
 import type * as net from 'node:net';
 import {SharedCapacity} from '../capacity/shared-capacity';
 import {TargetConnections} from '../forwarding/target-connections';
@@ -7,11 +7,13 @@
 import {Forwarder} from '../forwarding/forwarder';
 import {GroupGate} from '../forwarding/group-gate';
 import {GroupViews} from '../forwarding/group-views';
-import * as heldBytes from '../http/held-bytes';
 import type {Wire} from '../forwarding/types';
 import {StopDeadline} from '../forwarding/stop-deadline';
-import {ConnectionTracker} from '../http/connection-tracker';
+import * as closing from '../http/closing';
+import {DEFAULT_LIMITS} from '../http/connection-limits';
+import type {ConnectionTracker} from '../http/connection-tracker';
 import * as loadShedder from '../http/load-shedder';
+import {ProcessGuard} from '../http/process-guard';
 import * as readingTurns from '../http/reading-turns';
 import * as httpServer from '../http/server';
 import {SuspensionDetector} from '../suspension-detector';
@@ -55,8 +57,8 @@
   private readonly lastContact = new LastContact();
   private readonly suspensionDetector = new SuspensionDetector();
   private readonly views: GroupViews;
-  private readonly connections = new TargetConnections();
-  private readonly held: heldBytes.HeldBytes;
+  private readonly guard: ProcessGuard;
+  private readonly connections: TargetConnections;
   private readonly shares: SharedCapacity;
   private readonly forwarder: Forwarder;
   private readonly metrics = new Metrics();
@@ -75,6 +77,14 @@
     wire: Wire,
     private readonly log: Log,
   ) {
+    this.guard = new ProcessGuard({
+      log,
+      metrics: this.metrics,
+      memoryBytes: cfg.memoryLimitBytes,
+      limits: cfg.connectionLimits ?? DEFAULT_LIMITS,
+    });
+    const {held} = this.guard;
+    this.connections = new TargetConnections();
     this.rpcServer = new RpcServer(log);
     this.site = new SiteFollower({
       cfg,
@@ -123,11 +133,6 @@
       this.shares.handleResume();
       this.forwarder.noteSuspension(suspendedMs);
     });
-    this.held = new heldBytes.HeldBytes(
-      heldBytes.boundOf(cfg.memoryLimitBytes),
-    );
-    this.metrics.observe('held_bytes', () => this.held.bytes());
-    this.metrics.observe('held_bytes_peak', () => this.held.peakBytes);
     this.shares = new SharedCapacity({
       rpc: this.rpc,
       peers: this.site.peers,
@@ -155,7 +160,7 @@
       shares: this.shares,
       extraRetries: this.site.extraRetries,
       stopDeadline: new StopDeadline(),
-      held: this.held,
+      held,
       knownEntryCount: () => this.site.knownEntryCount,
       whenRoutable: waitMs => this.site.whenRoutable(waitMs),
       isIsolated: () => this.site.isIsolated(performance.now()),
@@ -189,12 +194,15 @@
 
   /** Listens and starts to follow the store. */
   async open(): Promise<void> {
-    const {cfg} = this;
-    const callerServer = http.createServer((req, res) => this.answer(req, res));
-    this.callerConnections = new ConnectionTracker(callerServer);
+    const {cfg, guard} = this;
+    const callers = httpServer.createServer(
+      (req, res, arrivedAt) => this.answer(req, res, arrivedAt),
+      guard.forServer('callers'),
+    );
+    this.callerConnections = callers.connections;
     this.callerServer = await httpServer.bind(
       cfg.callersAddress ?? `${cfg.host}:0`,
-      callerServer,
+      callers.server,
     );
     this.callerServer.on('connection', (socket: net.Socket) => {
       const now = performance.now();
@@ -205,21 +213,28 @@
       }
     });
     if (cfg.readyAddress !== undefined) {
-      const ready = http.createServer((req, res) => {
+      const ready = httpServer.createServer((req, res) => {
         readingTurns.dropBody(req);
         const isReadyPath =
           req.url?.split('?', 1)[0] === this.documents.readyPath;
         res.writeHead(isReadyPath ? (this.isReady ? 200 : 503) : 404);
         res.end();
-      });
-      this.servers.push(await httpServer.bind(cfg.readyAddress, ready));
+      }, guard.forServer('ready'));
+      this.servers.push(await httpServer.bind(cfg.readyAddress, ready.server));
     }
-    this.rpcConnections = new ConnectionTracker(
-      await serveRpc(this.rpcAddress, this.rpcServer, this.log),
+    const rpc = await serveRpc(
+      this.rpcAddress,
+      this.rpcServer,
+      this.log,
+      guard.forServer('rpc'),
     );
+    this.rpcConnections = rpc.connections;
     this.servers.push(
-      await serveMetrics(`${cfg.host}:${cfg.metricsPort}`, this.metrics, () =>
-        this.forwarder.queues.format(performance.now()),
+      await serveMetrics(
+        `${cfg.host}:${cfg.metricsPort}`,
+        this.metrics,
+        guard.forServer('metrics'),
+        () => this.forwarder.queues.format(performance.now()),
       ),
     );
     this.log.event('processReady', {id: cfg.id, hall: cfg.hall});
@@ -271,17 +286,21 @@
     this.callerConnections?.close();
     this.rpcConnections?.close();
     this.connections.close();
-    this.held.close();
+    this.guard.close();
     this.views.close();
     this.rpc.close();
     this.store.close();
   }
 
-  private answer(req: http.IncomingMessage, res: http.ServerResponse): void {
+  private answer(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+    arrivedAt: number,
+  ): void {
     this.suspensionDetector.check();
-    this.forwarder.handle(req, res).catch(err => {
+    this.forwarder.handle(req, res, arrivedAt).catch(err => {
       this.log.event('requestFault', {error: String((err as Error).stack)});
-      res.destroy();
+      closing.closeConnectionOf(res);
     });
   }
 
--- a/src/roles/site-settings.ts
+++ b/src/roles/site-settings.ts
@@ -1,4 +1,5 @@
 /** Settings of the processes of a site. */
+import type {ConnectionLimits} from '../http/connection-limits';
 import type {WarmUpBounds} from '../targets/warm-up-limit';
 
 /** Limits on the retries that all entries of a site may make together. */
@@ -66,4 +67,6 @@
   readonly warmUpBounds: WarmUpBounds;
   /** Memory limit of the process; undefined: not stated. */
   readonly memoryLimitBytes?: number;
+  /** Undefined: the defaults. */
+  readonly connectionLimits?: ConnectionLimits;
 }
--- a/src/roles/site-sidecar.ts
+++ b/src/roles/site-sidecar.ts
@@ -14,7 +14,9 @@
 import type {ObjectApi} from '../platform/client';
 import {RpcClient} from '../rpc/client';
 import {RpcServer} from '../rpc/server';
-import {ConnectionTracker} from '../http/connection-tracker';
+import {DEFAULT_LIMITS} from '../http/connection-limits';
+import type {ConnectionTracker} from '../http/connection-tracker';
+import {ProcessGuard} from '../http/process-guard';
 import {serveMetrics} from './metrics-endpoint';
 import {serveRpc} from './rpc-endpoint';
 import type {SiteDocuments} from './site-documents';
@@ -31,6 +33,7 @@
   private readonly rpcClient = new RpcClient();
   private readonly metrics = new Metrics();
   private readonly member: GroupMember | undefined;
+  private readonly guard: ProcessGuard;
   private metricsServer: http.Server | undefined;
   private rpcConnections: ConnectionTracker | undefined;
 
@@ -40,6 +43,12 @@
     private readonly store: ObjectApi,
     private readonly log: Log,
   ) {
+    this.guard = new ProcessGuard({
+      log,
+      metrics: this.metrics,
+      memoryBytes: cfg.memoryLimitBytes,
+      limits: cfg.connectionLimits ?? DEFAULT_LIMITS,
+    });
     this.rpcServer = new RpcServer(log);
     this.engine = documents.makeEngine(cfg.targetAddress ?? '');
     this.agent = new RankAgent(
@@ -103,12 +112,17 @@
       isPlannerHeard: this.agent.isPlannerHeard,
     }));
     const {host, rpcPort, metricsPort} = this.cfg;
-    this.rpcConnections = new ConnectionTracker(
-      await serveRpc(`${host}:${rpcPort}`, this.rpcServer, this.log),
+    const rpc = await serveRpc(
+      `${host}:${rpcPort}`,
+      this.rpcServer,
+      this.log,
+      this.guard.forServer('rpc'),
     );
+    this.rpcConnections = rpc.connections;
     this.metricsServer = await serveMetrics(
       `${host}:${metricsPort}`,
       this.metrics,
+      this.guard.forServer('metrics'),
     );
     void this.member?.run();
     this.log.event('processReady', {id: this.cfg.id, hall: this.cfg.hall});
@@ -137,6 +151,7 @@
     rpcConnections?.close();
     this.metricsServer?.close();
     this.metricsServer?.closeAllConnections();
+    this.guard.close();
     this.rpcClient.close();
     this.engine.close();
     this.agent.close();
