Above three times the bound of held bytes, answers are cut off at once

Callers saw: 100 callers that sent requests ahead and left answers of 256 KiB unread ended the entry (out of memory).

Cause: a caller counts as slow only after 250 ms, and plain answers are not paused, so within that time they could pass the bound by any amount.

Change: above three times the bound the largest answers, also those that are still read from their targets, and uploads are cut off without that time. Below it nothing changes.

--- a/src/forwarding/held-answer.ts
+++ b/src/forwarding/held-answer.ts
@@ -56,7 +56,10 @@
     return this.res.destroyed ? 0 : this.res.writableLength;
   }
 
-  rankAt(now: number): heldBytes.CutRank | undefined {
+  rankAt(now: number, isCritical: boolean): heldBytes.CutRank | undefined {
+    if (isCritical) {
+      return {class: 'answer', weight: this.bytes()};
+    }
     if (this.givenBytes === undefined) {
       return undefined;
     }
--- a/src/forwarding/stream-buffer.ts
+++ b/src/forwarding/stream-buffer.ts
@@ -124,8 +124,8 @@
     return this.isClosed ? 0 : this.queuedBytes + this.res.writableLength;
   }
 
-  rankAt(now: number): heldBytes.CutRank | undefined {
-    return this.paceAt(now) === 'slow'
+  rankAt(now: number, isCritical: boolean): heldBytes.CutRank | undefined {
+    return this.paceAt(now) === 'slow' || isCritical
       ? {class: 'answer', weight: this.bytes()}
       : undefined;
   }
--- a/src/http/held-body.ts
+++ b/src/http/held-body.ts
@@ -121,13 +121,13 @@
     return this.size;
   }
 
-  rankAt(now: number): heldBytes.CutRank | undefined {
+  rankAt(now: number, isCritical: boolean): heldBytes.CutRank | undefined {
     const {transfer} = this;
     if (transfer === undefined || !transfer.mayCut()) {
       return undefined;
     }
     const ms = now - transfer.startedAt;
-    if (ms < heldBytes.SLOW_AFTER_MS) {
+    if (ms < heldBytes.SLOW_AFTER_MS && !isCritical) {
       return undefined;
     }
     return {
--- a/src/http/held-bytes.ts
+++ b/src/http/held-bytes.ts
@@ -1,7 +1,7 @@
 /**
  * The bytes that this process holds for callers and targets: bodies, answers that
  * are unread, and requests that wait behind others of their connection. Above a
- * bound the slowest holders are cut off.
+ * bound the slowest holders are cut off, above a multiple of it the largest ones.
  */
 
 /** Unread bytes of one answer above which its caller is behind. */
@@ -16,6 +16,8 @@
 export const DEFAULT_BOUND_BYTES = 16 * 1024 * 1024;
 /** Share of the process's memory limit that may be held. */
 const MEMORY_SHARE = 1 / 16;
+/** Multiple of the bound above which no holder is given time any more. */
+const CRITICAL_FACTOR = 3;
 /**
  * Interval of the checks while the bound is exceeded: no event tells that a
  * holder has become slow or that the system has taken a part of a large write.
@@ -58,8 +60,11 @@
   countedBytes = 0;
   /** Bytes held at present. */
   abstract bytes(): number;
-  /** Undefined: it must not be cut off at present. */
-  abstract rankAt(now: number): CutRank | undefined;
+  /**
+   * Undefined: it must not be cut off at present. `isCritical`: the memory is
+   * needed at once, also that of holders that are not slow.
+   */
+  abstract rankAt(now: number, isCritical: boolean): CutRank | undefined;
   /** Cuts off and frees the bytes. */
   abstract cut(now: number): void;
   /** Called when the process holds no more than its bound again. */
@@ -72,10 +77,11 @@
 export function chooseCut<T extends Pick<Holder, 'rankAt'>>(
   holders: Iterable<T>,
   now: number,
+  isCritical = false,
 ): T | undefined {
   let first: {holder: T; rank: CutRank} | undefined;
   for (const holder of holders) {
-    const rank = holder.rankAt(now);
+    const rank = holder.rankAt(now, isCritical);
     if (rank !== undefined && (!first || precedes(rank, first.rank))) {
       first = {holder, rank};
     }
@@ -103,6 +109,11 @@
     return this.sum > this.boundBytes;
   }
 
+  /** True if holders that are not slow may be cut off, too. */
+  get isCritical(): boolean {
+    return this.sum > this.boundBytes * CRITICAL_FACTOR;
+  }
+
   /** Unread bytes of an answer above which its caller is behind. */
   get slowBytes(): number {
     return this.isOver ? SLOW_BYTES_OVER_BOUND : SLOW_BYTES;
@@ -163,7 +174,7 @@
   private cutOff(): void {
     const now = performance.now();
     while (this.isOver) {
-      const holder = chooseCut(this.holders, now);
+      const holder = chooseCut(this.holders, now, this.isCritical);
       if (holder === undefined) {
         return;
       }
