Each port has its share of the descriptors of a process

Callers saw: 700 silent connections took 728 descriptors where 400 are allowed, 722 at a sidecar; beyond the limit nothing is left for the store, targets and peers.

Cause: no port was bounded, and limits.file-descriptors was read nowhere.

Change: callers have half of the descriptors, calls of other processes 0.15 (a sidecar, which has no port for callers, both), readiness and metrics 0.02 each, connections to targets 0.2. A new connection takes the place of the one that has been idle for longest; with none idle it is closed. A request for which no connection to a target is left is refused with 503 at once.

--- a/src/forwarding/refusal-builder.ts
+++ b/src/forwarding/refusal-builder.ts
@@ -166,6 +166,21 @@
       : this.unavailable(call, service, cause);
   }
 
+  /** This process has no descriptor left for another connection to a target. */
+  noDescriptors(call: Call, service: string): types.Refusal {
+    this.context.metrics.count('descriptor_refusals_total', {service});
+    this.context.log.event('requestRefused', {
+      request: call.head?.id,
+      kind: 'no-descriptors',
+      service,
+    });
+    return this.counted(service, {
+      kind: 'not-run',
+      why: 'no-descriptors',
+      retryMs: retryDelays.afterFull(call.callerTimeLeftMs),
+    });
+  }
+
   /** No target may be sent to now. */
   noneAvailable(
     call: Call,
--- a/src/forwarding/relay.ts
+++ b/src/forwarding/relay.ts
@@ -50,6 +50,9 @@
     if (call.isGivenUp || call.isTooLate) {
       return fail(this.refusals.stopping(call));
     }
+    if (!this.context.connections.hasRoom()) {
+      return fail(this.refusals.noDescriptors(call, request.service));
+    }
     const found = await this.finder.find(call, request, tried, mayWait);
     const now = performance.now();
     const {retry} = call;
--- a/src/forwarding/target-connections.ts
+++ b/src/forwarding/target-connections.ts
@@ -63,14 +63,52 @@
   return seconds === undefined ? undefined : Number(seconds);
 }
 
+/** Counts the sockets of agents, idle ones included. */
+class SocketCounter {
+  count = 0;
+
+  watch(agent: http.Agent): http.Agent {
+    const connecting = agent as unknown as ConnectingAgent;
+    const {createConnection} = connecting;
+    connecting.createConnection = (...args) => {
+      const socket = createConnection.apply(agent, args);
+      this.count += 1;
+      socket.once('close', () => (this.count -= 1));
+      return socket;
+    };
+    return agent;
+  }
+}
+
+/** The method that opens an agent's sockets, which its type does not declare. */
+interface ConnectingAgent {
+  createConnection(...args: unknown[]): net.Socket;
+}
+
 export class TargetConnections {
+  private readonly sockets = new SocketCounter();
   /** For requests that may be repeated: reuses connections. */
-  readonly kept: http.Agent = new KeepAliveAgent();
+  readonly kept = this.sockets.watch(new KeepAliveAgent());
   /**
    * For requests that may not: a new connection each, which carries no late
    * response to another request and is not being closed by the target.
    */
-  readonly fresh: http.Agent = new http.Agent({keepAlive: false});
+  readonly fresh = this.sockets.watch(new http.Agent({keepAlive: false}));
+
+  /** `maxSockets`: descriptors that connections to targets may take. */
+  constructor(private readonly maxSockets = Infinity) {}
+
+  /** False if all descriptors for targets are in use. */
+  hasRoom(): boolean {
+    if (this.sockets.count < this.maxSockets) {
+      return true;
+    }
+    const idle = Object.values(this.kept.freeSockets).flatMap(
+      sockets => sockets ?? [],
+    );
+    idle.forEach(socket => socket.destroy());
+    return idle.length > 0;
+  }
 
   close(): void {
     this.kept.destroy();
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -125,6 +125,8 @@
   | 'overloaded'
   /** The caller was slow to send the body, and too many bytes were held. */
   | 'slow-upload'
+  /** All descriptors for connections to targets are in use. */
+  | 'no-descriptors'
   | 'target-full'
   | 'targets-resting'
   | 'targets-limited'
--- a/src/roles/entry.ts
+++ b/src/roles/entry.ts
@@ -58,6 +58,7 @@
       log,
       metrics: this.metrics,
       memoryBytes: memoryLimit.bytesOf(cfg.memoryMb),
+      descriptors: undefined,
       limits: cfg,
     });
     this.store = new HttpObjectApi(cfg.platform);
--- a/src/roles/sidecar.ts
+++ b/src/roles/sidecar.ts
@@ -91,6 +91,7 @@
       log,
       metrics: this.metrics,
       memoryBytes: memoryLimit.bytesOf(cfg.memoryMb),
+      descriptors: undefined,
       limits: cfg,
     });
     this.store = new HttpObjectApi(cfg.platform);
--- a/src/roles/site-entry.ts
+++ b/src/roles/site-entry.ts
@@ -81,10 +81,11 @@
       log,
       metrics: this.metrics,
       memoryBytes: cfg.memoryLimitBytes,
+      descriptors: cfg.descriptorLimit,
       limits: cfg.connectionLimits ?? DEFAULT_LIMITS,
     });
     const {held} = this.guard;
-    this.connections = new TargetConnections();
+    this.connections = new TargetConnections(this.guard.maxSends);
     this.rpcServer = new RpcServer(log);
     this.site = new SiteFollower({
       cfg,
--- a/src/roles/site-settings.ts
+++ b/src/roles/site-settings.ts
@@ -67,6 +67,8 @@
   readonly warmUpBounds: WarmUpBounds;
   /** Memory limit of the process; undefined: not stated. */
   readonly memoryLimitBytes?: number;
+  /** Maximum open descriptors of the process; undefined: not stated. */
+  readonly descriptorLimit?: number;
   /** Undefined: the defaults. */
   readonly connectionLimits?: ConnectionLimits;
 }
--- a/src/roles/site-sidecar.ts
+++ b/src/roles/site-sidecar.ts
@@ -47,6 +47,7 @@
       log,
       metrics: this.metrics,
       memoryBytes: cfg.memoryLimitBytes,
+      descriptors: cfg.descriptorLimit,
       limits: cfg.connectionLimits ?? DEFAULT_LIMITS,
     });
     this.rpcServer = new RpcServer(log);
@@ -116,7 +117,8 @@
       `${host}:${rpcPort}`,
       this.rpcServer,
       this.log,
-      this.guard.forServer('rpc'),
+      // A sidecar has no port for callers.
+      this.guard.forServer('rpc', ['rpc', 'callers']),
     );
     this.rpcConnections = rpc.connections;
     this.metricsServer = await serveMetrics(
