A request with more than 256 header fields is refused with 431

Callers saw: beside 300 callers with heads of 1,900 fields no ordinary request was answered within 60 s.

Cause: the runtime drops the fields after the first 1,000 without a word, the length of the body among them, so such requests were forwarded without their bodies.

Change: a request with more than 256 fields (connections.max-header-fields) is refused with 431 and its connection closed.

--- a/src/http/connection-limits.ts
+++ b/src/http/connection-limits.ts
@@ -10,6 +10,8 @@
   maxConcurrentRequests: v.optional(count, 16),
   /** Parsed requests of one connection that wait for earlier ones. */
   maxWaitingRequests: v.optional(count, 1_024),
+  /** Header fields of a request. */
+  maxHeaderFields: v.optional(count, 256),
 });
 export type ConnectionLimits = Readonly<
   v.InferOutput<typeof connectionLimitsSchema>
@@ -25,6 +27,7 @@
   /** It held the most while the process held too much. */
   | 'memory'
   | 'requests-ahead'
+  | 'header-fields'
   /** It was idle for longest while a new connection arrived. */
   | 'idle'
   /** No connection was idle when it arrived. */
--- a/src/http/connection-tracker.ts
+++ b/src/http/connection-tracker.ts
@@ -15,6 +15,8 @@
 const POLL_INTERVAL_MS = 50;
 /** Entries of `rawHeaders`, two per field, whose memory is not counted. */
 const UNCOUNTED_HEADERS = 128;
+/** Source: RFC 6585, section 5. */
+const HEADER_FIELDS_TOO_LARGE = 431;
 
 interface ConnectionState {
   /** Requests whose response has not been flushed. */
@@ -45,6 +47,10 @@
     private readonly server: http.Server,
     private readonly options?: TrackerOptions,
   ) {
+    if (options !== undefined) {
+      // One more than allowed: the runtime drops further ones silently.
+      server.maxHeadersCount = options.limits.maxHeaderFields + 1;
+    }
     server.on('connection', (socket: net.Socket) => this.add(socket));
     server.on('request', (req, res) => this.receive(req, res));
   }
@@ -164,7 +170,9 @@
       return;
     }
     const {length} = req.rawHeaders;
-    if (state.open.size === 1 && length <= UNCOUNTED_HEADERS) {
+    if (length > options.limits.maxHeaderFields * 2) {
+      this.refuseHead(req, res);
+    } else if (state.open.size === 1 && length <= UNCOUNTED_HEADERS) {
       options.handler(req, res, performance.now());
     } else {
       state.queue ??= new RequestQueue(
@@ -176,6 +184,22 @@
     }
   }
 
+  private refuseHead(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+  ): void {
+    const {options} = this;
+    options?.onClose('header-fields', req.socket.remoteAddress ?? '');
+    const text = `more than ${options?.limits.maxHeaderFields} header fields\n`;
+    const body = Buffer.from(text);
+    res.writeHead(HEADER_FIELDS_TOO_LARGE, {
+      connection: 'close',
+      'content-type': 'text/plain',
+      'content-length': body.length,
+    });
+    closing.endAfterRequest(req, res, body);
+  }
+
   private noteRequest(
     state: ConnectionState,
     req: http.IncomingMessage,
--- a/src/http/request-queue.test.ts
+++ b/src/http/request-queue.test.ts
@@ -138,4 +138,21 @@
     await pause();
     expect([third, fourth].map(one => one.destroyed)).toEqual([false, true]);
   });
+
+  it('are refused with too many header fields', async () => {
+    await listen({maxHeaderFields: 5});
+    const fields = (count: number) => 'a: b\r\n'.repeat(count);
+    const socket = connect();
+    let text = '';
+    socket.on('data', chunk => (text += String(chunk)));
+    socket.write(`GET / HTTP/1.1\r\nHost: a\r\n${fields(4)}\r\n`);
+    await pause();
+    open[0]!.end('served');
+    await pause();
+    expect(text).toContain('served');
+    socket.write(`GET / HTTP/1.1\r\nHost: a\r\n${fields(5)}\r\n`);
+    await pause();
+    expect(text).toContain('HTTP/1.1 431');
+    expect(socket.destroyed).toBe(true);
+  });
 });
--- a/src/roles/settings.ts
+++ b/src/roles/settings.ts
@@ -63,6 +63,12 @@
     text: 'requests of one connection that wait for earlier ones',
     placeholder: 'count',
   },
+  maxHeaderFields: {
+    schema: settings.wholeNumber(1, 2_000),
+    fallback: String(DEFAULT_LIMITS.maxHeaderFields),
+    text: 'header fields of a request',
+    placeholder: 'count',
+  },
   memoryMb: {
     schema: settings.wholeNumber(0, 1_000_000),
     fallback: '0',
