Bodies of calls between processes and of the own path count as held

Callers saw: 60 calls of other processes with bodies that are left open ended an entry or a sidecar (out of memory); 100 bodies on the own path took 481 MB where 250 are allowed; a compressed call of some kilobytes with 2.5 million values ended a sidecar.

Cause: only the site entry's callers were counted. A JSON value takes tens of bytes of the heap, however short its text is, so the limit of 8 MiB bounds little.

Change: all bodies of requests are counted by the held bytes of their process, and cut off by the same rules (503 for a call, 408 on the own path: not run). Documents of 1 MB and more with over 500,000 values are refused.

--- a/src/http/body.ts
+++ b/src/http/body.ts
@@ -132,13 +132,43 @@
   }
 }
 
+/** Each takes some tens of bytes of the heap, however short its text is. */
+const MAX_JSON_VALUES = 500_000;
+/** Shorter documents can't have that many. */
+const MIN_COUNTED_BYTES = 2 * MAX_JSON_VALUES;
+const COMMA = 0x2c;
+const OPENING_BRACKET = 0x5b;
+const OPENING_BRACE = 0x7b;
+
+/**
+ * Parses a document that another process sent. Fails with `bad-json`, also if it
+ * has more than `MAX_JSON_VALUES` values.
+ */
+export function parseJsonBytes(bytes: Buffer): Result<unknown, BodyError> {
+  return bytes.length >= MIN_COUNTED_BYTES &&
+    countValues(bytes) > MAX_JSON_VALUES
+    ? fail({kind: 'bad-json', detail: 'the document has too many values'})
+    : parseJson(bytes.toString('utf8'));
+}
+
+/** An upper bound: separators inside strings count as well. */
+function countValues(bytes: Buffer): number {
+  let count = 1;
+  for (const byte of bytes) {
+    if (byte === COMMA || byte === OPENING_BRACKET || byte === OPENING_BRACE) {
+      count += 1;
+    }
+  }
+  return count;
+}
+
 /** Reads a JSON body. Fails with any `BodyError`. */
 export async function readJson(
   stream: Readable,
   limitBytes: number,
 ): Promise<Result<unknown, BodyError>> {
   const body = await readBody(stream, limitBytes);
-  return body.ok ? parseJson(body.value.toString('utf8')) : body;
+  return body.ok ? parseJsonBytes(body.value) : body;
 }
 
 /**
--- a/src/http/held-body.ts
+++ b/src/http/held-body.ts
@@ -24,6 +24,21 @@
   stop(): void;
 }
 
+/**
+ * Reads the body of a request, which counts as held until the response has ended.
+ * Fails with `body-too-slow` if it was cut off.
+ */
+export function readCallerBody(
+  req: http.IncomingMessage,
+  res: http.ServerResponse,
+  limit: body.BodyLimit,
+  held: heldBytes.HeldBytes,
+): Promise<Result<Buffer, body.BodyError>> {
+  const heldBody = new HeldBody(held, () => undefined);
+  res.once('close', () => heldBody.release());
+  return heldBody.read(req, limit);
+}
+
 export class HeldBody extends heldBytes.Holder implements body.BodyObserver {
   private size = 0;
   private transfer: Transfer | undefined;
--- a/src/requests/chat-request.ts
+++ b/src/requests/chat-request.ts
@@ -29,7 +29,7 @@
 
 /** Fails with `bad-request`. */
 export function parseChat(text: Buffer): Result<ChatRequest, refusals.Refusal> {
-  const json = body.parseJson(text.toString('utf8'));
+  const json = body.parseJsonBytes(text);
   if (!json.ok) {
     return fail(refusals.notRun('bad-request', 'the body is not valid JSON'));
   }
--- a/src/requests/entry-context.ts
+++ b/src/requests/entry-context.ts
@@ -4,6 +4,7 @@
 import type {Follower} from '../configuration/follower';
 import type {RenderedAccount} from '../configuration/types';
 import * as body from '../http/body';
+import type {HeldBytes} from '../http/held-bytes';
 import type {Log} from '../observability/log';
 import type {Metrics} from '../observability/metrics';
 import type {RetryBudget} from '../routing/retry-budget';
@@ -33,6 +34,8 @@
   readonly log: Log;
   readonly metrics: Metrics;
   readonly journal: Journal;
+  /** Counts the bodies of callers. */
+  readonly held: HeldBytes;
 }
 
 /** An authenticated request of a caller. */
--- a/src/requests/entry-handler.ts
+++ b/src/requests/entry-handler.ts
@@ -4,6 +4,7 @@
 import * as v from 'valibot';
 import type {RenderedAccount} from '../configuration/types';
 import * as body from '../http/body';
+import * as heldBody from '../http/held-body';
 import {Result, fail, ok} from '../result';
 import * as chatRequest from './chat-request';
 import * as entryChat from './entry-chat';
@@ -72,7 +73,7 @@
       this.refuseEarly(req, res, id, account.error);
       return;
     }
-    const parsed = await this.parse(req, account.value);
+    const parsed = await this.parse(req, res, account.value);
     if (!parsed.ok) {
       this.refuseEarly(req, res, id, parsed.error);
       return;
@@ -142,23 +143,33 @@
       : fail(refusals.notRun('unauthorized', 'the API key is not known'));
   }
 
+  private readBody(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+    maxBytes: number,
+  ): Promise<Result<Buffer, body.BodyError>> {
+    return heldBody.readCallerBody(req, res, maxBytes, this.context.held);
+  }
+
   private async parse(
     req: http.IncomingMessage,
+    res: http.ServerResponse,
     account: RenderedAccount,
   ): Promise<Result<ParsedRequest, refusals.Refusal>> {
     const url = req.url ?? '/';
     const path = url.split('?')[0]!;
     if (path === chatRequest.CHAT_PATH) {
-      return this.parseChat(req, account);
+      return this.parseChat(req, res, account);
     }
     if (path === KEYS_PATH) {
-      return this.parseKeys(req, account);
+      return this.parseKeys(req, res, account);
     }
-    return this.parseService(req, account, url);
+    return this.parseService(req, res, account, url);
   }
 
   private async parseChat(
     req: http.IncomingMessage,
+    res: http.ServerResponse,
     account: RenderedAccount,
   ): Promise<Result<ParsedRequest, refusals.Refusal>> {
     const lastEventId = body.headerOf(req, 'last-event-id');
@@ -175,7 +186,7 @@
     if (req.method !== 'POST') {
       return fail(refusals.notRun('method-not-allowed', 'use POST'));
     }
-    const read = await body.readBody(req, headers.MAX_REQUEST_BYTES);
+    const read = await this.readBody(req, res, headers.MAX_REQUEST_BYTES);
     if (!read.ok) {
       return fail(responses.bodyRefusal(read.error));
     }
@@ -200,14 +211,16 @@
 
   private async parseKeys(
     req: http.IncomingMessage,
+    res: http.ServerResponse,
     account: RenderedAccount,
   ): Promise<Result<ParsedRequest, refusals.Refusal>> {
     const maxBytes = 4_096;
-    const read = await body.readJson(req, maxBytes);
-    if (!read.ok) {
-      return fail(responses.bodyRefusal(read.error));
+    const read = await this.readBody(req, res, maxBytes);
+    const json = read.ok ? body.parseJsonBytes(read.value) : read;
+    if (!json.ok) {
+      return fail(responses.bodyRefusal(json.error));
     }
-    const parsed = v.safeParse(keysRequestSchema, read.value);
+    const parsed = v.safeParse(keysRequestSchema, json.value);
     if (!parsed.success) {
       const detail = parsed.issues[0].message;
       return fail(refusals.notRun('bad-request', detail));
@@ -252,6 +265,7 @@
 
   private async parseService(
     req: http.IncomingMessage,
+    res: http.ServerResponse,
     account: RenderedAccount,
     url: string,
   ): Promise<Result<ParsedRequest, refusals.Refusal>> {
@@ -262,7 +276,7 @@
       req.resume();
       return fail(refusals.notRun('not-found', `no resource at ${url}`));
     }
-    const read = await body.readBody(req, headers.MAX_REQUEST_BYTES);
+    const read = await this.readBody(req, res, headers.MAX_REQUEST_BYTES);
     if (!read.ok) {
       return fail(responses.bodyRefusal(read.error));
     }
--- a/src/requests/sidecar-chat.ts
+++ b/src/requests/sidecar-chat.ts
@@ -1,6 +1,7 @@
 /** A sidecar's part of chat completions: admits, streams, resumes, cancels. */
 import type * as http from 'node:http';
 import * as body from '../http/body';
+import * as heldBody from '../http/held-body';
 import * as httpClient from '../http/client';
 import {Result, fail, ok} from '../result';
 import * as prefixes from '../routing/prefix-index';
@@ -46,7 +47,12 @@
   }
 
   async run(incoming: IncomingRequest): Promise<void> {
-    const read = await body.readBody(incoming.req, headers.MAX_REQUEST_BYTES);
+    const read = await heldBody.readCallerBody(
+      incoming.req,
+      incoming.res,
+      headers.MAX_REQUEST_BYTES,
+      this.context.held,
+    );
     if (!read.ok) {
       responses.refuse(
         this.context,
--- a/src/requests/sidecar-context.ts
+++ b/src/requests/sidecar-context.ts
@@ -1,6 +1,7 @@
 /** Dependencies and helpers shared by the parts of a sidecar's data path. */
 import type * as http from 'node:http';
 import type {Follower} from '../configuration/follower';
+import type {HeldBytes} from '../http/held-bytes';
 import type {Log} from '../observability/log';
 import type {Metrics} from '../observability/metrics';
 import type * as targets from '../targets/types';
@@ -20,6 +21,8 @@
   readonly agent: http.Agent;
   readonly log: Log;
   readonly metrics: Metrics;
+  /** Counts the bodies of requests. */
+  readonly held: HeldBytes;
   isLeaving(): boolean;
   load(): targets.Load;
 }
--- a/src/requests/sidecar-service.ts
+++ b/src/requests/sidecar-service.ts
@@ -4,6 +4,7 @@
 import type * as http from 'node:http';
 import type {Service} from '../configuration/types';
 import * as body from '../http/body';
+import * as heldBody from '../http/held-body';
 import type * as httpClient from '../http/client';
 import * as keys from '../claims/keys';
 import type {StoredResponse} from '../claims/records';
@@ -42,7 +43,12 @@
 
   /** Handles a call; `path` is the path at the target. */
   async run(incoming: IncomingRequest, path: string): Promise<void> {
-    const read = await body.readBody(incoming.req, headers.MAX_REQUEST_BYTES);
+    const read = await heldBody.readCallerBody(
+      incoming.req,
+      incoming.res,
+      headers.MAX_REQUEST_BYTES,
+      this.context.held,
+    );
     if (!read.ok) {
       const refusal = responses.bodyRefusal(read.error);
       const unconfirmed = refusals.withUnconfirmedOutcome(
--- a/src/roles/entry.ts
+++ b/src/roles/entry.ts
@@ -65,7 +65,7 @@
     this.follower = new Follower(cfg, this.store, log, () => this.rpc);
     const stamps = this.follower.stampExchange;
     this.rpc = new RpcClient(stamps, () => this.address);
-    this.rpcServer = new RpcServer(log, stamps);
+    this.rpcServer = new RpcServer(log, stamps, this.guard.held);
     this.targets = new TargetDirectory(cfg.id, () => this.subsetSize());
     this.poller = new ReportPoller(this.targets, this.rpc);
     this.context = this.makeContext();
@@ -152,6 +152,7 @@
       log,
       metrics,
       journal: new journal.Journal(),
+      held: this.guard.held,
     };
   }
 
--- a/src/roles/sidecar.ts
+++ b/src/roles/sidecar.ts
@@ -98,7 +98,7 @@
     this.follower = new Follower(cfg, this.store, log, () => this.rpc);
     const stamps = this.follower.stampExchange;
     this.rpc = new RpcClient(stamps, () => this.address);
-    this.rpcServer = new RpcServer(log, stamps);
+    this.rpcServer = new RpcServer(log, stamps, this.guard.held);
     this.admission = new Admission(() => ({
       capacity: this.probe?.rank?.maxRunning ?? cfg.capacity,
       maxQueued: cfg.maxQueued,
@@ -193,6 +193,7 @@
       agent,
       log,
       metrics,
+      held: this.guard.held,
       isLeaving: () => this.leaving,
       load: () => this.load(),
     };
--- a/src/roles/site-entry.ts
+++ b/src/roles/site-entry.ts
@@ -23,6 +23,7 @@
 import type {ObjectApi} from '../platform/client';
 import {RpcClient} from '../rpc/client';
 import {RpcServer} from '../rpc/server';
+import {NO_STAMPS} from '../rpc/types';
 import type {CallerLimits} from '../routes/types';
 import {serveMetrics} from './metrics-endpoint';
 import {serveRpc} from './rpc-endpoint';
@@ -86,7 +87,7 @@
     });
     const {held} = this.guard;
     this.connections = new TargetConnections(this.guard.maxSends);
-    this.rpcServer = new RpcServer(log);
+    this.rpcServer = new RpcServer(log, NO_STAMPS, held);
     this.site = new SiteFollower({
       cfg,
       documents,
--- a/src/roles/site-sidecar.ts
+++ b/src/roles/site-sidecar.ts
@@ -14,6 +14,7 @@
 import type {ObjectApi} from '../platform/client';
 import {RpcClient} from '../rpc/client';
 import {RpcServer} from '../rpc/server';
+import {NO_STAMPS} from '../rpc/types';
 import {DEFAULT_LIMITS} from '../http/connection-limits';
 import type {ConnectionTracker} from '../http/connection-tracker';
 import {ProcessGuard} from '../http/process-guard';
@@ -50,7 +51,7 @@
       descriptors: cfg.descriptorLimit,
       limits: cfg.connectionLimits ?? DEFAULT_LIMITS,
     });
-    this.rpcServer = new RpcServer(log);
+    this.rpcServer = new RpcServer(log, NO_STAMPS, this.guard.held);
     this.engine = documents.makeEngine(cfg.targetAddress ?? '');
     this.agent = new RankAgent(
       this.engine,
--- a/src/rpc/coding.test.ts
+++ b/src/rpc/coding.test.ts
@@ -40,6 +40,11 @@
       'too large a size when inflated',
       zlib.deflateRawSync(Buffer.alloc(MAX_RPC_BYTES + 1, '1')),
     ],
+    // Guards against a short document that takes tens of megabytes when parsed.
+    [
+      'too many values',
+      zlib.deflateRawSync(Buffer.from(`[${'[],'.repeat(500_000)}[]]`)),
+    ],
   ])('with %s are rejected', (_, bytes) => {
     const decoded = coding.decode(bytes, 'deflate');
     expect(decoded).toMatchObject({ok: false, error: {kind: 'bad-json'}});
--- a/src/rpc/coding.ts
+++ b/src/rpc/coding.ts
@@ -38,18 +38,19 @@
 
 /**
  * Decodes a body. Fails with `bad-json`, also if the inflated size exceeds
- * `MAX_RPC_BYTES`.
+ * `MAX_RPC_BYTES`, or if it has too many values.
  */
 export function decode(
   bytes: Buffer,
   coding: string | undefined,
 ): Result<unknown, body.BodyError> {
   if (coding !== CONTENT_CODING) {
-    return body.parseJson(bytes.toString('utf8'));
+    return body.parseJsonBytes(bytes);
   }
   try {
-    const text = zlib.inflateRawSync(bytes, {maxOutputLength: MAX_RPC_BYTES});
-    return body.parseJson(text.toString('utf8'));
+    return body.parseJsonBytes(
+      zlib.inflateRawSync(bytes, {maxOutputLength: MAX_RPC_BYTES}),
+    );
   } catch (err) {
     return fail({kind: 'bad-json', detail: (err as Error).message});
   }
--- a/src/rpc/server.ts
+++ b/src/rpc/server.ts
@@ -8,6 +8,8 @@
 import type {JSONRPCRequest} from 'json-rpc-2.0';
 import * as v from 'valibot';
 import * as body from '../http/body';
+import * as heldBody from '../http/held-body';
+import {DEFAULT_BOUND_BYTES, HeldBytes} from '../http/held-bytes';
 import {Log} from '../observability/log';
 import * as coding from './coding';
 import * as types from './types';
@@ -26,6 +28,8 @@
   constructor(
     private readonly log: Log,
     private readonly stamps: types.StampExchange = types.NO_STAMPS,
+    /** Counts the bodies of calls. */
+    private readonly held = new HeldBytes(DEFAULT_BOUND_BYTES),
   ) {}
 
   /** Registers the handler of a method. */
@@ -52,13 +56,19 @@
     if (stamp) {
       this.stamps.onPeerStamp(stamp, peer.address);
     }
-    const bytes = await body.readBody(req, types.MAX_RPC_BYTES);
+    const bytes = await heldBody.readCallerBody(
+      req,
+      res,
+      types.MAX_RPC_BYTES,
+      this.held,
+    );
     const read = bytes.ok
       ? coding.decode(bytes.value, body.headerOf(req, 'content-encoding'))
       : bytes;
     if (!read.ok) {
       this.log.event('rpcRejected', {error: read.error.kind});
-      body.sendJson(res, 400, {error: read.error});
+      const status = read.error.kind === 'body-too-slow' ? 503 : 400;
+      body.sendJson(res, status, {error: read.error});
       return;
     }
     const request = read.value as JSONRPCRequest;
