Log lines are bounded in length, and on the own path in number

An id or a path of a caller may have 16 KB, and each of up to 600 lines a second had it: 10 MB a second. Values of more than 256 characters are shortened in lines above 2,048. Processes of the own path logged without a limit of their rate; they have the same one as those of a site.

--- a/src/observability/log.ts
+++ b/src/observability/log.ts
@@ -15,12 +15,16 @@
 const LEVELS: Readonly<Record<Level, number>> = {error: 0, warn: 1, info: 3};
 
 const STANDARD_OUTPUT = 1;
+/** Characters of a line above which its long values are shortened. */
+const MAX_LINE_LENGTH = 2_048;
+const MAX_VALUE_LENGTH = 256;
 
-/** Logs to standard error. */
+/** Logs to standard error, with a limited rate. */
 export function makeLog(processName: string, level: Level): Log {
-  return makeLogTo(processName, level, line =>
+  const unlimited = makeLogTo(processName, level, line =>
     process.stderr.write(line + '\n'),
   );
+  return limitRate(unlimited, new LogRateLimiter(), {dropped: 0});
 }
 
 /** Logs to standard output, asynchronously and with a limited rate. */
@@ -40,7 +44,7 @@
 function limitRate(
   unlimited: Log,
   limiter: LogRateLimiter,
-  lines: LineWriter,
+  lines: Pick<LineWriter, 'dropped'>,
 ): Log {
   let droppedBefore = 0;
   return {
@@ -96,5 +100,15 @@
 function formatLine(line: LogObject): string {
   const fields = line.args[0] as Fields;
   const record = {time: line.date.toISOString(), level: line.type, ...fields};
-  return JSON.stringify(record);
+  const text = JSON.stringify(record);
+  return text.length <= MAX_LINE_LENGTH
+    ? text
+    : JSON.stringify(record, (_name, value: unknown) => shorten(value));
+}
+
+/** Callers choose ids and paths. */
+function shorten(value: unknown): unknown {
+  return typeof value === 'string' && value.length > MAX_VALUE_LENGTH
+    ? `${value.slice(0, MAX_VALUE_LENGTH)}...`
+    : value;
 }
