--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -1,11 +1,13 @@
 /**
  * Soak test: injects random failures into a fleet, or with `--site` into the
- * entries of a site, or with `--stops` stops them as planned, and reports violations.
- * `npm run soak -- [--site | --stops] --seed N --minutes M [--entries N]`.
+ * entries of a site, with `--stops` stops them as planned, or with `--callers` sends
+ * them crowds of callers that don't behave, and reports violations.
+ * `npm run soak -- [--site | --stops | --callers] --seed N --minutes M [--entries N]`.
  */
 import {Command} from 'commander';
 import * as chaos from '../features/support/chaos';
 import * as random from '../src/random';
+import {CallerSoak} from './caller-soak';
 import {SiteReport, SoakSite} from './soak-site';
 import {StopSoak} from './stop-soak';
 
@@ -15,6 +17,7 @@
 interface Options {
   readonly site: boolean;
   readonly stops: boolean;
+  readonly callers: boolean;
   readonly entries: number;
   readonly seed: number;
   readonly minutes: number;
@@ -24,22 +27,36 @@
   const program = new Command('soak')
     .option('--site', 'run the entries of a site instead of a fleet', false)
     .option('--stops', 'stop the entries of a site as planned', false)
-    .option('--entries <number>', 'entries that are stopped', Number, 3)
+    .option('--callers', "send crowds of callers that don't behave", false)
+    .option('--entries <number>', 'with --stops or --callers', Number, 3)
     .requiredOption('--seed <number>', 'seed of the schedule', Number)
     .requiredOption('--minutes <number>', 'how long, 60 at most', Number);
   program.parse(process.argv);
-  const {site, stops, entries, seed, minutes} = program.opts<Options>();
+  const {site, stops, callers, entries, seed, minutes} =
+    program.opts<Options>();
   random.seed(seed);
   const runMs = Math.min(minutes, 60) * MINUTE_MS;
-  const report = stops
-    ? await runStops(entries, runMs)
-    : site
-      ? await runSite(runMs)
-      : await runFleet(runMs);
+  const report = await runKind({site, stops, callers}, entries, runMs);
   process.stdout.write(JSON.stringify(report, null, 2) + '\n');
   process.exitCode = report.violations.length > 0 ? 1 : 0;
 }
 
+function runKind(
+  {site, stops, callers}: Pick<Options, 'site' | 'stops' | 'callers'>,
+  entries: number,
+  durationMs: number,
+): Promise<{readonly violations: readonly string[]}> {
+  if (callers) {
+    const soak = new CallerSoak({entries, durationMs});
+    return runToEnd(soak, () => soak.run());
+  }
+  if (stops) {
+    const soak = new StopSoak({entries, durationMs});
+    return runToEnd(soak, () => soak.run());
+  }
+  return site ? runSite(durationMs) : runFleet(durationMs);
+}
+
 async function runFleet(runMs: number): Promise<chaos.ChaosReport> {
   const fleet = await chaos.startChaosFleet();
   try {
@@ -49,11 +66,6 @@
   }
 }
 
-async function runStops(entries: number, durationMs: number) {
-  const soak = new StopSoak({entries, durationMs});
-  return runToEnd(soak, () => soak.run());
-}
-
 async function runSite(runMs: number): Promise<SiteReport> {
   const site = new SoakSite();
   return runToEnd(site, () => site.run(runMs));
