A connection that is alone gives up its turn when a second one joins

Cause: a finely divided body whose connection is the only one of its kind keeps its turn without an end; while it sent nothing, one that joined later was never read.

Change: the turn of one that was alone ends 5 ms after another has joined. Requests that are received too slowly are looked for every 5 s, not every 2 s: each server of a process has a timer of its own.

--- a/src/http/reading-turns.ts
+++ b/src/http/reading-turns.ts
@@ -21,6 +21,7 @@
   /** Monotonic time at which the current one's data arrived; undefined: none. */
   private readAt: number | undefined;
   private timer: NodeJS.Timeout | undefined;
+  private immediate: NodeJS.Immediate | undefined;
 
   has(socket: net.Socket): boolean {
     return this.members.has(socket);
@@ -35,8 +36,10 @@
     readingGate.pause(socket, this);
     socket.once('close', () => this.leave(socket));
     if (this.current === undefined) {
-      this.current = socket;
       this.scheduleNext(0);
+    } else if (this.members.size === 2 && this.readAt === undefined) {
+      // The turn of one that was alone has no end.
+      this.scheduleNext(IDLE_TURN_MS);
     }
   }
 
@@ -46,6 +49,7 @@
     }
     readingGate.resume(socket, this);
     if (this.current === socket) {
+      this.current = undefined;
       this.scheduleNext(0);
     }
   }
@@ -70,9 +74,9 @@
 
   private scheduleNext(delayMs: number): void {
     clearTimeout(this.timer);
-    this.timer = undefined;
+    clearImmediate(this.immediate);
     if (delayMs === 0) {
-      setImmediate(() => this.next());
+      this.immediate = setImmediate(() => this.next());
     } else {
       this.timer = setTimeout(() => this.next(), delayMs);
     }
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -15,7 +15,7 @@
 const REQUEST_TIMEOUT_MS = 60_000;
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
 /** Interval of the checks for requests that are received too slowly. */
-const CONNECTIONS_CHECK_INTERVAL_MS = 2_000;
+const CONNECTIONS_CHECK_INTERVAL_MS = 5_000;
 
 /** Handles one request; a rejection is passed to `onFault`. */
 export type Handler = (
