A connection with a single request is not closed for the requests it sent ahead

The next request of a kept connection may be parsed before the response to the last one has been noted as flushed; it then counts like one sent ahead, with the unread bytes of its own answer, and connections go before slow readers when too much is held. One with a single request is now judged by how it reads its answer, unless memory is needed at once.

--- a/src/http/request-queue.ts
+++ b/src/http/request-queue.ts
@@ -105,8 +105,11 @@
     return this.requestBytes + chunkedBytes + this.unreadBytes();
   }
 
-  rankAt(): heldBytes.CutRank {
-    return {class: 'connection', weight: this.bytes()};
+  rankAt(_now: number, isCritical: boolean): heldBytes.CutRank | undefined {
+    // A caller with one request is judged by how it reads the answer.
+    return this.costs.size > 1 || isCritical
+      ? {class: 'connection', weight: this.bytes()}
+      : undefined;
   }
 
   cut(): void {
