Requests that are handled ahead of others' answers count with their calls

Cause, in part: what waits was counted, but a request that is handled takes far more, its call, timers and its request to the target, and 16 of each connection are.

Change: each counts 20 KiB more while it is handled.

--- a/src/http/request-queue.ts
+++ b/src/http/request-queue.ts
@@ -12,6 +12,8 @@
 
 /** Memory of a request and its response, before it is handled. */
 const REQUEST_BYTES = 4 * 1024;
+/** Further memory while it is handled: the call, its timers, its target's request. */
+const HANDLED_BYTES = 20 * 1024;
 /** Memory of a header's name or value, beside its characters. */
 const HEADER_BYTES = 64;
 /**
@@ -144,6 +146,8 @@
     const next = this.hasRoom ? this.waiting.shift() : undefined;
     if (next !== undefined) {
       this.chunkedCount -= isChunked(next.req) ? 1 : 0;
+      this.costs.set(next.res, this.costs.get(next.res)! + HANDLED_BYTES);
+      this.requestBytes += HANDLED_BYTES;
       this.options.handler(next.req, next.res, next.arrivedAt);
     }
   }
