While closed connections are freed, no other is read

Cause: the runtime frees the requests of a closed connection at the end of a turn of the event loop, and goes on parsing what it has read of it. One turn may read all connections: 100 of them bring a megabyte of parsed requests each, all alive until then. So it depended on how many were ready at once, and showed beside load.

Change: once a connection is closed for what it holds, or for the number of its requests, all others of the port are paused until the closed ones are gone.

--- a/src/http/connection-tracker.ts
+++ b/src/http/connection-tracker.ts
@@ -9,6 +9,7 @@
 import * as closing from './closing';
 import type {CloseReason, ConnectionLimits} from './connection-limits';
 import type {HeldBytes} from './held-bytes';
+import * as readingGate from './reading-gate';
 import {RequestQueue} from './request-queue';
 import type {QueuedHandler} from './request-queue';
 
@@ -41,6 +42,8 @@
 export class ConnectionTracker {
   private readonly connections = new Map<net.Socket, ConnectionState>();
   private openRequests = 0;
+  /** No connection is read in this turn of the event loop. */
+  private isHolding = false;
 
   /** Without options, the server's own listener handles all requests. */
   constructor(
@@ -119,6 +122,9 @@
     };
     this.connections.set(socket, state);
     socket.once('close', () => this.remove(socket, state));
+    if (this.isHolding) {
+      readingGate.pause(socket, this);
+    }
   }
 
   /** Closes the connection that has been idle for longest if all are taken. */
@@ -223,9 +229,37 @@
   }
 
   private closeConnection(socket: net.Socket, reason: CloseReason): void {
-    if (!socket.destroyed) {
-      this.options?.onClose(reason, socket.remoteAddress ?? '');
-      socket.destroy();
+    if (socket.destroyed) {
+      return;
+    }
+    this.options?.onClose(reason, socket.remoteAddress ?? '');
+    socket.destroy();
+    if (reason === 'memory' || reason === 'requests-ahead') {
+      this.holdReads();
+    }
+  }
+
+  /**
+   * Reads no connection until those that were closed are gone. The runtime frees the
+   * requests of a closed connection at the end of a turn of the event loop, and one
+   * turn may read all connections.
+   */
+  private holdReads(): void {
+    if (this.isHolding) {
+      return;
+    }
+    this.isHolding = true;
+    for (const socket of this.connections.keys()) {
+      readingGate.pause(socket, this);
+    }
+    // Connections close after the first of them.
+    setImmediate(() => setImmediate(() => this.resumeReads()));
+  }
+
+  private resumeReads(): void {
+    this.isHolding = false;
+    for (const socket of this.connections.keys()) {
+      readingGate.resume(socket, this);
     }
   }
 }
