--- a/src/http/connection-limits.ts
+++ b/src/http/connection-limits.ts
@@ -26,7 +26,9 @@
 export type CloseReason =
   /** It held the most while the process held too much. */
   | 'memory'
+  /** Too many of its requests waited. */
   | 'requests-ahead'
+  /** A request had too many header fields. */
   | 'header-fields'
   /** It was idle for longest while a new connection arrived. */
   | 'idle'
--- a/src/http/request-queue.ts
+++ b/src/http/request-queue.ts
@@ -1,8 +1,8 @@
 /**
- * The requests of a connection whose caller doesn't wait for responses: some are
- * handled at once, the others wait in order, and the connection is not read
- * meanwhile. The runtime parses all requests that one read has brought, so that
- * their number is bounded separately.
+ * The pipelined requests of a connection: some are handled concurrently, the others
+ * wait in order, and the connection is not read meanwhile. One read may bring
+ * thousands of requests, which the runtime parses at once, so their number is
+ * bounded as well.
  */
 import type * as http from 'node:http';
 import type * as net from 'node:net';
@@ -56,7 +56,7 @@
   constructor(
     private readonly socket: net.Socket,
     private readonly options: QueueOptions,
-    /** Requests of the connection without a whole response, waiting ones included. */
+    /** Requests whose response has not been flushed, waiting ones included. */
     private readonly openCount: () => number,
   ) {
     super();
@@ -81,7 +81,7 @@
     held.update(this);
   }
 
-  /** Call when the connection's response is whole, or its caller has left. */
+  /** Call when a response has been flushed or its connection has closed. */
   noteEnd(res: http.ServerResponse): void {
     if (this.isClosed) {
       return;
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -36,7 +36,7 @@
   close(): Promise<void>;
 }
 
-/** What bounds the connections of a server, and who is told. */
+/** The limits on a server's connections and the log of those it closes. */
 export interface ServerGuard {
   /** Name of the server in logs and metrics. */
   readonly listener: string;
