--- a/src/http/held-body.ts
+++ b/src/http/held-body.ts
@@ -83,11 +83,6 @@
     return !read.ok && this.isStopped ? fail({kind: 'body-too-slow'}) : read;
   }
 
-  /** True if the reading of the body was cut off. */
-  get wasStopped(): boolean {
-    return this.isStopped;
-  }
-
   /** Ends the reading of the body, if it is being read. */
   stopUpload(): void {
     const {transfer} = this;
@@ -100,13 +95,6 @@
     }
   }
 
-  /** Call when the body is not read any more. */
-  noteRead(): void {
-    this.resumeSource();
-    this.source = undefined;
-    this.transfer = undefined;
-  }
-
   /** Call when the body begins to be sent; `mayRepeat`: it may be cut off. */
   startSend(req: Writable, mayRepeat: boolean): void {
     this.isStopped = false;
@@ -166,6 +154,13 @@
     this.resumeSource();
   }
 
+  /** The body is not read any more. */
+  private noteRead(): void {
+    this.resumeSource();
+    this.source = undefined;
+    this.transfer = undefined;
+  }
+
   private resumeSource(): void {
     if (this.source !== undefined) {
       readingGate.resume(this.source, this);
