--- a/src/http/body.ts
+++ b/src/http/body.ts
@@ -4,6 +4,7 @@
 import {pipeline} from 'node:stream/promises';
 import {Result, fail, ok} from '../result';
 import {BodyBuffer} from './body-buffer';
+import * as jsonScan from './json-scan';
 import * as readingTurns from './reading-turns';
 import * as resets from './resets';
 
@@ -123,8 +124,7 @@
   return message.method !== undefined && message.method !== null;
 }
 
-/** Fails with `bad-json`. */
-export function parseJson(text: string): Result<unknown, BodyError> {
+function parseJson(text: string): Result<unknown, BodyError> {
   try {
     return ok(JSON.parse(text) as unknown);
   } catch (err) {
@@ -132,34 +132,25 @@
   }
 }
 
-/** Each takes some tens of bytes of the heap, however short its text is. */
-const MAX_JSON_VALUES = 500_000;
-/** Shorter documents can't have that many. */
-const MIN_COUNTED_BYTES = 2 * MAX_JSON_VALUES;
-const COMMA = 0x2c;
-const OPENING_BRACKET = 0x5b;
-const OPENING_BRACE = 0x7b;
+/** Bounds on documents that other processes send. */
+const DOCUMENT_BOUNDS: jsonScan.JsonBounds = {
+  maxDepth: 64,
+  maxValues: 500_000,
+  maxBytes: Infinity,
+};
 
 /**
  * Parses a document that another process sent. Fails with `bad-json`, also if it
- * has more than `MAX_JSON_VALUES` values.
+ * is nested too deeply or has too many values.
  */
-export function parseJsonBytes(bytes: Buffer): Result<unknown, BodyError> {
-  return bytes.length >= MIN_COUNTED_BYTES &&
-    countValues(bytes) > MAX_JSON_VALUES
-    ? fail({kind: 'bad-json', detail: 'the document has too many values'})
-    : parseJson(bytes.toString('utf8'));
-}
-
-/** An upper bound: separators inside strings count as well. */
-function countValues(bytes: Buffer): number {
-  let count = 1;
-  for (const byte of bytes) {
-    if (byte === COMMA || byte === OPENING_BRACKET || byte === OPENING_BRACE) {
-      count += 1;
-    }
-  }
-  return count;
+export function parseJsonBytes(
+  bytes: Buffer,
+  bounds = DOCUMENT_BOUNDS,
+  extent: jsonScan.Extent = {start: 0, end: bytes.length},
+): Result<unknown, BodyError> {
+  return jsonScan.isWithin(bytes, bounds, extent)
+    ? parseJson(bytes.toString('utf8', extent.start, extent.end))
+    : fail({kind: 'bad-json', detail: 'the document is too large or too deep'});
 }
 
 /** Reads a JSON body. Fails with any `BodyError`. */
--- a/src/platform/client.ts
+++ b/src/platform/client.ts
@@ -179,7 +179,7 @@
   schema: v.GenericSchema<unknown, T>,
   answer: httpClient.HttpResponse,
 ): Result<T, types.PlatformError> {
-  const json = body.parseJson(answer.body.toString('utf8'));
+  const json = body.parseJsonBytes(answer.body);
   if (!json.ok) {
     return fail({
       kind: 'bad-answer',
--- a/src/platform/revisions.ts
+++ b/src/platform/revisions.ts
@@ -6,6 +6,8 @@
  */
 
 const REVISIONS_PER_ERA = 2 ** 40;
+/** Highest revision within an era. */
+export const MAX_REVISION = REVISIONS_PER_ERA - 1;
 /** Keeps combined revisions within the integers that a number holds exactly. */
 export const MAX_ERA = 2 ** 12;
 
--- a/src/requests/entry-chat.ts
+++ b/src/requests/entry-chat.ts
@@ -159,7 +159,7 @@
 ): Promise<void> {
   caller.journalEntry.outcome = end.kind;
   if (end.kind === 'failed') {
-    const error = body.parseJson(end.data);
+    const error = body.parseJsonBytes(Buffer.from(end.data));
     await eventStream.writeErrorEvent(caller.res, error.ok ? error.value : {});
   }
   const totalMs = Date.now() - caller.startedAt;
--- a/src/requests/sidecar-chat.ts
+++ b/src/requests/sidecar-chat.ts
@@ -270,7 +270,7 @@
     end: eventStream.StreamEnd,
   ): Promise<void> {
     if (end.kind === 'failed') {
-      const error = body.parseJson(end.data);
+      const error = body.parseJsonBytes(Buffer.from(end.data));
       await eventStream.writeErrorEvent(res, error.ok ? error.value : {});
     }
     res.end();
--- a/src/roles/site-follower.ts
+++ b/src/roles/site-follower.ts
@@ -4,6 +4,7 @@
  * reach or left to others to watch, from peers.
  */
 import * as rxjs from 'rxjs';
+import * as bounded from '../bounded';
 import {CrashCoordinator} from '../crashes/crash-coordinator';
 import * as limitApp from '../targets/limit-app';
 import {LimitCoordinator} from '../targets/limit-coordinator';
@@ -62,6 +63,8 @@
 /** Time without an answer from any peer or target; covers several polls. */
 const ISOLATION_TIMEOUT_MS = 1_500;
 
+const MAX_REPORTED_UNREAD = 1_024;
+
 /** One watch for each kind of store objects. */
 interface WatchLoops {
   readonly configuration: WatchLoop;
@@ -96,6 +99,8 @@
   >();
   private readonly targetsReplica: KindReplica;
   private readonly drainedHalls: DrainedHalls;
+  /** By name: the version of an unreadable entry that was logged. */
+  private readonly reportedUnread = new Map<string, number>();
   /** Era of the last targets update; undefined before the first. */
   private era: number | undefined;
   private readonly peerDirectory: PeerDirectory;
@@ -568,7 +573,11 @@
         found.push(read.value);
       } else {
         unread.push(name);
-        log.event('targetUnread', {entry: name, error: read.error.detail});
+        if (this.reportedUnread.get(name) !== version) {
+          this.reportedUnread.set(name, version);
+          bounded.dropOldest(this.reportedUnread, MAX_REPORTED_UNREAD);
+          log.event('targetUnread', {entry: name, error: read.error.detail});
+        }
       }
     }
     return {found, unread};
--- a/src/targets/probe.ts
+++ b/src/targets/probe.ts
@@ -64,7 +64,7 @@
     );
     this.applyRetryAfter(answer);
     const json = answer.ok
-      ? body.parseJson(answer.value.body.toString('utf8'))
+      ? body.parseJsonBytes(answer.value.body)
       : answer;
     const parsed = v.safeParse(
       groups.engineRankSchema,
