--- a/src/http/client.ts
+++ b/src/http/client.ts
@@ -44,23 +44,22 @@
   });
 }
 
-/** Sends a request; resolves once the response headers have arrived. */
+/**
+ * Sends a request; resolves once the response headers have arrived. A request that
+ * can't be expressed in HTTP fails with `no-connection`.
+ */
 export function send(
   agent: http.Agent,
   call: Call,
 ): Promise<Result<http.IncomingMessage, CallError>> {
   return new Promise(resolve => {
-    const {host, port} = splitAddress(call.address);
     let connected = false;
     let failure: CallError | undefined;
-    const req = http.request({
-      agent,
-      host,
-      port,
-      method: call.method,
-      path: call.path,
-      headers: headersOf(call),
-    });
+    const req = makeRequest(agent, call);
+    if (req === undefined) {
+      resolve(fail({kind: 'no-connection', sent: false}));
+      return;
+    }
     const stop = (err: CallError) => {
       failure ??= err;
       req.destroy();
@@ -114,6 +113,26 @@
   });
 }
 
+/** Undefined if the runtime refuses a header, the path or the address. */
+function makeRequest(
+  agent: http.Agent,
+  call: Call,
+): http.ClientRequest | undefined {
+  const {host, port} = splitAddress(call.address);
+  try {
+    return http.request({
+      agent,
+      host,
+      port,
+      method: call.method,
+      path: call.path,
+      headers: headersOf(call),
+    });
+  } catch {
+    return undefined;
+  }
+}
+
 function headersOf(call: Call): http.OutgoingHttpHeaders {
   const length =
     call.body === undefined ? undefined : Buffer.byteLength(call.body);
