A Keep-Alive out of range doesn't end the process

What was seen: a target that states a Keep-Alive of 400 digits ended every entry with its first answer: the number is infinite, socket.setTimeout throws, and nothing catches it in the agent. Cause's class: a value that others write, used before it is bounded. Change: the idle time has a maximum.

--- a/src/forwarding/target-connections.ts
+++ b/src/forwarding/target-connections.ts
@@ -12,6 +12,7 @@
 const DEFAULT_IDLE_TIMEOUT_MS = 4_000;
 /** Share of the target's idle timeout after which a connection is closed. */
 const IDLE_TIMEOUT_SHARE = 0.7;
+const MAX_IDLE_MS = 60_000;
 const SECOND_MS = 1_000;
 
 class KeepAliveAgent extends http.Agent {
@@ -32,7 +33,7 @@
     const idleMs =
       seconds === undefined
         ? DEFAULT_IDLE_TIMEOUT_MS
-        : seconds * SECOND_MS * IDLE_TIMEOUT_SHARE;
+        : Math.min(seconds * SECOND_MS * IDLE_TIMEOUT_SHARE, MAX_IDLE_MS);
     if (idleMs <= 0) {
       return false;
     }
