--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -201,6 +201,14 @@
     this.end('why' in refusal ? refusal.why : refusal.kind, response.status);
   }
 
+  /** Answers a request whose handler failed, unless an answer has begun. */
+  refuseAfterFault(): void {
+    if (!this.hasSentHead) {
+      this.isAnswered = false;
+      this.refuse({kind: 'failed', why: 'broken-answer'});
+    }
+  }
+
   /** Passes on a target's complete response. */
   forwardResponse(head: ResponseHead, body: Buffer): void {
     if (this.isAnswered || this.isCallerGone) {
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -163,6 +163,9 @@
     res.once('close', () => this.noteClosed(call));
     try {
       await this.serve(call);
+    } catch (err) {
+      call.refuseAfterFault();
+      throw err;
     } finally {
       call.close();
     }
