Bytes that are no answer are read within a bound, small chunks of answers in turn

What was seen: a target that sends blank lines, interim responses or chunk extensions without end was read for the request's whole time, 213 to 429 MB in 4 s, while others waited; a stream in small chunks kept a buffer of several hundred bytes for each. Cause: the runtime bounds one head and one chunk's extensions; what comes between them, again and again, was bounded by time only, and turns of reading were for callers' bodies.

Change: AnswerGuard, in the client that all calls use (targets, peers, the store, engines), ends an answer whose framing takes more than 64 KiB and 32 bytes for each byte of the body. Answers' chunks are counted by the meter of callers' bodies, within windows of a second, since events go on for long. Streams are read by BodyReader, which joins small chunks and stops the socket.

--- a/src/forwarding/stream-relay.ts
+++ b/src/forwarding/stream-relay.ts
@@ -3,6 +3,7 @@
  * stream can resume at another target after the last one, within the same
  * response to the caller.
  */
+import {BodyReader} from '../http/body-reader';
 import * as resets from '../http/resets';
 import {shouldMove} from './slow-ranks';
 import type {Call} from './call';
@@ -204,10 +205,15 @@
       giveUp();
     }, call.timeLeftMs);
     call.signal.addEventListener('abort', giveUp, {once: true});
+    const reader = new BodyReader(from.res);
     let end: PumpResult = 'broken';
     try {
-      for await (const chunk of from.res) {
-        const events = splitter.push(chunk as Buffer);
+      for (;;) {
+        const chunk = await reader.next();
+        if (chunk === undefined) {
+          break;
+        }
+        const events = splitter.push(chunk);
         if (splitter.isTooLong) {
           break;
         }
@@ -235,6 +241,7 @@
       clearTimeout(timer);
       moves.unsubscribe();
       call.signal.removeEventListener('abort', giveUp);
+      reader.close();
       from.res.destroy();
       this.context.balancer.end(
         target,
--- a/src/http/body.ts
+++ b/src/http/body.ts
@@ -55,8 +55,8 @@
   return new Promise(resolve => {
     const buffer = new BodyBuffer();
     const meter =
-      stream instanceof http.IncomingMessage && isRequest(stream)
-        ? new readingTurns.ChunkMeter(stream)
+      stream instanceof http.IncomingMessage
+        ? readingTurns.meterOf(stream)
         : undefined;
     let isStopped = false;
     const stop = (err: BodyError) => {
--- a/src/http/client.ts
+++ b/src/http/client.ts
@@ -2,6 +2,7 @@
 import * as http from 'node:http';
 import {Result, fail, ok} from '../result';
 import {splitAddress} from './address';
+import {AnswerGuard} from './answer-guard';
 import * as body from './body';
 import * as resets from './resets';
 
@@ -78,7 +79,11 @@
       clearTimeout(timer);
       clearTimeout(connectTimer);
     };
+    let guard: AnswerGuard | undefined;
     req.on('socket', socket => {
+      guard = new AnswerGuard(socket, () =>
+        stop({kind: 'connection-lost', sent: true}),
+      );
       if (!socket.connecting) {
         connected = true;
       } else {
@@ -90,6 +95,7 @@
     req.on('response', res => {
       settle();
       resets.watch(res);
+      guard?.watchBody(res);
       res.once('close', () =>
         call.signal?.removeEventListener('abort', onAbort),
       );
@@ -97,6 +103,7 @@
     });
     req.on('error', () => {
       settle();
+      guard?.close();
       call.signal?.removeEventListener('abort', onAbort);
       const lost: CallError = connected
         ? {kind: 'connection-lost', sent: true}
--- a/src/http/reading-turns.ts
+++ b/src/http/reading-turns.ts
@@ -11,6 +11,8 @@
 const MIN_CHUNKS = 512;
 /** Mean size of a chunk below which it does. */
 const MAX_MEAN_BYTES = 512;
+/** Time in which the chunks of an answer are counted: events may go on for long. */
+const ANSWER_WINDOW_MS = 1_000;
 /** Longest turn of a connection that sends nothing. */
 const IDLE_TURN_MS = 5;
 
@@ -22,6 +24,8 @@
   private readAt: number | undefined;
   private timer: NodeJS.Timeout | undefined;
   private immediate: NodeJS.Immediate | undefined;
+  /** Those that leave when they are closed. */
+  private readonly watched = new WeakSet<net.Socket>();
 
   has(socket: net.Socket): boolean {
     return this.members.has(socket);
@@ -34,7 +38,10 @@
     }
     this.members.add(socket);
     readingGate.pause(socket, this);
-    socket.once('close', () => this.leave(socket));
+    if (!this.watched.has(socket)) {
+      this.watched.add(socket);
+      socket.once('close', () => this.leave(socket));
+    }
     if (this.current === undefined) {
       this.scheduleNext(0);
     } else if (this.members.size === 2 && this.readAt === undefined) {
@@ -103,16 +110,28 @@
 /** One for the process: what is shared is its event loop. */
 const turns = new ReadingTurns();
 
-/** Finds out whether the body of a request is finely divided. */
+/** Finds out whether the body of a request or an answer is finely divided. */
 export class ChunkMeter {
   private count = 0;
   private bytes = 0;
+  private windowEndsAt: number;
 
-  constructor(private readonly req: http.IncomingMessage) {}
+  /** `windowMs`: time for which chunks are counted together. */
+  constructor(
+    private readonly message: http.IncomingMessage,
+    private readonly windowMs: number,
+  ) {
+    this.windowEndsAt = performance.now() + windowMs;
+  }
 
   /** Call with each chunk. */
   note(chunkBytes: number): void {
-    const {socket} = this.req;
+    const {socket} = this.message;
+    if (this.windowMs < Infinity && performance.now() > this.windowEndsAt) {
+      this.windowEndsAt = performance.now() + this.windowMs;
+      this.count = 0;
+      this.bytes = 0;
+    }
     this.count += 1;
     this.bytes += chunkBytes;
     if (turns.has(socket)) {
@@ -127,17 +146,22 @@
 
   /** Call when the body has ended. */
   close(): void {
-    turns.leave(this.req.socket);
+    turns.leave(this.message.socket);
   }
 }
 
+export function meterOf(message: http.IncomingMessage): ChunkMeter {
+  const isRequest = message.method !== undefined && message.method !== null;
+  return new ChunkMeter(message, isRequest ? Infinity : ANSWER_WINDOW_MS);
+}
+
 /** Reads and drops the rest of a request's body. */
 export function dropBody(req: http.IncomingMessage): void {
   if (req.complete) {
     req.resume();
     return;
   }
-  const meter = new ChunkMeter(req);
+  const meter = meterOf(req);
   req.on('data', (chunk: Buffer) => meter.note(chunk.length));
   req.once('end', () => meter.close());
 }
--- a/src/targets/probe.ts
+++ b/src/targets/probe.ts
@@ -63,9 +63,7 @@
       MAX_RESPONSE_BYTES,
     );
     this.applyRetryAfter(answer);
-    const json = answer.ok
-      ? body.parseJsonBytes(answer.value.body)
-      : answer;
+    const json = answer.ok ? body.parseJsonBytes(answer.value.body) : answer;
     const parsed = v.safeParse(
       groups.engineRankSchema,
       json.ok ? json.value : undefined,
