A start waits for a port that another process holds

What was seen: an entry or a sidecar whose port is still held (by its predecessor that is stopping, or an internal one by anything else) ended at once, told as an invalid setting, again at each start. Change: PortWait tries again every 100 ms for a minute (FC1010, once), then ends with FC1011. A process serves without its metrics port, which is tried for as long as it runs. A stop ends the waits; before the process is open it doesn't wait for callers. The same for the own interface's roles.

--- a/src/commands/run.ts
+++ b/src/commands/run.ts
@@ -34,7 +34,13 @@
   try {
     await runnable.open();
   } catch (err) {
-    log.event('settingRejected', {error: String(err)});
+    if (signals > 0) {
+      // The stop has ended what the process was waiting for.
+      return;
+    }
+    const isHeld = (err as NodeJS.ErrnoException).code === 'EADDRINUSE';
+    const event = isHeld ? 'portUnavailable' : 'settingRejected';
+    log.event(event, {error: String(err)});
     endProcess(EXIT.unavailable);
   }
 }
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -9,6 +9,7 @@
 import * as connectionLimits from './connection-limits';
 import {ConnectionTracker} from './connection-tracker';
 import {HeldBytes} from './held-bytes';
+import * as portWait from './port-wait';
 import type {QueuedHandler} from './request-queue';
 
 const HEADERS_TIMEOUT_MS = 10_000;
@@ -70,13 +71,14 @@
 
 /**
  * Listens on an address; port 0 picks a free one. Rejects with the system's
- * error, such as `EADDRINUSE`.
+ * error, such as `EADDRINUSE`; with `wait`, only once that waits no longer.
  */
 export async function listen(
   address: string,
   handler: Handler,
   onFault: (err: Error) => void,
   guard: ServerGuard = unguarded(),
+  wait?: portWait.PortWait,
 ): Promise<Listener> {
   const {server, connections} = createServer((req, res) => {
     handler(req, res).catch(err => {
@@ -87,7 +89,7 @@
   server.headersTimeout = HEADERS_TIMEOUT_MS;
   server.requestTimeout = REQUEST_TIMEOUT_MS;
   server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
-  await bind(address, server);
+  await (wait?.bind(address, server) ?? bind(address, server));
   server.on('error', onFault);
   const bound = server.address() as net.AddressInfo;
   return {
@@ -107,21 +109,8 @@
   };
 }
 
-/** Binds a server to an address. Rejects with the system's error. */
-export async function bind(
-  address: string,
-  server: http.Server,
-): Promise<http.Server> {
-  const {host, port} = splitAddress(address);
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, host, () => {
-      server.removeListener('error', reject);
-      resolve();
-    });
-  });
-  return server;
-}
+/** Binds a server to an address; fails at once if the port is held. */
+export const bind = portWait.bindOnce;
 
 function closeServer(server: http.Server): Promise<void> {
   return new Promise(resolve => {
--- a/src/observability/catalogue.ts
+++ b/src/observability/catalogue.ts
@@ -26,6 +26,16 @@
     level: 'warn',
     text: 'instance was suspended: its data is treated as older',
   },
+  portHeld: {
+    id: 'FC1010',
+    level: 'warn',
+    text: 'a port is held by another process: waiting for it',
+  },
+  portUnavailable: {
+    id: 'FC1011',
+    level: 'error',
+    text: 'a port was not freed in time',
+  },
   requestRefused: {id: 'FC2001', level: 'info', text: 'request refused'},
   requestRetried: {id: 'FC2002', level: 'info', text: 'request retried'},
   streamResumed: {id: 'FC2003', level: 'warn', text: 'stream resumed'},
--- a/src/roles/entry.ts
+++ b/src/roles/entry.ts
@@ -5,6 +5,7 @@
 import {Follower} from '../configuration/follower';
 import * as httpClient from '../http/client';
 import * as memoryLimit from '../http/memory-limit';
+import {PortWait} from '../http/port-wait';
 import {ProcessGuard} from '../http/process-guard';
 import * as httpServer from '../http/server';
 import {Log} from '../observability/log';
@@ -88,6 +89,7 @@
       (req, res) => this.answer(req, res),
       err => this.log.event('requestFault', {error: String(err)}),
       this.guard.forServer('callers'),
+      new PortWait(this.log),
     );
     this.subscriptions.add(
       this.follower.instanceLists.subscribe(list => this.onInstances(list)),
--- a/src/roles/metrics-endpoint.ts
+++ b/src/roles/metrics-endpoint.ts
@@ -1,6 +1,7 @@
 /** The address at which a process of a site serves its metrics and queues. */
 import type * as http from 'node:http';
 import * as readingTurns from '../http/reading-turns';
+import type {PortWait} from '../http/port-wait';
 import * as httpServer from '../http/server';
 import type {Metrics} from '../observability/metrics';
 import * as prometheus from '../observability/prometheus';
@@ -10,14 +11,15 @@
 
 /**
  * Serves the metrics in the Prometheus text format and, if `formatQueues` is
- * given, the JSON page that it makes.
+ * given, the JSON page that it makes, as soon as the port is free.
  */
-export async function serveMetrics(
+export function serveMetrics(
   address: string,
   metrics: Metrics,
   guard: httpServer.ServerGuard,
+  ports: PortWait,
   formatQueues?: () => string,
-): Promise<http.Server> {
+): http.Server {
   const {server} = httpServer.createServer((req, res) => {
     readingTurns.dropBody(req);
     if (req.url === METRICS_PATH) {
@@ -28,7 +30,8 @@
       res.writeHead(404).end();
     }
   }, guard);
-  return httpServer.bind(address, server);
+  ports.bindInBackground(address, server);
+  return server;
 }
 
 function sendMetrics(res: http.ServerResponse, metrics: Metrics): void {
--- a/src/roles/rpc-endpoint.ts
+++ b/src/roles/rpc-endpoint.ts
@@ -1,5 +1,6 @@
 /** The address at which a process of a site takes RPC calls. */
 import * as closing from '../http/closing';
+import {PortWait} from '../http/port-wait';
 import * as httpServer from '../http/server';
 import type {Log} from '../observability/log';
 import type {RpcServer} from '../rpc/server';
@@ -10,6 +11,7 @@
   rpc: RpcServer,
   log: Log,
   guard: httpServer.ServerGuard = httpServer.unguarded(),
+  ports = new PortWait(log),
 ): Promise<httpServer.GuardedServer> {
   const guarded = httpServer.createServer((req, res) => {
     rpc.handleRequest(req, res).catch(err => {
@@ -17,6 +19,6 @@
       closing.closeConnectionOf(res);
     });
   }, guard);
-  await httpServer.bind(address, guarded.server);
+  await ports.bind(address, guarded.server);
   return guarded;
 }
--- a/src/roles/sidecar.ts
+++ b/src/roles/sidecar.ts
@@ -17,6 +17,7 @@
 import * as body from '../http/body';
 import * as httpClient from '../http/client';
 import * as memoryLimit from '../http/memory-limit';
+import {PortWait} from '../http/port-wait';
 import {ProcessGuard} from '../http/process-guard';
 import * as httpServer from '../http/server';
 import {Log} from '../observability/log';
@@ -127,6 +128,7 @@
       (req, res) => this.answer(req, res),
       err => this.log.event('requestFault', {error: String(err)}),
       this.guard.forServer('rpc'),
+      new PortWait(this.log),
     );
     if (this.serves.kind === 'model') {
       this.openEngine();
--- a/src/roles/site-entry.ts
+++ b/src/roles/site-entry.ts
@@ -13,6 +13,7 @@
 import {DEFAULT_LIMITS} from '../http/connection-limits';
 import type {ConnectionTracker} from '../http/connection-tracker';
 import * as loadShedder from '../http/load-shedder';
+import {PortWait} from '../http/port-wait';
 import {ProcessGuard} from '../http/process-guard';
 import * as readingTurns from '../http/reading-turns';
 import * as httpServer from '../http/server';
@@ -69,6 +70,8 @@
   private callerServer: http.Server | undefined;
   private callerConnections: ConnectionTracker | undefined;
   private rpcConnections: ConnectionTracker | undefined;
+  private readonly ports: PortWait;
+  private isOpen = false;
   private isStopping = false;
 
   constructor(
@@ -85,6 +88,7 @@
       descriptors: cfg.descriptorLimit,
       limits: cfg.connectionLimits ?? DEFAULT_LIMITS,
     });
+    this.ports = new PortWait(log);
     const {held} = this.guard;
     this.connections = new TargetConnections(this.guard.maxSends);
     this.rpcServer = new RpcServer(log, NO_STAMPS, held);
@@ -196,13 +200,13 @@
 
   /** Listens and starts to follow the store. */
   async open(): Promise<void> {
-    const {cfg, guard} = this;
+    const {cfg, guard, ports} = this;
     const callers = httpServer.createServer(
       (req, res, arrivedAt) => this.answer(req, res, arrivedAt),
       guard.forServer('callers'),
     );
     this.callerConnections = callers.connections;
-    this.callerServer = await httpServer.bind(
+    this.callerServer = await ports.bind(
       cfg.callersAddress ?? `${cfg.host}:0`,
       callers.server,
     );
@@ -222,23 +226,26 @@
         res.writeHead(isReadyPath ? (this.isReady ? 200 : 503) : 404);
         res.end();
       }, guard.forServer('ready'));
-      this.servers.push(await httpServer.bind(cfg.readyAddress, ready.server));
+      this.servers.push(await ports.bind(cfg.readyAddress, ready.server));
     }
     const rpc = await serveRpc(
       this.rpcAddress,
       this.rpcServer,
       this.log,
       guard.forServer('rpc'),
+      ports,
     );
     this.rpcConnections = rpc.connections;
     this.servers.push(
-      await serveMetrics(
+      serveMetrics(
         `${cfg.host}:${cfg.metricsPort}`,
         this.metrics,
         guard.forServer('metrics'),
+        ports,
         () => this.forwarder.queues.format(performance.now()),
       ),
     );
+    this.isOpen = true;
     this.log.event('processReady', {id: cfg.id, hall: cfg.hall});
     this.shares.open(this.rpcServer);
     this.site.open(this.rpcServer);
@@ -260,6 +267,10 @@
     this.forwarder.stop(startedAt + gracePeriodMs * ANSWER_SHARE);
     const {openCount} = this.forwarder;
     this.log.event('processStopping', {inFlight: openCount});
+    if (!this.isOpen) {
+      this.close();
+      return;
+    }
     await sleep(
       Math.min(
         CLOSE_CONNECTIONS_DELAY_MS,
@@ -277,6 +288,7 @@
 
   /** Closes at once, also with requests in flight. */
   close(): void {
+    this.ports.close();
     this.suspensionDetector.close();
     this.forwarder.close();
     this.shares.close();
--- a/src/roles/site-sidecar.ts
+++ b/src/roles/site-sidecar.ts
@@ -17,6 +17,7 @@
 import {NO_STAMPS} from '../rpc/types';
 import {DEFAULT_LIMITS} from '../http/connection-limits';
 import type {ConnectionTracker} from '../http/connection-tracker';
+import {PortWait} from '../http/port-wait';
 import {ProcessGuard} from '../http/process-guard';
 import {serveMetrics} from './metrics-endpoint';
 import {serveRpc} from './rpc-endpoint';
@@ -35,6 +36,7 @@
   private readonly metrics = new Metrics();
   private readonly member: GroupMember | undefined;
   private readonly guard: ProcessGuard;
+  private readonly ports: PortWait;
   private metricsServer: http.Server | undefined;
   private rpcConnections: ConnectionTracker | undefined;
 
@@ -51,6 +53,7 @@
       descriptors: cfg.descriptorLimit,
       limits: cfg.connectionLimits ?? DEFAULT_LIMITS,
     });
+    this.ports = new PortWait(log);
     this.rpcServer = new RpcServer(log, NO_STAMPS, this.guard.held);
     this.engine = documents.makeEngine(cfg.targetAddress ?? '');
     this.agent = new RankAgent(
@@ -120,12 +123,14 @@
       this.log,
       // A sidecar has no port for callers.
       this.guard.forServer('rpc', ['rpc', 'callers']),
+      this.ports,
     );
     this.rpcConnections = rpc.connections;
-    this.metricsServer = await serveMetrics(
+    this.metricsServer = serveMetrics(
       `${host}:${metricsPort}`,
       this.metrics,
       this.guard.forServer('metrics'),
+      this.ports,
     );
     void this.member?.run();
     this.log.event('processReady', {id: this.cfg.id, hall: this.cfg.hall});
@@ -145,6 +150,7 @@
     const waitMs = cfg.gracePeriodMs * WAIT_SHARE;
     const inFlight = rpcConnections?.openCount ?? 0;
     this.log.event('processStopping', {inFlight});
+    this.ports.close();
     await Promise.race([
       this.member?.close(),
       timers.setTimeout(waitMs, undefined, {ref: false}),
