SIGHUP is handled from the first line of the own code on

What was seen: SIGHUP while the code was loaded, or before the process had its settings and ports, ended it. Change: the loader and the bundle install a handler first, for the roles that serve only.

--- a/scripts/loader.js
+++ b/scripts/loader.js
@@ -3,6 +3,10 @@
 // Runs the bundle of a site from the code cache that the build wrote, to save
 // processor time when many processes start at once. V8 compiles the bundle if
 // the cache is missing or was made by another version or with other arguments.
+// A request to reload must not end a process that is still loading its code.
+if (['entry', 'sidecar'].includes(process.argv[3])) {
+  process.on('SIGHUP', () => undefined);
+}
 const fs = require('node:fs');
 const nodeModule = require('node:module');
 const path = require('node:path');
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,5 +1,6 @@
 #!/usr/bin/env node
 /** Entry point of the program: registers the commands and sets the exit code. */
+import './commands/early-signals';
 import {Command, CommanderError} from 'commander';
 import * as site from '../platform/commands';
 import * as local from './commands/local';
