A target to which no connection can be made counts as failing

Cause: a refused connection was scored like a refusal by a full target, an eighth of a failure, so such a rank looked emptier than any that works. Change: no connection is a failure. The test of busy targets failed 1 of 1 without the change.

--- a/src/forwarding/outcomes.ts
+++ b/src/forwarding/outcomes.ts
@@ -25,7 +25,8 @@
     case 'cancelled':
       return 0;
     case 'not-run':
-      return REFUSAL_FAILURE_SCORE;
+      // Without a status no connection was made.
+      return outcome.status === undefined ? 1 : REFUSAL_FAILURE_SCORE;
     case 'unknown':
     case 'timed-out':
       return 1;
