--- a/src/http/json-scan.ts
+++ b/src/http/json-scan.ts
@@ -42,19 +42,26 @@
   let depth = 0;
   let values = 1;
   for (let at = start; at < end; at += 1) {
-    const byte = bytes[at]!;
-    if (byte === QUOTE) {
-      at = endOfString(bytes, at, end);
-    } else if (byte === COMMA) {
-      values += 1;
-    } else if (byte === OPENING_BRACKET || byte === OPENING_BRACE) {
-      depth += 1;
-      values += 1;
-      if (depth > maxDepth) {
-        return false;
-      }
-    } else if (byte === CLOSING_BRACKET || byte === CLOSING_BRACE) {
-      depth -= 1;
+    switch (bytes[at]) {
+      case QUOTE:
+        at = endOfString(bytes, at, end);
+        break;
+      case COMMA:
+        values += 1;
+        break;
+      case OPENING_BRACKET:
+      case OPENING_BRACE:
+        depth += 1;
+        values += 1;
+        if (depth > maxDepth) {
+          return false;
+        }
+        break;
+      case CLOSING_BRACKET:
+      case CLOSING_BRACE:
+        depth -= 1;
+        break;
+      default:
     }
   }
   return values <= maxValues;
@@ -109,11 +116,16 @@
 
 /** Position of the closing quote. */
 function endOfString(bytes: Buffer, quote: number, end: number): number {
-  let at = quote + 1;
-  while (at < end && bytes[at] !== QUOTE) {
-    at += bytes[at] === BACKSLASH ? 2 : 1;
+  for (let at = quote + 1; at < end; at += 1) {
+    const byte = bytes[at];
+    if (byte === QUOTE) {
+      return at;
+    }
+    if (byte === BACKSLASH) {
+      at += 1;
+    }
   }
-  return at;
+  return end;
 }
 
 function addUnlessBlank(parts: Extent[], bytes: Buffer, part: Extent): void {
