--- a/src/forwarding/event-splitter.test.ts
+++ b/src/forwarding/event-splitter.test.ts
@@ -37,4 +37,23 @@
       'id: 2\ndata\n\n',
     );
   });
+
+  it('copies an event in many small chunks a few times only', () => {
+    const splitter = new EventSplitter();
+    const chunk = Buffer.from('x'.repeat(16));
+    const chunks = 4_000;
+    let copied = 0;
+    const {concat} = Buffer;
+    const spy = jest.spyOn(Buffer, 'concat').mockImplementation(list => {
+      copied += list.reduce((sum, part) => sum + part.length, 0);
+      return concat(list);
+    });
+    for (let at = 0; at < chunks; at += 1) {
+      splitter.push(chunk);
+    }
+    const event = splitter.push(Buffer.from('\n\n'));
+    spy.mockRestore();
+    expect(event.length).toBe(chunks * chunk.length + 2);
+    expect(copied).toBeLessThan(4 * event.length);
+  });
 });
