--- a/src/forwarding/target-connections.ts
+++ b/src/forwarding/target-connections.ts
@@ -12,7 +12,8 @@
 const DEFAULT_IDLE_TIMEOUT_MS = 4_000;
 /** Share of the target's idle timeout after which a connection is closed. */
 const IDLE_TIMEOUT_SHARE = 0.7;
-const MAX_IDLE_MS = 60_000;
+/** Source: 32-bit signed milliseconds, the longest timers of the runtime. */
+const MAX_IDLE_MS = 2 ** 31 - 1;
 const SECOND_MS = 1_000;
 
 class KeepAliveAgent extends http.Agent {
