Review case 5: a late hold in an idle group stops it for good

Shows that a hold that got no answer and is carried out late, while the group is idle and armed for that pass, is never released: no stream is served any more (Starved).

--- a/review/lib-2/group.js
+++ b/review/lib-2/group.js
@@ -11,6 +11,9 @@
 const OK = 200;
 const BEGUN = 202;
 const CONFLICT = 409;
+/** Bytes that form no answer: nobody asked for another protocol. */
+const WRONG_HEAD =
+  'HTTP/1.1 101 Switching Protocols\r\nUpgrade: h2c\r\nConnection: Upgrade\r\n\r\n';
 
 class Group {
   /** `shape`: ranks, sets, experts, places, spare, copyMs, passMs. */
@@ -24,6 +27,12 @@
     this.lateShare = 0;
     this.orders = 0;
     this.lateOrders = 0;
+    /** Share of the answers of some ranks that are wrong bytes. */
+    this.wrongShare = 0;
+    this.isWrongRank = () => false;
+    /** The orders whose answers are wrong. */
+    this.wrongOp = undefined;
+    this.wrongAnswers = 0;
     /** Passes that began with ranks on different maps. */
     this.mixedPasses = 0;
     this.changes = 0;
@@ -46,6 +55,9 @@
       prepared: undefined,
       armed: undefined,
       held: undefined,
+      /** Answers since the wrong bytes began, and those of them that were wrong. */
+      answers: 0,
+      wrong: 0,
     };
     rank.server = http.createServer((req, res) => this.receive(rank, req, res));
     this.ranks.push(rank);
@@ -164,6 +176,7 @@
 
   receive(rank, req, res) {
     const chunks = [];
+    rank.answers += this.wrongShare > 0 ? 1 : 0;
     req.on('error', () => undefined);
     req.on('data', chunk => chunks.push(chunk));
     req.once('end', () => {
@@ -211,7 +224,10 @@
           prepared:
             rank.prepared === undefined
               ? null
-              : {version: rank.prepared.version, experts: rank.prepared.lists},
+              : {
+                  version: rank.prepared.version,
+                  experts: rank.prepared.lists,
+                },
         }
       : {...base, counts: rank.counts};
   }
@@ -236,7 +252,29 @@
     }
     const status = this.carryOut(rank, order);
     this.record.line(`rank ${rank.at} takes: ${what}: ${status}`);
-    sendJson(res, status, {});
+    if (this.takeWrong(rank, order.op)) {
+      this.record.line(`rank ${rank.at} spoils the answer to: ${what}`);
+      res.socket?.end(WRONG_HEAD);
+    } else {
+      sendJson(res, status, {});
+    }
+  }
+
+  /** From now on, some ranks spoil this share of their answers; 0: none. */
+  beginWrong(share) {
+    this.wrongShare = share;
+    this.ranks.forEach(rank => Object.assign(rank, {answers: 0, wrong: 0}));
+  }
+
+  /** True if the rank spoils this answer: a share of all that it gives. */
+  takeWrong(rank, op) {
+    const isDue =
+      this.isWrongRank(rank) &&
+      rank.wrong + 1 <= rank.answers * this.wrongShare &&
+      op === this.wrongOp;
+    rank.wrong += isDue ? 1 : 0;
+    this.wrongAnswers += isDue ? 1 : 0;
+    return isDue;
   }
 
   carryOut(rank, {op, version, step, epoch, map}) {
--- a/review/lib-2/kit.js
+++ b/review/lib-2/kit.js
@@ -33,6 +33,11 @@
   const hasTrouble = process.env.TROUBLE !== '0';
   const site = new Site(record);
   let code = 2;
+  // Whatever ends this process, no other one is left.
+  process.on('exit', () => site.killAll());
+  for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) {
+    process.on(signal, () => process.exit(2));
+  }
   const limit = setTimeout(() => {
     record.line('the case ran past its time');
     site.killAll();
