--- a/review/lib-2/group.js
+++ b/review/lib-2/group.js
@@ -23,10 +23,14 @@
     this.step = 0;
     this.epoch = 1;
     this.ranks = [];
-    /** Share of the orders that get no answer and are carried out late. */
-    this.lateShare = 0;
+    /** The first try of each hold gets no answer and is carried out late. */
+    this.losesHolds = false;
     this.orders = 0;
     this.lateOrders = 0;
+    /** Orders are carried out 2 s late, and up to so much later. */
+    this.lateSpanMs = 10_000;
+    /** Holds that got no answer once, by rank and pass. */
+    this.lostHolds = new Set();
     /** Share of the answers of some ranks that are wrong bytes. */
     this.wrongShare = 0;
     this.isWrongRank = () => false;
@@ -236,9 +240,9 @@
     this.orders += 1;
     const {op, version, step} = order;
     const what = `${op} ${version ?? ''}${step === undefined ? '' : ` pass ${step}`}`;
-    if (Math.random() < this.lateShare) {
+    if (this.isLate(rank, order)) {
       this.lateOrders += 1;
-      const ms = 2_000 + Math.random() * 10_000;
+      const ms = 2_000 + Math.random() * this.lateSpanMs;
       this.record.line(`rank ${rank.at} leaves unanswered: ${what}`);
       const timer = setTimeout(() => {
         this.timers.delete(timer);
@@ -260,6 +264,15 @@
     }
   }
 
+  isLate(rank, {op, step}) {
+    const key = `${rank.at} ${step}`;
+    if (!this.losesHolds || op !== 'hold' || this.lostHolds.has(key)) {
+      return false;
+    }
+    this.lostHolds.add(key);
+    return true;
+  }
+
   /** From now on, some ranks spoil this share of their answers; 0: none. */
   beginWrong(share) {
     this.wrongShare = share;
--- a/review/lib-2/kit.js
+++ b/review/lib-2/kit.js
@@ -155,15 +155,16 @@
     };
   }
 
-  async openEntries(count, changes = {}) {
+  /** `platformOf` may give changes of an entry's `platform` settings. */
+  async openEntries(count, platformOf = async () => ({})) {
     const hosts = Array.from({length: count}, () => this.host());
     this.seeds = hosts.map(one => `${one}:8229`);
     for (const [at, host] of hosts.entries()) {
       const zone = ZONES[at % ZONES.length];
       const settings = this.settings(`entry-${at}`, host, zone, {
         'seed-nodes': this.seeds,
-        ...changes,
       });
+      Object.assign(settings.platform, await platformOf(at));
       this.entries.push(
         this.addProcess('entry', `entry-${at}`, host, settings),
       );
@@ -244,6 +245,15 @@
     });
   }
 
+  /** The final fault: all processes are killed, and start again after a while. */
+  async killAndRestart(downMs) {
+    const all = this.processes;
+    all.forEach(({child}) => child.kill('SIGKILL'));
+    await Promise.all(all.map(({exited}) => exited));
+    await sleep(downMs);
+    all.forEach(one => this.start(one));
+  }
+
   logOf(name) {
     return fs.readFileSync(path.join(this.tempDir, `${name}.log`), 'utf8');
   }
@@ -332,6 +342,8 @@
     this.queue = [];
     /** Number of times that each request was run. */
     this.runs = new Map();
+    /** When requests arrived that were meant for this server. */
+    this.arrivals = [];
     this.server = http.createServer((req, res) => this.receive(req, res));
     this.server.keepAliveTimeout = 5_000;
   }
@@ -339,18 +351,32 @@
   async open(store, host, zone) {
     await new Promise(resolve => this.server.listen(0, host, resolve));
     this.address = `${host}:${this.server.address().port}`;
-    store.write('servers', this.name, {
+    this.store = store;
+    this.zone = zone;
+    this.write({});
+  }
+
+  /** Writes the server's entry in the store. */
+  write(changes) {
+    this.store.write('servers', this.name, {
       service: this.service,
       address: this.address,
-      zone,
+      zone: this.zone,
       version: 'v1',
       slots: this.slots,
       state: 'ready',
       'cold-remaining-ms': 0,
       sequence: 1,
+      ...changes,
     });
   }
 
+  /** Ends, but for the requests that it works on. */
+  stopListening() {
+    this.server.close();
+    this.server.closeIdleConnections();
+  }
+
   close() {
     this.server.close();
     this.server.closeAllConnections();
@@ -363,7 +389,10 @@
     req.once('end', () => {
       if (req.headers[EXPECTED] !== this.name) {
         res.writeHead(421, {[ID]: id}).end();
-      } else if (this.running < this.slots) {
+        return;
+      }
+      this.arrivals.push(performance.now());
+      if (this.running < this.slots) {
         this.run(id, req, res);
       } else if (this.queue.length < 24) {
         this.queue.push(() => this.run(id, req, res));
