A call settles whatever its peer sends: no request waits for ever after a 101

Cause: send in src/http/client.ts settled on 'response' or 'error' only. For an upgrade without a listener the runtime destroys the request and emits 'close' alone; the time-out and the signal then destroyed a request that was destroyed already, and nothing more came.

Change: 'close' settles a call as a lost connection, and the time-out, the signal and the guard settle it themselves before they destroy the request. The same for what follows the head: readBodyWithin returns when its time is over, and an interrupted BodyReader ends its wait, without an event of the socket.

--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -126,17 +126,17 @@
   head: ResponseHead,
   res: http.IncomingMessage,
 ): Promise<Outcome> {
-  let isTimedOut = false;
-  const timer = setTimeout(() => {
-    isTimedOut = true;
-    res.destroy();
-  }, send.deadline - performance.now());
-  const read = await body.readBody(res, MAX_BODY_BYTES, send.holders?.answer);
-  clearTimeout(timer);
+  const read = await body.readBodyWithin(
+    res,
+    send.deadline - performance.now(),
+    MAX_BODY_BYTES,
+    send.holders?.answer,
+  );
   if (send.signal.aborted) {
     return {kind: 'cancelled'};
   }
-  if (isTimedOut) {
+  if (read === undefined) {
+    res.destroy();
     return {kind: 'timed-out', sent: true};
   }
   if (head.isNotRun) {
--- a/src/forwarding/stream-relay.ts
+++ b/src/forwarding/stream-relay.ts
@@ -185,7 +185,9 @@
   ): Promise<PumpResult> {
     let isTimedOut = false;
     let isMoved = false;
+    const reader = new BodyReader(from.res);
     const giveUp = () => {
+      reader.interrupt();
       from.res.destroy();
       buffer.interrupt();
     };
@@ -205,7 +207,6 @@
       giveUp();
     }, call.timeLeftMs);
     call.signal.addEventListener('abort', giveUp, {once: true});
-    const reader = new BodyReader(from.res);
     let end: PumpResult = 'broken';
     try {
       for (;;) {
--- a/src/http/body-reader.ts
+++ b/src/http/body-reader.ts
@@ -47,6 +47,11 @@
     }
   }
 
+  /** Ends a wait for more bytes, whatever the message does. */
+  interrupt(): void {
+    this.noteEnd(new Error('interrupted'));
+  }
+
   /** Stops reading in turn with others; the caller destroys the message. */
   close(): void {
     this.meter.close();
--- a/src/http/body.ts
+++ b/src/http/body.ts
@@ -99,6 +99,26 @@
   });
 }
 
+/**
+ * Reads a body within a limit and a time. Resolves with undefined once the time is
+ * over, whatever the stream does; the caller must then destroy it.
+ */
+export async function readBodyWithin(
+  stream: Readable,
+  timeoutMs: number,
+  limit: BodyLimit,
+  observer?: BodyObserver,
+): Promise<Result<Buffer, BodyError> | undefined> {
+  let timer: NodeJS.Timeout | undefined;
+  const timedOut = new Promise<undefined>(resolve => {
+    timer = setTimeout(() => resolve(undefined), Math.max(timeoutMs, 0));
+  });
+  const read = readBody(stream, limit, observer);
+  const first = await Promise.race([read, timedOut]);
+  clearTimeout(timer);
+  return first;
+}
+
 const EMPTY_BODY = Buffer.alloc(0);
 
 function bytesOf(limit: BodyLimit): number {
--- a/src/http/client.test.ts
+++ b/src/http/client.test.ts
@@ -1,5 +1,7 @@
+import * as http from 'node:http';
 import * as net from 'node:net';
 import * as body from './body';
+import * as bodyReader from './body-reader';
 import * as httpClient from './client';
 import * as httpServer from './server';
 
@@ -102,3 +104,135 @@
     });
   });
 });
+
+/** Guards against a call that waits for ever since its peer sent no answer. */
+describe('a call to a peer that sends no answer', () => {
+  const SWITCHING =
+    'HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n';
+  const REPEATED_INTERIM = 'HTTP/1.1 100 Continue\r\n\r\n';
+  const TIMEOUT_MS = 300;
+
+  let peer: net.Server;
+  let address: string;
+  let respond: (socket: net.Socket) => void;
+  const agent = httpClient.makeAgent();
+
+  beforeEach(async () => {
+    peer = net.createServer(socket => {
+      socket.on('error', () => undefined);
+      socket.on('data', () => respond(socket));
+    });
+    await new Promise<void>(resolve =>
+      peer.listen(0, '127.0.0.1', () => resolve()),
+    );
+    address = `127.0.0.1:${(peer.address() as net.AddressInfo).port}`;
+  });
+
+  afterEach(() => {
+    peer.close();
+  });
+
+  afterAll(() => agent.destroy());
+
+  /** The kind of the call's error; 'pending' if it has not settled in time. */
+  async function errorOf(
+    work: Promise<{ok: boolean; error?: {kind: string}}>,
+  ): Promise<string | undefined> {
+    let timer: NodeJS.Timeout | undefined;
+    const late = new Promise<string>(resolve => {
+      timer = setTimeout(() => resolve('pending'), TIMEOUT_MS * 4);
+    });
+    const settled = work.then(result =>
+      result.ok ? 'answered' : result.error!.kind,
+    );
+    const first = await Promise.race([settled, late]);
+    clearTimeout(timer);
+    return first;
+  }
+
+  it.each([
+    ['an upgrade, and closes', SWITCHING, true],
+    ['an upgrade, and keeps the connection', SWITCHING, false],
+    ['an upgrade after an interim head', REPEATED_INTERIM + SWITCHING, true],
+  ])('settles at once: %s', async (_, bytes, closes) => {
+    respond = socket => {
+      socket.write(bytes);
+      if (closes) {
+        socket.end();
+      }
+    };
+    const call = {...CALL, address, timeoutMs: TIMEOUT_MS};
+    expect(await errorOf(httpClient.send(agent, call))).toBe('connection-lost');
+    const read = httpClient.fetchBuffered(agent, call, LIMIT_BYTES);
+    expect(await errorOf(read)).toBe('connection-lost');
+  });
+
+  it.each([
+    ['silence', ''],
+    ['interim heads', REPEATED_INTERIM],
+    ['half a head', 'HTTP/1.1 200 OK\r\nContent-'],
+  ])('settles at its time-out, without an event: %s', async (_, bytes) => {
+    respond = socket => socket.write(bytes);
+    const destroy = jest
+      .spyOn(http.ClientRequest.prototype, 'destroy')
+      .mockImplementation(function (this: http.ClientRequest) {
+        return this;
+      });
+    const call = {...CALL, address, timeoutMs: TIMEOUT_MS};
+    const kind = await errorOf(httpClient.send(agent, call));
+    destroy.mockRestore();
+    agent.destroy();
+    expect(kind).toBe('timed-out');
+  });
+
+  it('settles when its signal aborts, without an event', async () => {
+    respond = () => undefined;
+    const destroy = jest
+      .spyOn(http.ClientRequest.prototype, 'destroy')
+      .mockImplementation(function (this: http.ClientRequest) {
+        return this;
+      });
+    const abort = new AbortController();
+    const call = {...CALL, address, signal: abort.signal};
+    const sent = httpClient.send(agent, call);
+    setTimeout(() => abort.abort(), 20);
+    const kind = await errorOf(sent);
+    destroy.mockRestore();
+    agent.destroy();
+    expect(kind).toBe('cancelled');
+  });
+
+  it('settles at its time-out while a body is read', async () => {
+    respond = socket =>
+      socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n1');
+    const destroy = jest
+      .spyOn(http.IncomingMessage.prototype, 'destroy')
+      .mockImplementation(function (this: http.IncomingMessage) {
+        return this;
+      });
+    const call = {...CALL, address, timeoutMs: TIMEOUT_MS};
+    const kind = await errorOf(
+      httpClient.fetchBuffered(agent, call, LIMIT_BYTES),
+    );
+    destroy.mockRestore();
+    agent.destroy();
+    expect(kind).toBe('connection-lost');
+  });
+
+  it('settles when the reader of a body is interrupted, without an event', async () => {
+    respond = socket =>
+      socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n1');
+    const call = {...CALL, address, timeoutMs: TIMEOUT_MS};
+    const sent = await httpClient.send(agent, call);
+    if (!sent.ok) {
+      throw new Error(sent.error.kind);
+    }
+    const reader = new bodyReader.BodyReader(sent.value);
+    expect(String(await reader.next())).toBe('1');
+    const next = reader.next();
+    reader.interrupt();
+    await expect(next).rejects.toThrow('interrupted');
+    reader.close();
+    sent.value.destroy();
+  });
+});
--- a/src/http/client.ts
+++ b/src/http/client.ts
@@ -55,14 +55,27 @@
 ): Promise<Result<http.IncomingMessage, CallError>> {
   return new Promise(resolve => {
     let connected = false;
-    let failure: CallError | undefined;
+    let guard: AnswerGuard | undefined;
     const req = makeRequest(agent, call);
     if (req === undefined) {
       resolve(fail({kind: 'no-connection', sent: false}));
       return;
     }
+    const stopWaiting = () => {
+      clearTimeout(timer);
+      clearTimeout(connectTimer);
+    };
+    const removeAbortListener = () =>
+      call.signal?.removeEventListener('abort', onAbort);
+    const giveUp = (err: CallError) => {
+      stopWaiting();
+      guard?.close();
+      removeAbortListener();
+      resolve(fail(err));
+    };
+    // Settles by itself: a request that is destroyed may emit no further event.
     const stop = (err: CallError) => {
-      failure ??= err;
+      giveUp(err);
       req.destroy();
     };
     const onAbort = () => stop({kind: 'cancelled', sent: connected});
@@ -75,11 +88,6 @@
       () => stop({kind: 'timed-out', sent: connected}),
       Math.max(call.timeoutMs, 0),
     );
-    const settle = () => {
-      clearTimeout(timer);
-      clearTimeout(connectTimer);
-    };
-    let guard: AnswerGuard | undefined;
     req.on('socket', socket => {
       guard = new AnswerGuard(socket, () =>
         stop({kind: 'connection-lost', sent: true}),
@@ -93,23 +101,21 @@
       }
     });
     req.on('response', res => {
-      settle();
+      stopWaiting();
       resets.watch(res);
       guard?.watchBody(res);
-      res.once('close', () =>
-        call.signal?.removeEventListener('abort', onAbort),
-      );
+      res.once('close', removeAbortListener);
       resolve(ok(res));
     });
-    req.on('error', () => {
-      settle();
-      guard?.close();
-      call.signal?.removeEventListener('abort', onAbort);
-      const lost: CallError = connected
-        ? {kind: 'connection-lost', sent: true}
-        : {kind: 'no-connection', sent: false};
-      resolve(fail(failure ?? lost));
-    });
+    const onLost = () =>
+      giveUp(
+        connected
+          ? {kind: 'connection-lost', sent: true}
+          : {kind: 'no-connection', sent: false},
+      );
+    req.on('error', onLost);
+    // A peer that switches protocols, which nobody asks for, causes no error.
+    req.on('close', onLost);
     if (call.signal?.aborted) {
       onAbort();
     } else {
@@ -183,10 +189,8 @@
     return res;
   }
   const message = res.value;
-  const timer = setTimeout(() => message.destroy(), call.timeoutMs);
-  const read = await body.readBody(message, limitBytes);
-  clearTimeout(timer);
-  if (!read.ok) {
+  const read = await body.readBodyWithin(message, call.timeoutMs, limitBytes);
+  if (!read?.ok) {
     message.destroy();
     return fail({kind: 'connection-lost', sent: true});
   }
