A map change as a whole has a time limit

Cause: nothing bounded a change. A planner that waited in one went on reading its ranks, so the other members heard it and elected no new one, and while its change was under way it did not look at what was held.

Change: the orders of one change share a time limit, 5 s beyond its copying. After it each call ends as 'deposed' and sends nothing, so the change ends, its planner gives up its role, and its successor settles what is left.

--- a/src/experts/map-changer.ts
+++ b/src/experts/map-changer.ts
@@ -6,6 +6,7 @@
 import {Metrics} from '../observability/metrics';
 import * as random from '../random';
 import type {ExpertParameters} from '../routes/types';
+import {BoundedRanks} from './bounded-ranks';
 import * as mapChange from './change';
 import type {GroupClient, GroupRanks} from './group-client';
 import {MAX_PASSES_AHEAD, PassClock} from './pass-clock';
@@ -15,6 +16,11 @@
 /** The time limit for copying is the estimate times the factor, plus the margin. */
 const COPY_TIMEOUT_FACTOR = 2;
 const COPY_TIMEOUT_MARGIN_MS = 400;
+/**
+ * Time limit of a change beyond its copying. Longer than a few orders that are
+ * sent again; a held group serves nothing meanwhile.
+ */
+export const MAX_ORDERING_MS = 5_000;
 /** Estimate of the arming time before the first change. */
 const INITIAL_ARM_MS = 30;
 /** Factor applied to the estimated arming time at each change. */
@@ -109,19 +115,24 @@
   ): Promise<mapChange.ChangeOutcome> {
     const startedAt = performance.now();
     const expectedMs = plan.maxCopiesPerRank * figures.copyMs;
+    const copyTimeoutMs =
+      expectedMs * COPY_TIMEOUT_FACTOR + COPY_TIMEOUT_MARGIN_MS;
+    const ranks = new BoundedRanks(
+      known.ranks,
+      copyTimeoutMs + MAX_ORDERING_MS,
+    );
     const stopPolling = this.pollPasses();
     try {
       const own = this.context.ownRank();
       const end = await mapChange.changeMap(
-        known.ranks,
+        ranks,
         {
           epoch: known.epoch,
           version,
           map: plan.map,
           former: {version: known.version, map: known.map},
           expectedMs,
-          copyTimeoutMs:
-            expectedMs * COPY_TIMEOUT_FACTOR + COPY_TIMEOUT_MARGIN_MS,
+          copyTimeoutMs,
           passesAhead: () =>
             this.passes.passesIn(
               this.armMs * ARM_TIME_MARGIN,
@@ -159,6 +170,7 @@
       return end;
     } finally {
       this.endedAt = performance.now();
+      ranks.close();
       stopPolling();
     }
   }
