A held group is released or revoked by what its ranks report

Cause: the planner decided from its own memory. isSettled took an armed rank of the last change for a pass that is still to begin, and returned before it looked at what was held; a release was given once; nothing ran where the counts were too few to plan. A successor took ranks that it had read as armed for settled, and completed a change that its predecessor had given up.

Change: one function of a reading (hold-decision) says settled, release, revoke, wait or unknown. It runs in each reading, in an idle group and without a configuration too, and is repeated until the reports show the effect. Release: all ranks are armed for one version and pass, or none is and none can be any more. What a predecessor left partly armed is revoked, never completed. A rank is disarmed only after another one has prepared a newer version, so that 'all armed' rules out a disarm in flight. Passes beyond those that a late order of another planner may name are not held. isSettled and releaseLateHold are gone. The one use of memory that stays: ranks that can't be read count as the planner's own last change left them, if that is certain.

--- a/src/experts/change.ts
+++ b/src/experts/change.ts
@@ -10,23 +10,27 @@
  * 5. the group is released.
  *
  * No rank is armed before all have prepared, and the group is not released
- * before all are armed. An order that arrives late either repeats what was
- * intended or names a pass that has begun, and is then refused. An aborted
- * change is revoked first: the ranks prepare the current map under a newer
- * version, so that a late order cannot arm them for the aborted one. A pass
- * whose hold or release got no answer is not held again, since a late release
- * would end the new hold.
+ * before all are armed. An aborted change is revoked first: the ranks prepare the
+ * current map under a newer version, so that a late order cannot arm them for the
+ * aborted one. No rank is disarmed before another one has done so, which rules out
+ * that a change is completed while a late order may disarm a rank. A pass whose
+ * hold or release got no answer is not held again, since a late release would end
+ * the new hold. A hold that is carried out late, or whose release was lost, shows
+ * in the ranks' reports, and is released by them (hold-decision).
  *
  * An instance may freeze and make its rank unreachable while the rank itself
  * keeps running. No rank is therefore armed through its own sidecar: a new
  * planner can read every rank but its predecessor's, and the helper reports
- * whether that one was armed. The change is completed if it was for certain,
- * and aborted if it was not for certain.
+ * whether that one was armed. If the predecessor's rank cannot be read, the change
+ * is completed if that rank is armed for certain, and aborted if it is not for
+ * certain.
  *
  * Limit: if neither is certain, the group stays held until the silent rank or
  * the helper can be read again.
  */
 import {Log} from '../observability/log';
+import * as holdDecision from './hold-decision';
+import {MAX_PASSES_AHEAD} from './pass-clock';
 import type {
   ExpertMap,
   Order,
@@ -139,40 +143,29 @@
   /** The planner's own rank, armed before all others. */
   readonly own: number;
   readonly helper: number;
-  /** The map in force; undefined if unknown, which rules out revoking. */
-  readonly former: VersionedMap | undefined;
+  /** The map in force. */
+  readonly former: VersionedMap;
 }
 
-/**
- * Arms every rank while the group is held, then releases it. Ranks in
- * `alreadyArmed` are skipped; they are armed for the same version and pass.
- */
+/** Arms every rank while the group is held, then releases it. */
 async function armAndRelease(
   ranks: Ranks,
   arming: ArmRequest,
   holders: readonly number[],
   log: Log,
-  alreadyArmed: ReadonlySet<number> = new Set(),
 ): Promise<ChangeOutcome> {
   const {epoch, version, step, own, helper} = arming;
   const order: Order = {kind: 'arm', epoch, version, step};
-  const ownResult = alreadyArmed.has(own)
-    ? 'done'
-    : await ranks.orderThrough(helper, own, order);
-  switch (ownResult) {
+  switch (await ranks.orderThrough(helper, own, order)) {
     case 'deposed':
       return 'deposed';
     case 'refused':
       return rollBack(ranks, arming, holders, log);
     case 'no-answer':
-      return alreadyArmed.size === 0
-        ? abortWithoutHelper(ranks, arming, holders, log)
-        : 'stuck';
+      return abortWithoutHelper(ranks, arming, holders, log);
     case 'done':
   }
-  let pending = ranks.all.filter(
-    rank => rank !== own && !alreadyArmed.has(rank),
-  );
+  let pending = ranks.all.filter(rank => rank !== own);
   let results: OrderResult[] = [];
   for (
     let round = 0;
@@ -207,8 +200,17 @@
   holders: readonly number[],
   log: Log,
 ): Promise<ChangeOutcome> {
-  const {epoch, version, step, own, helper} = arming;
-  const result = await revokeChange(ranks, [own], arming);
+  const {epoch, version, step, own, helper, former} = arming;
+  const others = ranks.all.filter(rank => rank !== own);
+  const reachable = others.filter(rank => rank !== helper);
+  const result = await revokeChange(ranks, {
+    epoch,
+    versions: [version],
+    newer: version + 1,
+    former,
+    unarmed: reachable.length > 0 ? reachable : others,
+    revoked: [own],
+  });
   log.event('mapChangeAborted', {version, step, helper, result});
   if (result !== 'done') {
     return result === 'deposed' ? 'deposed' : 'stuck';
@@ -228,7 +230,7 @@
   holders: readonly number[],
   log: Log,
 ): Promise<ChangeOutcome> {
-  const {epoch, version, step} = arming;
+  const {epoch, version, step, former} = arming;
   const states = await ranks.readStates(ranks.all);
   if (states.some(state => state !== undefined && state.epoch !== epoch)) {
     return 'regrouped';
@@ -237,7 +239,14 @@
     // The pass has begun, and every rank has switched to the map.
     return 'armed';
   }
-  const result = await revokeChange(ranks, ranks.all, arming);
+  const result = await revokeChange(ranks, {
+    epoch,
+    versions: [version],
+    newer: version + 1,
+    former,
+    unarmed: ranks.all.filter(rank => states[rank]?.armed === null),
+    revoked: ranks.all,
+  });
   log.event('mapChangeAborted', {version, step, result});
   if (result !== 'done') {
     return result === 'deposed' ? 'deposed' : 'stuck';
@@ -246,6 +255,19 @@
   return 'backed-out';
 }
 
+interface Revocation {
+  readonly epoch: number;
+  /** Versions that ranks may be armed for. */
+  readonly versions: readonly number[];
+  /** Above all versions that the ranks have had. */
+  readonly newer: number;
+  /** The map in force; undefined if unknown, which rules out revoking. */
+  readonly former: VersionedMap | undefined;
+  /** Ranks that are not armed, one of which must be revoked first. */
+  readonly unarmed: readonly number[];
+  readonly revoked: readonly number[];
+}
+
 /**
  * Disarms ranks and has them prepare the current map under a newer version, so
  * that arm orders still in flight are refused. Returns 'refused' if the current
@@ -253,35 +275,45 @@
  */
 async function revokeChange(
   ranks: Ranks,
-  rankNumbers: readonly number[],
-  {epoch, version, former}: Pick<ArmRequest, 'epoch' | 'version' | 'former'>,
+  {epoch, versions, newer, former, unarmed, revoked}: Revocation,
 ): Promise<OrderResult> {
   if (former === undefined) {
     return 'refused';
   }
-  const disarm: Order = {kind: 'disarm', epoch, version};
-  const prepare: Order = {
+  const prepareAt = (version: number): Order => ({
     kind: 'prepare',
     epoch,
-    version: version + 1,
+    version,
     map: former.map,
     base: former,
     expectedMs: 0,
     patienceMs: REVOKE_COPY_TIMEOUT_MS,
-  };
-  let pending = [...rankNumbers];
+  });
+  const first = await ranks.order(unarmed, prepareAt(newer));
+  if (first.includes('deposed')) {
+    return 'deposed';
+  }
+  if (unarmed.length > 0 && !first.includes('done')) {
+    return 'no-answer';
+  }
+  const done = new Set(unarmed.filter((_, at) => first[at] === 'done'));
+  let pending = revoked.filter(rank => !done.has(rank));
   for (let round = 0; round < MAX_ARM_ROUNDS; round += 1) {
-    const disarmed = await ranks.order(pending, disarm);
-    const prepared = await ranks.order(pending, prepare);
-    if ([...disarmed, ...prepared].includes('deposed')) {
-      return 'deposed';
-    }
-    pending = pending.filter((_, at) => prepared[at] !== 'done');
     if (pending.length === 0) {
       return 'done';
     }
+    const results: OrderResult[] = [];
+    for (const version of versions) {
+      const disarm: Order = {kind: 'disarm', epoch, version};
+      results.push(...(await ranks.order(pending, disarm)));
+    }
+    const prepared = await ranks.order(pending, prepareAt(newer + round));
+    if ([...results, ...prepared].includes('deposed')) {
+      return 'deposed';
+    }
+    pending = pending.filter((_, at) => prepared[at] !== 'done');
   }
-  return 'no-answer';
+  return pending.length === 0 ? 'done' : 'no-answer';
 }
 
 interface HoldRequest {
@@ -309,6 +341,10 @@
     }
     const next = state.step + 1 + passesAhead();
     const step = Math.max(next, changerState.lastUsedStep + 1);
+    if (step > state.step + 1 + MAX_PASSES_AHEAD) {
+      // A successor must be able to tell which passes late orders may name.
+      return undefined;
+    }
     changerState.lastUsedStep = step;
     const order: Order = {kind: 'hold', epoch, step};
     const result = await ranks.orderThrough(helper, holder, order);
@@ -325,9 +361,9 @@
 }
 
 /**
- * Completes or aborts the change that an earlier planner left behind: the group
- * may be held and some ranks armed. `readings` has one entry per rank in rank
- * order, read under the new term and with the experts held.
+ * Ends the change that an earlier planner left behind, whose map no pass has begun
+ * with. `readings` has one entry per rank in rank order, read under the new term
+ * and with the experts held.
  */
 export async function finishChange(
   ranks: Ranks,
@@ -335,99 +371,91 @@
   own: number,
   log: Log,
 ): Promise<ChangeOutcome | 'nothing-left'> {
-  const states = readings.map(one => one.state);
-  const epoch = states[0]!.epoch;
-  const held = states.flatMap(state => state.held ?? []);
-  const armed = states.flatMap(state => state.armed ?? []);
-  const isArmedByAll = armed.length === states.length;
-  if (held.length === 0 && (armed.length === 0 || isArmedByAll)) {
-    return 'nothing-left';
-  }
-  const [first] = armed;
-  if (first === undefined) {
-    return abortUnarmed(ranks, readings, log);
-  }
-  const {step, version} = first;
-  log.event('mapChangeRecovered', {version, step, armed: armed.length});
-  const holders = holdersOf(states, step);
-  if (holders.length === 0) {
-    // The group must not reach the pass with only some ranks armed.
-    const holder = own === 0 ? states.length - 1 : 0;
-    const hold: Order = {kind: 'hold', epoch, step};
-    const [result] = await ranks.orderRemotely([holder], hold);
-    if (result !== 'done') {
+  switch (holdDecision.decide(readings, ranks.size)) {
+    case 'settled':
+      return 'nothing-left';
+    case 'wait':
+    case 'unknown':
       return 'not-held';
+    case 'release': {
+      const [armed] = readings.flatMap(({state}) => state.armed ?? []);
+      log.event('mapChangeRecovered', {...armed});
+      await releaseHolds(ranks, readings);
+      return armed === undefined ? 'backed-out' : 'armed';
     }
-    holders.push(holder);
-  }
-  const others = ranks.all.filter(rank => rank !== own);
-  const helper =
-    others.find(rank => !holders.includes(rank)) ?? others[0] ?? own;
-  const former = mapInForce(readings);
-  const arming = {epoch, version, step, own, helper, former};
-  const alreadyArmed = new Set(
-    states.flatMap(({armed: at, rank}) => (at === null ? [] : [rank])),
-  );
-  const outcome = await armAndRelease(
-    ranks,
-    arming,
-    holders,
-    log,
-    alreadyArmed,
-  );
-  if (outcome === 'armed') {
-    await releaseAll(ranks, states);
+    case 'revoke':
+      return revokeLeftover(ranks, readings, own, log);
   }
-  return outcome;
 }
 
-/**
- * Aborts a change that holds the group with no rank armed. The change is
- * revoked unless every sidecar reports that it has no arm order in flight.
- */
-async function abortUnarmed(
+/** Revokes a change for which some ranks are or may become armed. */
+async function revokeLeftover(
   ranks: Ranks,
   readings: readonly RankReading[],
+  own: number,
   log: Log,
 ): Promise<ChangeOutcome> {
   const states = readings.map(one => one.state);
   const {epoch} = states[0]!;
-  const version = Math.max(...states.map(state => state.prepared ?? 0));
-  const isCertain = readings.every(
-    ({gave}) => gave === null || gave?.isConfirmed === true,
-  );
-  const former = mapInForce(readings);
-  const order = {epoch, version, former};
-  const result = isCertain
-    ? 'done'
-    : await revokeChange(ranks, ranks.all, order);
-  log.event('mapChangeAborted', {version, isCertain, result});
+  const armed = states.flatMap(state => state.armed ?? []);
+  const step = Math.min(...armed.map(one => one.step));
+  const mustHold = armed.length > 0 && states.every(({held}) => held !== step);
+  const holder = mustHold ? pickHolder(states, own) : undefined;
+  if (mustHold) {
+    // The group must not reach the pass with only some ranks armed.
+    const hold: Order = {kind: 'hold', epoch, step};
+    const [result] =
+      holder === undefined ? [] : await ranks.orderRemotely([holder], hold);
+    if (result !== 'done') {
+      return 'not-held';
+    }
+  }
+  const result = await revokeChange(ranks, {
+    epoch,
+    versions: [...new Set(armed.map(one => one.version))],
+    newer: 1 + Math.max(...states.map(highestVersionOf)),
+    former: mapInForce(readings),
+    unarmed: states.flatMap(state =>
+      state.armed === null ? [state.rank] : [],
+    ),
+    revoked: ranks.all,
+  });
+  log.event('mapChangeAborted', {armed: armed.length, result});
   if (result !== 'done') {
     return result === 'deposed' ? 'deposed' : 'stuck';
   }
-  await releaseAll(ranks, states);
+  await releaseHolds(ranks, readings);
+  if (holder !== undefined) {
+    await ranks.orderRemotely([holder], {kind: 'release', epoch, step});
+  }
   return 'backed-out';
 }
 
-/**
- * Releases a hold order that got no answer and took effect after its release.
- * Returns false, and releases nothing, if `readings` show a rank armed or
- * another pass held. Only for the planner that gave both orders, which knows
- * that no rank was to be armed for `step`.
- */
-export async function releaseLateHold(
+/** A rank that holds no pass, preferably not the planner's own. */
+function pickHolder(
+  states: readonly RankState[],
+  own: number,
+): number | undefined {
+  const free = states.flatMap(({rank, held}) => (held === null ? [rank] : []));
+  return free.find(rank => rank !== own) ?? free[0];
+}
+
+function highestVersionOf({mapVersion, prepared, armed}: RankState): number {
+  return Math.max(mapVersion, prepared ?? 0, armed?.version ?? 0);
+}
+
+/** Releases each pass that the readings show as held. */
+export async function releaseHolds(
   ranks: Ranks,
   readings: readonly RankReading[],
-  step: number,
-): Promise<boolean> {
-  const states = readings.map(one => one.state);
-  const isLate = states.every(
-    ({held, armed}) => armed === null && (held === null || held === step),
+): Promise<void> {
+  await Promise.all(
+    readings.map(async ({state: {epoch, rank, held: step}}) => {
+      if (step !== null) {
+        await ranks.orderRemotely([rank], {kind: 'release', epoch, step});
+      }
+    }),
   );
-  if (isLate) {
-    await releaseAll(ranks, states);
-  }
-  return isLate;
 }
 
 /** The map in force; undefined unless all readings have the same version. */
@@ -495,7 +523,7 @@
     if (results.some(result => result !== 'done')) {
       return 'unknown';
     }
-    await releaseAll(ranks, states);
+    await releaseHolds(ranks, readings);
     return 'armed';
   }
   const isCertain = readings.every(one => one.gave !== undefined);
@@ -503,27 +531,10 @@
     return 'unknown';
   }
   log.event('mapChangeAborted', {step, silent});
-  await releaseAll(ranks, states);
+  await releaseHolds(ranks, readings);
   return 'backed-out';
 }
 
-function holdersOf(states: readonly RankState[], step: number): number[] {
-  return states.flatMap((state, at) => (state.held === step ? [at] : []));
-}
-
-async function releaseAll(
-  ranks: Ranks,
-  states: readonly RankState[],
-): Promise<void> {
-  await Promise.all(
-    states.map(async ({epoch, rank, held: step}) => {
-      if (step !== null) {
-        await ranks.orderRemotely([rank], {kind: 'release', epoch, step});
-      }
-    }),
-  );
-}
-
 function countByResult(
   results: readonly OrderResult[],
 ): Record<string, number> {
--- a/src/experts/map-changer.ts
+++ b/src/experts/map-changer.ts
@@ -9,6 +9,7 @@
 import {BoundedRanks} from './bounded-ranks';
 import * as mapChange from './change';
 import type {GroupClient, GroupRanks} from './group-client';
+import type {LastChange} from './hold-decision';
 import {MAX_PASSES_AHEAD, PassClock} from './pass-clock';
 import type {MapPlan} from './plan';
 import type {ExpertMap, RankReading, RankState} from './types';
@@ -74,11 +75,8 @@
   readonly passes = new PassClock();
   private armMs = INITIAL_ARM_MS;
   private usedStepEpoch = 0;
-  /**
-   * Pass that the last change tried to hold and may still hold, if it ended as
-   * 'not-held'; otherwise undefined.
-   */
-  private unconfirmedHoldStep: number | undefined;
+  /** Undefined if it is not certain which ranks are armed for the last change. */
+  private certainChange: LastChange | undefined;
   /** End of the last change, in milliseconds on the monotonic clock. */
   endedAt = -Infinity;
   private readonly state: mapChange.ChangerState = {
@@ -88,11 +86,20 @@
 
   constructor(private readonly context: PlannerContext) {}
 
+  /**
+   * What the last change has left at the ranks; undefined if that is not certain
+   * or the group was recovered since.
+   */
+  get lastChange(): LastChange | undefined {
+    return this.certainChange;
+  }
+
   /**
    * Excludes passes from being held that a late release order of another
    * planner's aborted change may name.
    */
   skipUsedSteps(readings: readonly RankReading[]): void {
+    this.certainChange = undefined;
     const hasUnfinished = readings.some(
       ({state}) =>
         state.prepared !== null && state.prepared !== state.mapVersion,
@@ -105,6 +112,21 @@
     }
     const lastUsed = hasUnfinished ? step + MAX_PASSES_AHEAD + 1 : step;
     this.state.lastUsedStep = Math.max(this.state.lastUsedStep, lastUsed);
+    this.skipHeldSteps(readings);
+  }
+
+  /** Releases all that is held, and holds none of these passes again. */
+  async release(
+    ranks: GroupRanks,
+    readings: readonly RankReading[],
+  ): Promise<void> {
+    this.skipHeldSteps(readings);
+    await mapChange.releaseHolds(ranks, readings);
+  }
+
+  private skipHeldSteps(readings: readonly RankReading[]): void {
+    const held = readings.map(({state}) => state.held ?? 0);
+    this.state.lastUsedStep = Math.max(this.state.lastUsedStep, ...held);
   }
 
   /** Runs a change, then logs and measures it. */
@@ -165,8 +187,7 @@
         ms,
       });
       this.recordArmTime();
-      this.unconfirmedHoldStep =
-        end === 'not-held' ? this.state.lastUsedStep : undefined;
+      this.certainChange = this.certainAfter(end, version);
       return end;
     } finally {
       this.endedAt = performance.now();
@@ -175,19 +196,19 @@
     }
   }
 
-  /**
-   * Releases a hold of the last change that took effect late. Returns false if
-   * the hold may be another planner's.
-   */
-  async releaseLateHold(
-    ranks: GroupRanks,
-    readings: readonly RankReading[],
-  ): Promise<boolean> {
-    const step = this.unconfirmedHoldStep;
-    return (
-      step !== undefined &&
-      (await mapChange.releaseLateHold(ranks, readings, step))
-    );
+  private certainAfter(
+    end: mapChange.ChangeOutcome,
+    version: number,
+  ): LastChange | undefined {
+    const step = this.state.lastUsedStep;
+    switch (end) {
+      case 'armed':
+        return {step, version};
+      case 'not-held':
+        return {step, version: undefined};
+      default:
+        return undefined;
+    }
   }
 
   /**
--- a/src/experts/planner.ts
+++ b/src/experts/planner.ts
@@ -7,8 +7,10 @@
 import * as mapChange from './change';
 import {RecentDemand} from './demand';
 import type {DemandEstimate} from './demand-estimate';
+import {BoundedRanks} from './bounded-ranks';
 import * as groupClients from './group-client';
 import type {GroupRanks, GroupReading} from './group-client';
+import * as holdDecision from './hold-decision';
 import {LargeGroupDemand} from './large-group-demand';
 import * as mapChanger from './map-changer';
 import * as plans from './plan';
@@ -174,27 +176,25 @@
 
   private async readAndPlan(): Promise<void> {
     this.context.onTick();
-    const figures = this.context.figures();
-    if (figures === undefined) {
-      // A reading tells the other members who the planner is.
-      await this.context.groupClient.read(groupClients.STATES_ONLY);
-      return;
-    }
     if (this.known === undefined && !this.isChanging) {
+      // Also without a configuration: the group may be held.
       await this.recover();
       return;
     }
     const readAt = performance.now();
-    const reading = await this.context.groupClient.read(
-      groupClients.PLANNING_READ,
-    );
+    const reading = await this.context.groupClient.read({
+      ...groupClients.PLANNING_READ,
+      planning: !this.isChanging,
+    });
     this.recordReadingTime(performance.now() - readAt);
     if (reading.isDeposed) {
       this.context.onDeposed();
       return;
     }
     this.updateStates(reading);
-    const hasDrifted = this.updateDemand(figures, reading);
+    const figures = this.context.figures();
+    const hasDrifted =
+      figures !== undefined && this.updateDemand(figures, reading);
     this.lastView = undefined;
     if (hasDrifted) {
       // Passes the new view on to entries before the next reading.
@@ -202,11 +202,50 @@
     }
     // A reading that started during a change may show the group held.
     const isAfterChange = readAt > this.changer.endedAt;
-    if (!this.isChanging && isAfterChange && this.known !== undefined) {
-      await this.plan(figures, this.known, reading);
+    const {known} = this;
+    if (this.isChanging || !isAfterChange || known === undefined) {
+      return;
+    }
+    const isSettled = await this.settle(known, reading);
+    if (isSettled && figures !== undefined) {
+      await this.plan(figures, known);
+    }
+  }
+
+  /**
+   * Ends what the ranks report as left of any change. True if there is nothing
+   * left; drops `known` if the group must be recovered.
+   */
+  private async settle(
+    known: KnownGroup,
+    reading: GroupReading,
+  ): Promise<boolean> {
+    const readings = [...reading.ranks.values()];
+    const {lastChange} = this.changer;
+    const {size} = known.ranks;
+    const decision = holdDecision.decide(readings, size, lastChange);
+    switch (decision) {
+      case 'settled':
+        return true;
+      case 'wait':
+        return false;
+      case 'release':
+        this.logStrayHold(decision, known.version);
+        await this.changer.release(known.ranks, readings);
+        return false;
+      case 'revoke':
+      case 'unknown':
+        this.logStrayHold(decision, known.version);
+        this.known = undefined;
+        return false;
     }
   }
 
+  private logStrayHold(decision: string, version: number): void {
+    const {log, group} = this.context;
+    log.event('strayHold', {group, decision, version});
+  }
+
   /** Drops all knowledge of the group, which may be out of date. */
   private reset(): void {
     this.known = undefined;
@@ -228,14 +267,16 @@
       return;
     }
     const readings = sortedByRank(reading);
-    const end = await mapChange.finishChange(ranks, readings, ownRank, log);
+    this.changer.skipUsedSteps(readings);
+    const bounded = new BoundedRanks(ranks, mapChanger.MAX_ORDERING_MS);
+    const end = await mapChange.finishChange(bounded, readings, ownRank, log);
+    bounded.close();
     if (!this.hasStarted) {
       this.hasStarted = true;
       log.event('plannerStarted', {group, term, left: end});
     }
     if (end === 'nothing-left') {
       this.known = knownGroupOf(ranks, readings);
-      this.changer.skipUsedSteps(readings);
     } else if (end === 'stuck' || end === 'deposed') {
       this.stepDown();
     }
@@ -263,13 +304,17 @@
       readings.length === first.state.size - 1 &&
       readings.every(one => one.state.rank !== previousRank);
     if (isOnlyPreviousMissing) {
-      const ranks = groupClient.partialRanksOf(reading);
+      const ranks = new BoundedRanks(
+        groupClient.partialRanksOf(reading),
+        mapChanger.MAX_ORDERING_MS,
+      );
       const end = await mapChange.resolveOrphaned(
         ranks,
         readings,
         previousRank,
         log,
       );
+      ranks.close();
       metrics.count('orphaned_changes_total', {end});
     }
   }
@@ -322,7 +367,6 @@
   private async plan(
     figures: ExpertParameters,
     known: KnownGroup,
-    reading: GroupReading,
   ): Promise<void> {
     const demand = this.demand?.demand;
     const minTokens = figures.sets * figures.experts * MIN_TOKENS_PER_EXPERT;
@@ -330,7 +374,7 @@
       return;
     }
     const own = await this.context.ownState();
-    if (own === undefined || !(await this.isSettled(known, own, reading))) {
+    if (own === undefined || !this.isAsLeft(known, own)) {
       return;
     }
     this.changer.passes.record(own.step, performance.now());
@@ -360,41 +404,17 @@
   }
 
   /**
-   * Whether the group is as this planner left it. Drops `known` if the group
+   * Whether the own rank is as this planner left it. Drops `known` if the group
    * must be recovered.
    */
-  private async isSettled(
-    known: KnownGroup,
-    own: RankState,
-    reading: GroupReading,
-  ): Promise<boolean> {
-    if (!own.isOpen || own.epoch !== known.epoch) {
-      this.known = undefined;
-      return false;
-    }
+  private isAsLeft(known: KnownGroup, own: RankState): boolean {
     if (own.armed !== null) {
-      // Either the pass that switches the map has not begun, or a late order
-      // armed the own rank for an aborted change.
+      // The pass that switches the map has not begun, or the order is another's.
       this.known = own.armed.version === known.version ? known : undefined;
       return false;
     }
-    const readings = [...reading.ranks.values()];
-    const isGroupHeld = readings.some(({state}) => state.held !== null);
-    const isKnownVersion = own.mapVersion === known.version;
-    if (isGroupHeld && isKnownVersion) {
-      // A hold may take effect late if the helper froze while ordering it.
-      // Releasing it here avoids a recovery, which would wait for the helper:
-      // 4 s without a view of the group.
-      if (await this.changer.releaseLateHold(known.ranks, readings)) {
-        return false;
-      }
-    }
-    if (isGroupHeld || !isKnownVersion) {
-      this.context.log.event('strayHold', {
-        group: this.context.group,
-        isHeld: isGroupHeld,
-        version: own.mapVersion,
-      });
+    const isOpen = own.isOpen && own.epoch === known.epoch;
+    if (!isOpen || own.mapVersion !== known.version) {
       this.known = undefined;
       return false;
     }
--- a/src/observability/catalogue.ts
+++ b/src/observability/catalogue.ts
@@ -311,7 +311,7 @@
   strayHold: {
     id: 'FC7013',
     level: 'warn',
-    text: 'group is held without a holder',
+    text: 'a group is held, or some of its ranks are armed, after a change',
   },
   seatTaken: {id: 'FC7014', level: 'info', text: 'planner elected'},
   seatLost: {id: 'FC7015', level: 'warn', text: 'planner role lost'},
