A stopping entry takes late only requests that end in time for certain

Cause: a request was expected to take 1.25 times the longest of its route's last 64 answers. That is no bound: a route's answers differ in length, and the long ones may all be older or still under way.

Open: own entries (src/roles/entry) compare nothing with their patience, 600 s by default.

--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -129,6 +129,13 @@
       : undefined;
   }
 
+  /** Milliseconds since the first send; undefined: no target has it. */
+  get underWayMs(): number | undefined {
+    return this.place !== undefined && this.firstSentAt !== undefined
+      ? performance.now() - this.firstSentAt
+      : undefined;
+  }
+
   get timeLeftMs(): number {
     return this.deadline - performance.now();
   }
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -117,7 +117,8 @@
    * time in milliseconds, are refused.
    */
   stop(endsAt: number): void {
-    this.context.stopDeadline.set(endsAt);
+    this.context.stopDeadline.set(endsAt, performance.now());
+    this.noteUnderWay();
     this.stopTimer ??= setInterval(
       () => this.giveUpLateCalls(),
       STOP_CHECK_INTERVAL_MS,
@@ -173,6 +174,7 @@
 
   /** Refuses or breaks off what can't be answered before the stop ends. */
   private giveUpLateCalls(): void {
+    this.noteUnderWay();
     const isEnded = this.context.stopDeadline.leftMs(performance.now()) <= 0;
     for (const call of this.openCalls) {
       if (isEnded || (!call.isBeingServed && call.isTooLate)) {
@@ -181,11 +183,22 @@
     }
   }
 
+  /** What is still being answered shows how long its route's answers take. */
+  private noteUnderWay(): void {
+    const now = performance.now();
+    for (const {route, underWayMs} of this.openCalls) {
+      if (route !== undefined && underWayMs !== undefined) {
+        this.context.stopDeadline.noteUnderWay(route.name, underWayMs, now);
+      }
+    }
+  }
+
   private noteClosed(call: Call): void {
     this.openCalls.delete(call);
     const {route, servedMs} = call;
     if (route !== undefined && servedMs !== undefined) {
-      this.context.stopDeadline.note(route.name, servedMs);
+      const now = performance.now();
+      this.context.stopDeadline.note(route.name, servedMs, now);
     }
   }
 
