A watch that stays behind the store is asked again on a new connection

Cause: a watch of the servers waits 20 s, one of the drained halls 30 s. Where its connection goes silent while new ones work, nothing ended it sooner, since the watch of the configuration, on another connection, was answered.

Change: the store has one revision counter, and each answer tells it. An answer to the watch of the configuration shows how far the store is; a watch of the servers or of the drained halls that stays behind for 200 ms is ended and asked again, from its revision, on a new connection, at most once in 4 s. Sites of up to three entries watch the configuration for 1.4 s instead of 1.8 s, so that this takes less than a target's 2 s: 0.16 calls a second more for each entry; larger sites had 1.0 s and keep it. In calm no other call is added.

--- a/src/platform/client.ts
+++ b/src/platform/client.ts
@@ -39,13 +39,15 @@
 
   /**
    * Waits up to `waitMs` for changes after a revision. Fails with
-   * `watch-too-old` if the store no longer holds the history since then.
+   * `watch-too-old` if the store no longer holds the history since then. With
+   * `isOnNewConnection`, no kept connection is used.
    */
   abstract watch(
     prefix: string,
     after: number,
     waitMs: number,
     signal?: AbortSignal,
+    isOnNewConnection?: boolean,
   ): Promise<Result<types.Listing, types.PlatformError>>;
 
   /** The platform's list of instances, which lags behind. */
@@ -56,6 +58,14 @@
   abstract close(): void;
 }
 
+/** What a call to the store needs besides its target. */
+export interface CallExtra extends Pick<
+  httpClient.Call,
+  'body' | 'headers' | 'signal'
+> {
+  readonly isOnNewConnection?: boolean;
+}
+
 /** The object API over HTTP. */
 export class HttpObjectApi extends ObjectApi {
   private readonly agent: http.Agent = httpClient.makeAgent();
@@ -111,12 +121,16 @@
     after: number,
     waitMs: number,
     signal?: AbortSignal,
+    isOnNewConnection = false,
   ) {
     const path =
       `/v1/watch?prefix=${encodeURIComponent(prefix)}` +
       `&after=${after}&wait-ms=${waitMs}`;
     const timeoutMs = waitMs + WATCH_GRACE_MS;
-    const answer = await this.call('GET', path, timeoutMs, {signal});
+    const answer = await this.call('GET', path, timeoutMs, {
+      signal,
+      isOnNewConnection,
+    });
     if (!answer.ok) {
       return answer;
     }
@@ -143,13 +157,17 @@
     method: string,
     path: string,
     timeoutMs: number,
-    extra: Pick<httpClient.Call, 'body' | 'headers' | 'signal'> = {},
+    {isOnNewConnection = false, ...extra}: CallExtra = {},
   ): Promise<Result<httpClient.HttpResponse, types.PlatformError>> {
+    const agent = isOnNewConnection ? httpClient.makeAgent() : this.agent;
     const answer = await httpClient.fetchBuffered(
-      this.agent,
+      agent,
       {address: this.address, method, path, timeoutMs, ...extra},
       MAX_LISTING_BYTES,
     );
+    if (isOnNewConnection) {
+      agent.destroy();
+    }
     if (!answer.ok) {
       return fail({
         kind: 'unavailable',
--- a/src/platform/watch-loop.test.ts
+++ b/src/platform/watch-loop.test.ts
@@ -1,3 +1,4 @@
+import {fail} from '../result';
 import {MemoryStore} from './memory-store';
 import {WatchEvent, WatchLoop} from './watch-loop';
 
@@ -79,6 +80,84 @@
   });
 });
 
+/** The connections that are open say nothing more; new ones work. */
+class SilentStore extends MemoryStore {
+  newConnectionCount = 0;
+  isSilent = false;
+
+  override async watch(
+    prefix: string,
+    after: number,
+    waitMs: number,
+    signal?: AbortSignal,
+    isOnNewConnection = false,
+  ) {
+    this.newConnectionCount += isOnNewConnection ? 1 : 0;
+    const answer = await super.watch(prefix, after, waitMs, signal);
+    if (this.isSilent && !isOnNewConnection) {
+      await new Promise<void>(resolve => {
+        signal?.addEventListener('abort', () => resolve());
+        if (signal?.aborted) {
+          resolve();
+        }
+      });
+      return fail({kind: 'unavailable' as const, maybeApplied: false});
+    }
+    return answer;
+  }
+}
+
+/** Guards against changes that are missed for as long as a watch waits. */
+describe('a watch on a connection that has gone silent', () => {
+  let store: SilentStore;
+  let loop: WatchLoop;
+  let names: string[];
+
+  beforeEach(async () => {
+    store = new SilentStore();
+    loop = new WatchLoop(store, 'things', () => 20_000);
+    names = [];
+    loop.events.subscribe(event => {
+      if (event.kind === 'listed' || event.kind === 'changed') {
+        names.push(event.kind, ...event.listing.items.map(item => item.key));
+      }
+    });
+    void loop.run();
+    await sleep(20);
+    store.isSilent = true;
+  });
+
+  afterEach(() => {
+    loop.close();
+    store.close();
+  });
+
+  it('is asked again once another answer shows a newer revision', async () => {
+    const put = await store.put('things/a', 1, 0);
+    await sleep(500);
+    expect(names).toEqual(['listed']);
+    loop.noteStoreRevision(put.ok ? put.value : 0);
+    await sleep(500);
+    // It goes on from its revision, and lists nothing again.
+    expect(names).toEqual(['listed', 'changed', 'things/a']);
+  });
+
+  it('is not asked again for a revision that it has', async () => {
+    loop.noteStoreRevision(loop.knownRevision);
+    await sleep(500);
+    expect(store.newConnectionCount).toBe(0);
+  });
+
+  it('is asked again at intervals while other kinds change', async () => {
+    for (let at = 0; at < 10; at += 1) {
+      const put = await store.put(`others/${at}`, at, 0);
+      loop.noteStoreRevision(put.ok ? put.value : 0);
+      await sleep(100);
+    }
+    expect(store.newConnectionCount).toBe(1);
+  });
+});
+
 function lastContact(events: readonly WatchEvent[]): number {
   const contacts = events.flatMap(event =>
     event.kind === 'contact' ? [event.since] : [],
--- a/src/platform/watch-loop.ts
+++ b/src/platform/watch-loop.ts
@@ -13,6 +13,17 @@
 export const BATCH_DELAY_MS = 200;
 const INITIAL_BACKOFF_MS = 100;
 const MAX_BACKOFF_MS = 500;
+/**
+ * Time that a waiting watch may take to answer after another one has shown that
+ * the store has a newer revision.
+ */
+const SILENCE_TIMEOUT_MS = 200;
+/**
+ * Minimum time between watches that are asked again: other kinds of objects may
+ * change often. With the time-out, less than the time after which an instance
+ * counts as in touch, and a leaving target's grace.
+ */
+const MIN_ASK_AGAIN_INTERVAL_MS = 4_000;
 
 export type WatchEvent =
   /** All objects, whatever was known before. */
@@ -32,6 +43,13 @@
   private revision: number | undefined;
   private watch = new AbortController();
   private isUnavailable = false;
+  /** The current watch was ended because its connection may be silent. */
+  private isAskedAgain = false;
+  private askedAgainAt = -Infinity;
+  /** The newest revision that the store is known to have. */
+  private storeRevision = 0;
+  private silenceTimer: NodeJS.Timeout | undefined;
+  private askedAt = 0;
   /** Wait of the current watch. */
   private currentWaitMs = 0;
   private backoffMs = INITIAL_BACKOFF_MS;
@@ -47,14 +65,17 @@
   async run(): Promise<void> {
     while (!this.stop.signal.aborted) {
       const askedAt = performance.now();
+      this.askedAt = askedAt;
       const isFirst = this.revision === undefined;
       const answer = await this.request();
       if (this.stop.signal.aborted) {
         return;
       }
       if (this.watch.signal.aborted) {
-        // `restart` was called meanwhile, so this answer doesn't count.
-        this.revision = undefined;
+        // The watch was ended meanwhile, so this answer doesn't count.
+        if (!this.isAskedAgain) {
+          this.revision = undefined;
+        }
       } else if (answer.ok) {
         const hasNews = this.applyListing(isFirst, answer.value, askedAt);
         await pause(hasNews && !isFirst ? BATCH_DELAY_MS : 0);
@@ -66,19 +87,68 @@
     }
   }
 
+  /** Revision up to which all changes are known; 0: nothing is known. */
+  get knownRevision(): number {
+    return this.revision ?? 0;
+  }
+
   /** Aborts the current watch, which may never be answered, and lists again. */
   restart(): void {
+    this.isAskedAgain = false;
     this.watch.abort();
   }
 
+  /**
+   * Call when another answer has shown the store's revision. A watch that is asked
+   * before and stays behind may wait on a connection that has gone silent; it is
+   * asked again on a new one.
+   */
+  noteStoreRevision(revision: number): void {
+    if (revision <= Math.max(this.storeRevision, this.knownRevision)) {
+      return;
+    }
+    this.storeRevision = revision;
+    const dueMs =
+      this.askedAgainAt + MIN_ASK_AGAIN_INTERVAL_MS - performance.now();
+    this.checkSilenceIn(Math.max(dueMs, SILENCE_TIMEOUT_MS));
+  }
+
   close(): void {
+    clearTimeout(this.silenceTimer);
     this.stop.abort();
     this.watch.abort();
     this.events.complete();
   }
 
+  private checkSilenceIn(ms: number): void {
+    this.silenceTimer ??= setTimeout(() => {
+      this.silenceTimer = undefined;
+      this.askAgainIfSilent();
+    }, ms);
+  }
+
+  private askAgainIfSilent(): void {
+    if (
+      this.revision === undefined ||
+      this.knownRevision >= this.storeRevision
+    ) {
+      return;
+    }
+    const now = performance.now();
+    const leftMs = this.askedAt + SILENCE_TIMEOUT_MS - now;
+    if (leftMs > 0) {
+      this.checkSilenceIn(leftMs);
+      return;
+    }
+    this.askedAgainAt = now;
+    this.isAskedAgain = true;
+    this.watch.abort();
+  }
+
   private request() {
     const prefix = `${this.kind}/`;
+    const isOnNewConnection = this.isAskedAgain;
+    this.isAskedAgain = false;
     this.watch = new AbortController();
     this.currentWaitMs = this.waitMs();
     return this.revision === undefined
@@ -88,6 +158,7 @@
           this.revision,
           this.currentWaitMs,
           this.watch.signal,
+          isOnNewConnection,
         );
   }
 
--- a/src/roles/site-follower.ts
+++ b/src/roles/site-follower.ts
@@ -40,16 +40,20 @@
 import type {SiteSettings} from './site-settings';
 
 /**
- * Short, since each answer proves that nothing newer exists, and API keys are
- * trusted only for a few seconds after one.
+ * Short, since each answer proves that nothing newer exists: API keys are trusted
+ * only for a few seconds after one, and a leaving target must be known of in less
+ * than two although the watch of the targets is silent.
  */
-const CONFIGURATION_WAIT_MS = 1_800;
+const CONFIGURATION_WAIT_MS = 1_400;
 /**
  * Shorter while other entries rely on this one: they poll it, and get an update
  * some tenths of a second later.
  */
 const SHARED_CONFIGURATION_WAIT_MS = 1_000;
-/** Long, since the watch of the configuration detects an unreachable store. */
+/**
+ * Long, since the watch of the configuration detects an unreachable store, and
+ * watches that stay behind it.
+ */
 const TARGETS_WAIT_MS = 20_000;
 /** The longest wait that the store allows. */
 const DRAINED_HALLS_WAIT_MS = 30_000;
@@ -356,6 +360,10 @@
       if (this.configurationReplica.applyWatchEvent(event)) {
         this.onConfigurationWatchEvent(event);
       }
+      if (event.kind === 'contact') {
+        targets.noteStoreRevision(configuration.knownRevision);
+        drainedHalls.noteStoreRevision(configuration.knownRevision);
+      }
     });
     targets.events.subscribe(event => {
       if (this.targetsReplica.applyWatchEvent(event)) {
