An answer that is still arriving is charged to its target

Callers saw: of 100 requests at once to a server whose body had no end, 28 to 30 got a closed connection in place of a 502, logged as slow readers, though they had got nothing to read yet.

Cause: above three times the bound the largest holders are cut off, and an answer that is being read was cut off as one that its caller leaves unread.

Change: while an answer arrives, cutting it off ends the send: the caller is answered 502, or the request is retried where that is safe. Counted and logged as 'arriving-answer'. Only an answer that was given over can cost its caller the connection.

Test: src/forwarding/held-answer.test; on the commit before it fails: the caller's connection is closed, and the answer is read on. site-slow-callers, src/http and src/forwarding pass (307).

--- a/src/forwarding/held-answer.ts
+++ b/src/forwarding/held-answer.ts
@@ -1,9 +1,10 @@
 /**
  * Bytes of a plain answer: read from its target, then unread by its caller. Its
  * reading is not paused above the bound: several answers would wait for each
- * other until their deadlines.
+ * other until their deadlines. If it must be cut off while it arrives, the send
+ * ends, and its caller can still be answered.
  */
-import type {Writable} from 'node:stream';
+import type {Readable, Writable} from 'node:stream';
 import type {BodyObserver} from '../http/body';
 import * as closing from '../http/closing';
 import * as heldBytes from '../http/held-bytes';
@@ -11,6 +12,8 @@
 export class HeldAnswer extends heldBytes.Holder implements BodyObserver {
   private readonly pace = new heldBytes.ReaderPace();
   private readBytes = 0;
+  /** Ends the reading of the answer; undefined: it is not being read. */
+  private stopReading: (() => void) | undefined;
   /** Size of the answer once it was given to the caller; undefined: not yet. */
   private givenBytes: number | undefined;
 
@@ -22,8 +25,9 @@
     super();
   }
 
-  onStart(): void {
+  onStart(_stream: Readable, stop: () => void): void {
     this.readBytes = 0;
+    this.stopReading = stop;
   }
 
   onBytes(size: number): void {
@@ -57,6 +61,9 @@
   }
 
   rankAt(now: number, isCritical: boolean): heldBytes.CutRank | undefined {
+    if (this.givenBytes === undefined && this.stopReading === undefined) {
+      return undefined;
+    }
     if (isCritical) {
       return {class: 'answer', weight: this.bytes()};
     }
@@ -71,6 +78,14 @@
 
   cut(now: number): void {
     const bytes = this.bytes();
+    const {stopReading} = this;
+    if (this.givenBytes === undefined && stopReading !== undefined) {
+      this.stopReading = undefined;
+      this.readBytes = 0;
+      stopReading();
+      this.onCut('arriving-answer', bytes, 0);
+      return;
+    }
     closing.closeConnectionOf(this.res);
     this.onCut('answer', bytes, this.pace.behindMs(now));
   }
--- a/src/http/held-bytes.ts
+++ b/src/http/held-bytes.ts
@@ -48,8 +48,11 @@
   'small-body': 3,
 } as const;
 
-/** What was cut off. `upload`: from a caller; `send`: to a target. */
-export type CutKind = 'answer' | 'upload' | 'send';
+/**
+ * What was cut off. `answer`: to a caller; `arriving-answer`: from a target;
+ * `upload`: from a caller; `send`: to a target.
+ */
+export type CutKind = 'answer' | 'arriving-answer' | 'upload' | 'send';
 
 /** Called when something was cut off that held bytes for some time. */
 export type CutListener = (of: CutKind, bytes: number, ms: number) => void;
