--- a/src/experts/map-changer.ts
+++ b/src/experts/map-changer.ts
@@ -75,8 +75,11 @@
   readonly passes = new PassClock();
   private armMs = INITIAL_ARM_MS;
   private usedStepEpoch = 0;
-  /** Undefined if it is not certain which ranks are armed for the last change. */
-  private certainChange: LastChange | undefined;
+  /**
+   * What the last change has left at the ranks; undefined if that is not certain
+   * or the group was recovered since.
+   */
+  lastChange: LastChange | undefined;
   /** End of the last change, in milliseconds on the monotonic clock. */
   endedAt = -Infinity;
   private readonly state: mapChange.ChangerState = {
@@ -86,20 +89,12 @@
 
   constructor(private readonly context: PlannerContext) {}
 
-  /**
-   * What the last change has left at the ranks; undefined if that is not certain
-   * or the group was recovered since.
-   */
-  get lastChange(): LastChange | undefined {
-    return this.certainChange;
-  }
-
   /**
    * Excludes passes from being held that a late release order of another
    * planner's aborted change may name.
    */
   skipUsedSteps(readings: readonly RankReading[]): void {
-    this.certainChange = undefined;
+    this.lastChange = undefined;
     const hasUnfinished = readings.some(
       ({state}) =>
         state.prepared !== null && state.prepared !== state.mapVersion,
@@ -187,7 +182,7 @@
         ms,
       });
       this.recordArmTime();
-      this.certainChange = this.certainAfter(end, version);
+      this.lastChange = this.lastChangeAfter(end, version);
       return end;
     } finally {
       this.endedAt = performance.now();
@@ -196,7 +191,7 @@
     }
   }
 
-  private certainAfter(
+  private lastChangeAfter(
     end: mapChange.ChangeOutcome,
     version: number,
   ): LastChange | undefined {
--- a/src/http/client.ts
+++ b/src/http/client.ts
@@ -121,7 +121,7 @@
           : {kind: 'no-connection', sent: false},
       );
     req.on('error', onLost);
-    // A peer that switches protocols, which nobody asks for, causes no error.
+    // A response that switches protocols emits no 'error' event.
     req.on('close', onLost);
     if (call.signal?.aborted) {
       onAbort();
@@ -207,3 +207,14 @@
     body: read.value,
   });
 }
+
+/** The same on a connection of its own, which is closed afterwards. */
+export async function fetchOnNewConnection(
+  call: Call,
+  limitBytes: number,
+): Promise<Result<HttpResponse, CallError>> {
+  const agent = makeAgent();
+  const response = await fetchBuffered(agent, call, limitBytes);
+  agent.destroy();
+  return response;
+}
--- a/src/platform/client.ts
+++ b/src/platform/client.ts
@@ -159,15 +159,10 @@
     timeoutMs: number,
     {isOnNewConnection = false, ...extra}: CallExtra = {},
   ): Promise<Result<httpClient.HttpResponse, types.PlatformError>> {
-    const agent = isOnNewConnection ? httpClient.makeAgent() : this.agent;
-    const answer = await httpClient.fetchBuffered(
-      agent,
-      {address: this.address, method, path, timeoutMs, ...extra},
-      MAX_LISTING_BYTES,
-    );
-    if (isOnNewConnection) {
-      agent.destroy();
-    }
+    const call = {address: this.address, method, path, timeoutMs, ...extra};
+    const answer = isOnNewConnection
+      ? await httpClient.fetchOnNewConnection(call, MAX_LISTING_BYTES)
+      : await httpClient.fetchBuffered(this.agent, call, MAX_LISTING_BYTES);
     if (!answer.ok) {
       return fail({
         kind: 'unavailable',
